--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,66 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestSlotsAgainstModel compares Slots with a plain count over random events.
+func TestSlotsAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		now := time.Unix(1_700_000_000, 0)
+		total := rapid.Uint32Range(1, 9).Draw(t, "total")
+		slots := NewSlots(total)
+		running, leaving := 0, false
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				late := rapid.Bool().Draw(t, "late")
+				deadline := now.Add(time.Minute)
+				if late {
+					deadline = now
+				}
+				verdict := slots.Arrive(now, deadline)
+				is.Equal(verdict.Run, !leaving && !late && running < int(total))
+				is.Equal(verdict.Run, verdict.Reason == ReasonNone)
+				if verdict.Run {
+					running++
+					return
+				}
+				is.True(verdict.RetryAfter >= MinimumRetryAfter)
+				is.True(verdict.RetryAfter <= MaximumRetryAfter)
+			},
+			"finish": func(t *rapid.T) {
+				if running == 0 {
+					t.Skip("nothing runs")
+				}
+				slots.Finish(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "took")))
+				running--
+			},
+			"resize": func(t *rapid.T) {
+				total = rapid.Uint32Range(1, 9).Draw(t, "total")
+				slots.Resize(total)
+			},
+			"leave": func(t *rapid.T) {
+				leaving = rapid.Bool().Draw(t, "leaving")
+				slots.SetLeaving(leaving)
+			},
+			"": func(*rapid.T) { is.Equal(slots.Busy(), running) },
+		})
+	})
+}
+
+func TestRetryAfterFollowsRunTime(t *testing.T) {
+	is := is.New(t)
+	slots := NewSlots(2)
+	now := time.Unix(1_700_000_000, 0)
+	is.True(slots.Arrive(now, time.Time{}).Run)
+	slots.Finish(20 * time.Second)
+	is.True(slots.Arrive(now, time.Time{}).Run)
+	is.True(slots.Arrive(now, time.Time{}).Run)
+	verdict := slots.Arrive(now, time.Time{})
+	is.Equal(verdict, Verdict{Reason: ReasonNoSlot, RetryAfter: 10 * time.Second})
+}
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,128 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+func validService(name ServiceName) Service {
+	return Service{
+		Name: name, Protocol: ProtocolHTTP, Address: netip.MustParseAddrPort("192.0.2.1:443"),
+		Shares: []SiteShare{{Site: "old", Percent: 70}, {Site: "new", Percent: 30}},
+		Backends: []Backend{{
+			ID: "host-1", Site: "old", Zone: "z1",
+			Agent: netip.MustParseAddrPort("10.0.0.1:7000"), Address: netip.MustParseAddrPort("10.0.0.1:8000"),
+			Weight: 1, Slots: 7, Connections: 2000, State: BackendActive,
+		}},
+	}
+}
+
+func objectOf(t interface{ Fatal(...any) }, service Service, revision Revision) Object {
+	body, err := json.Marshal(service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Object{Name: service.Name, Revision: revision, Body: body}
+}
+
+// TestParseServiceNamesFieldAndValue checks that each broken rule is reported
+// with the field and the value that breaks it.
+func TestParseServiceNamesFieldAndValue(t *testing.T) {
+	cases := map[string]struct {
+		edit func(*Service)
+		want string
+	}{
+		"protocol":       {func(s *Service) { s.Protocol = "sctp" }, `protocol = "sctp"`},
+		"address":        {func(s *Service) { s.Address = netip.AddrPort{} }, `address = "invalid AddrPort"`},
+		"unspecified":    {func(s *Service) { s.Address = netip.MustParseAddrPort("0.0.0.0:1") }, `address = "0.0.0.0:1"`},
+		"share sum":      {func(s *Service) { s.Shares[0].Percent = 60 }, `shares = "90"`},
+		"share twice":    {func(s *Service) { s.Shares[1].Site = "old" }, `shares[1].site = "old"`},
+		"site unknown":   {func(s *Service) { s.Backends[0].Site = "moon" }, `backends[0].site = "moon"`},
+		"back-end twice": {func(s *Service) { s.Backends = append(s.Backends, s.Backends[0]) }, `backends[1].id = "host-1"`},
+		"weight":         {func(s *Service) { s.Backends[0].Weight = 1001 }, `backends[0].weight = "1001"`},
+		"slots":          {func(s *Service) { s.Backends[0].Slots = 0 }, `backends[0].slots = "0"`},
+		"connections":    {func(s *Service) { s.Backends[0].Connections = 0 }, `backends[0].connections = "0"`},
+		"state":          {func(s *Service) { s.Backends[0].State = "gone" }, `backends[0].state = "gone"`},
+		"id":             {func(s *Service) { s.Backends[0].ID = "Host 1" }, `backends[0].id = "Host 1"`},
+		"agent":          {func(s *Service) { s.Backends[0].Agent = netip.MustParseAddrPort("10.0.0.1:0") }, `backends[0].agent = "10.0.0.1:0"`},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			service := validService("lessons")
+			test.edit(&service)
+			_, err := ParseService("lessons", objectOf(t, service, 1).Body)
+			is.Equal(fault.Of(err), fault.Invalid)
+			is.True(strings.Contains(fmt.Sprint(err), test.want)) // error names field and value
+		})
+	}
+}
+
+// TestParseServiceRefusesForeignBodies checks bodies that are not a service.
+func TestParseServiceRefusesForeignBodies(t *testing.T) {
+	good := string(objectOf(t, validService("lessons"), 1).Body)
+	for name, body := range map[string]string{
+		"empty": "", "null": "null", "list": "[]", "unknown key": `{"colour":1}`,
+		"two values": good + good, "cut": good[:len(good)/2], "other name": strings.Replace(good, "lessons", "sheets", 1),
+		"too long": good + strings.Repeat(" ", MaximumBody),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseService("lessons", []byte(body))
+			is.New(t).Equal(fault.Of(err), fault.Invalid)
+		})
+	}
+}
+
+// TestInvalidObjectKeepsLastGood checks that a refused object changes nothing,
+// and that an address stays with the service that has it.
+func TestInvalidObjectKeepsLastGood(t *testing.T) {
+	is := is.New(t)
+	first, err := Empty().With([]Object{objectOf(t, validService("lessons"), 1)}, 1)
+	is.NoErr(err)
+	broken := validService("lessons")
+	broken.Shares = nil
+	second, err := first.With([]Object{objectOf(t, broken, 2), objectOf(t, validService("thief"), 3)}, 3)
+	is.Equal(fault.Of(err), fault.Invalid)
+	is.Equal(second.Revision(), Revision(3))
+	is.Equal(second.ServiceAt(netip.MustParseAddrPort("192.0.2.1:443")).Revision, Revision(1))
+	is.Equal(second.Digest(), first.Digest()) // nothing refused is passed on to peers
+	_, err = second.With(nil, 2)
+	is.Equal(fault.Of(err), fault.Stale)
+}
+
+// TestDeltasMergeInAnyOrder checks that snapshots which received the same
+// objects in different batches and orders, some of them twice, are equal.
+func TestDeltasMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var objects []Object
+		for revision := range rapid.IntRange(1, 12).Draw(t, "objects") {
+			number := rapid.IntRange(1, 4).Draw(t, "service")
+			service := validService(ServiceName(fmt.Sprintf("service-%d", number)))
+			service.Address = netip.MustParseAddrPort(fmt.Sprintf("192.0.2.%d:443", number))
+			object := objectOf(t, service, Revision(revision+1))
+			if rapid.Bool().Draw(t, "deleted") {
+				object.Deleted, object.Body = true, nil
+			}
+			objects = append(objects, object)
+		}
+		final := Revision(len(objects))
+		inOrder, err := Empty().With(objects, final)
+		is.NoErr(err)
+		shuffled := Empty()
+		for _, object := range rapid.Permutation(append(objects, objects...)).Draw(t, "order") {
+			shuffled, err = shuffled.With([]Object{object}, shuffled.Revision())
+			is.NoErr(err)
+		}
+		is.Equal(shuffled.Digest(), inOrder.Digest())
+		is.Equal(len(shuffled.Services()), len(inOrder.Services()))
+	})
+}
--- /dev/null
+++ b/cmd/burlmill/operate.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/operator"
+	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/settings"
+)
+
+func (l *commandLine) addOperatorCommands() {
+	l.add("apply", "Write the services in a YAML or JSON file to the platform's store.", applyAction)
+	l.add("drain", "Stop new work to a back end.", stateAction((*operator.Operator).Drain))
+	l.add("undrain", "Allow new work to a back end again.", stateAction((*operator.Operator).Undrain))
+	l.add("shift", "Set the shares of new flows that sites carry.", shiftAction)
+}
+
+// writerFlags are the flags of every command that writes to the store.
+type writerFlags struct {
+	url     string
+	command string
+	author  string
+}
+
+func bindWriterFlags(clause *kingpin.CmdClause) *writerFlags {
+	flags := &writerFlags{}
+	clause.Flag("platform.url", "Base URL of the platform's object API.").Required().StringVar(&flags.url)
+	clause.Flag("command-id", "Id under which the command is kept with what it writes. "+
+		"Give the same one again to repeat a command whose result was unknown. Default: a new one.").StringVar(&flags.command)
+	clause.Flag("author", "Name under which others see the change.").Default(loginName()).StringVar(&flags.author)
+	return flags
+}
+
+// loginName returns the name of the user who runs the command, "" if there is none.
+func loginName() string {
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
+
+// operate runs one command against the platform.
+func (f *writerFlags) operate(command func(*operator.Operator) error) error {
+	if err := settings.CheckPlatformURL(f.url); err != nil {
+		return err
+	}
+	client := platform.NewClient(f.url, platform.Options{})
+	defer client.Close()
+	commander, err := operator.New(client, operator.Options{Command: platform.CommandID(f.command), Author: f.author})
+	if err != nil {
+		return err
+	}
+	return command(commander)
+}
+
+// report prints a line for each result and returns the first error.
+func report(stdout io.Writer, results ...operator.Result) error {
+	var first error
+	for _, result := range results {
+		fmt.Fprintln(stdout, result.String())
+		if first == nil {
+			first = result.Err
+		}
+	}
+	return first
+}
+
+func applyAction(clause *kingpin.CmdClause) action {
+	path := clause.Arg("file", "YAML or JSON file with one or more services.").Required().String()
+	expect := clause.Flag("expect", "Version at which you last saw a service, 0 if it must not exist; "+
+		"any other is a conflict. May be given several times.").PlaceHolder("SERVICE=VERSION").Strings()
+	flags := bindWriterFlags(clause)
+	return func(ctx context.Context, stdout io.Writer) error {
+		services, err := readServices(*path)
+		if err != nil {
+			return err
+		}
+		expectations, err := operator.ParseExpectations(*expect)
+		if err != nil {
+			return err
+		}
+		return flags.operate(func(commander *operator.Operator) error {
+			results, err := commander.Apply(ctx, services, expectations)
+			if err != nil {
+				return err
+			}
+			return report(stdout, results...)
+		})
+	}
+}
+
+func readServices(path string) ([]catalog.Service, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(fault.NotFound, err, "read services")
+	}
+	return operator.ParseServices(data)
+}
+
+// stateChange is a command on one back end.
+type stateChange func(*operator.Operator, context.Context, catalog.ServiceName, catalog.BackendID) operator.Result
+
+func stateAction(change stateChange) func(*kingpin.CmdClause) action {
+	return func(clause *kingpin.CmdClause) action {
+		service := clause.Arg("service", "Name of the service.").Required().String()
+		backend := clause.Arg("backend", "Id of the back end.").Required().String()
+		flags := bindWriterFlags(clause)
+		return func(ctx context.Context, stdout io.Writer) error {
+			return flags.operate(func(commander *operator.Operator) error {
+				return report(stdout, change(commander, ctx, catalog.ServiceName(*service), catalog.BackendID(*backend)))
+			})
+		}
+	}
+}
+
+func shiftAction(clause *kingpin.CmdClause) action {
+	service := clause.Arg("service", "Name of the service.").Required().String()
+	texts := clause.Arg("share", "SITE=PERCENT. Sites left out keep their share; all must add up to 100.").Required().Strings()
+	flags := bindWriterFlags(clause)
+	return func(ctx context.Context, stdout io.Writer) error {
+		shares, err := operator.ParseShares(*texts)
+		if err != nil {
+			return err
+		}
+		return flags.operate(func(commander *operator.Operator) error {
+			return report(stdout, commander.Shift(ctx, catalog.ServiceName(*service), shares))
+		})
+	}
+}
--- /dev/null
+++ b/dissemination/compare.go
@@ -0,0 +1,158 @@
+package dissemination
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// BucketCount is the number of parts by which two snapshots are compared.
+const BucketCount = 64
+
+// Version names one version of one object.
+type Version struct {
+	Name     catalog.ServiceName
+	Revision catalog.Revision
+}
+
+// Difference is what one process must send to and ask from another so that both
+// hold the higher revision of each object compared.
+type Difference struct {
+	Send []catalog.Object
+	Ask  []catalog.ServiceName
+}
+
+// NextCompare returns a peer that has been at the own revision with another
+// digest for CompareDelay. Such a comparison is rare: it happens when processes
+// of different versions of burlmill accept different objects.
+func (m *Machine) NextCompare(now time.Time) (peer string, due bool) {
+	if !m.lastCompare.IsZero() && now.Sub(m.lastCompare) < CompareInterval {
+		return "", false
+	}
+	for candidate, known := range m.offers {
+		if known.differs.IsZero() || now.Sub(known.differs) < CompareDelay || now.Sub(known.received) > offerExpiry {
+			continue
+		}
+		if peer == "" || candidate < peer {
+			peer = candidate
+		}
+	}
+	if peer == "" {
+		return "", false
+	}
+	m.lastCompare = now
+	return peer, true
+}
+
+// Buckets returns one hash over the object versions of each bucket.
+func (m *Machine) Buckets() []uint32 {
+	hashes := make([]uint32, BucketCount)
+	for _, object := range m.snapshot.Since(0) {
+		one := catalog.Object{Name: object.Name, Revision: object.Revision}
+		hashes[bucketOf(object.Name)] ^= versionHash(one)
+	}
+	return hashes
+}
+
+func bucketOf(name catalog.ServiceName) int {
+	return int(xxhash.Sum64String(string(name)) % BucketCount)
+}
+
+func versionHash(object catalog.Object) uint32 {
+	value := xxhash.Sum64String(string(object.Name)) ^ uint64(object.Revision)*0x9e3779b97f4a7c15
+	return uint32(value>>32) ^ uint32(value*0xbf58476d1ce4e5b9>>29)
+}
+
+// Versions returns the differing buckets and the versions held in them.
+func (m *Machine) Versions(peer []uint32) (differing []int, versions []Version) {
+	if len(peer) != BucketCount {
+		return nil, nil
+	}
+	different := [BucketCount]bool{}
+	for bucket, hash := range m.Buckets() {
+		if hash != peer[bucket] {
+			different[bucket] = true
+			differing = append(differing, bucket)
+		}
+	}
+	for _, object := range m.snapshot.Since(0) {
+		if different[bucketOf(object.Name)] {
+			versions = append(versions, Version{object.Name, object.Revision})
+		}
+	}
+	return differing, versions
+}
+
+// Compare finds what differs from a peer's versions in the buckets named.
+func (m *Machine) Compare(differing []int, versions []Version) Difference {
+	theirs := map[catalog.ServiceName]catalog.Revision{}
+	for _, version := range versions {
+		theirs[version.Name] = version.Revision
+	}
+	inBucket := [BucketCount]bool{}
+	for _, bucket := range differing {
+		if bucket >= 0 && bucket < BucketCount {
+			inBucket[bucket] = true
+		}
+	}
+	var difference Difference
+	for _, object := range m.snapshot.Since(0) {
+		if inBucket[bucketOf(object.Name)] && object.Revision > theirs[object.Name] {
+			difference.Send = append(difference.Send, object)
+		}
+		if object.Revision >= theirs[object.Name] {
+			delete(theirs, object.Name)
+		}
+	}
+	for _, version := range versions {
+		if theirs[version.Name] != 0 {
+			difference.Ask = append(difference.Ask, version.Name)
+		}
+	}
+	difference.bound()
+	return difference
+}
+
+// bound keeps a difference within one page; the next comparison does the rest.
+func (d *Difference) bound() {
+	bytes := 0
+	for i, object := range d.Send {
+		bytes += objectBytes(object)
+		if bytes > PageBytes && i > 0 {
+			d.Send = d.Send[:i]
+			break
+		}
+	}
+}
+
+// Named returns the objects of those names, within one page.
+func (m *Machine) Named(names []catalog.ServiceName) []catalog.Object {
+	wanted := map[catalog.ServiceName]bool{}
+	for _, name := range names {
+		wanted[name] = true
+	}
+	difference := Difference{}
+	for _, object := range m.snapshot.Since(0) {
+		if wanted[object.Name] {
+			difference.Send = append(difference.Send, object)
+		}
+	}
+	difference.bound()
+	return difference.Send
+}
+
+// Merge takes in objects that a comparison brought, without a change of revision.
+func (m *Machine) Merge(objects []catalog.Object) error {
+	var known []catalog.Object
+	for _, object := range objects {
+		if object.Revision <= m.snapshot.Revision() {
+			known = append(known, object)
+		}
+	}
+	if len(known) == 0 {
+		return nil
+	}
+	return m.advance(known, m.snapshot.Revision())
+}
--- /dev/null
+++ b/fault/fault_test.go
@@ -0,0 +1,39 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestEveryKindHasItsOwnAnswer checks that the table is complete: each kind has
+// a name, a status, a connect code and an exit code, and no two kinds share a
+// name or an exit code.
+func TestEveryKindHasItsOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	names, exits := map[string]bool{}, map[int]bool{}
+	for _, kind := range Kinds() {
+		answer := kind.Answer()
+		is.True(answer.HTTPStatus >= 400)
+		is.True(answer.ConnectCode != 0)
+		is.True(answer.ExitCode > 0 && answer.ExitCode < 126)
+		is.True(!names[answer.Name] && answer.Name != "")
+		is.True(!exits[answer.ExitCode])
+		names[answer.Name], exits[answer.ExitCode] = true, true
+	}
+	is.Equal(Kind(200).Answer(), Internal.Answer())
+}
+
+// TestKindSurvivesWrapping checks that context added with %w keeps the kind.
+func TestKindSurvivesWrapping(t *testing.T) {
+	is := is.New(t)
+	cause := errors.New("cause")
+	err := fmt.Errorf("outer: %w", Wrap(Conflict, cause, "write %s", "lessons"))
+	is.Equal(Of(err), Conflict)
+	is.True(errors.Is(err, cause))
+	is.Equal(err.Error(), "outer: write lessons: cause")
+	is.Equal(Of(cause), Internal)
+	is.NoErr(Wrap(Conflict, nil, "nothing"))
+}
--- /dev/null
+++ b/flow/change_test.go
@@ -0,0 +1,165 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Sizes of the planned-change test.
+const (
+	openFlows       = 20_000
+	plannedChanges  = 20
+	laggingRevision = 3 // balancers and agents are up to this many revisions behind
+)
+
+// deployment is a service whose balancers and agents lag behind in different ways.
+type deployment struct {
+	random  *rand.Rand
+	service catalog.Service
+	history []*catalog.Snapshot
+	agents  map[string]*Decider
+	hops    int // processes passed by all datagrams together
+	sent    int
+}
+
+func (d *deployment) publish(t *testing.T) {
+	t.Helper()
+	base := catalog.Empty()
+	if len(d.history) > 0 {
+		base = d.history[len(d.history)-1]
+	}
+	revision := catalog.Revision(len(d.history) + 1)
+	next, err := base.With([]catalog.Object{object(d.service, revision)}, revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.history = append(d.history, next)
+	for index := range d.service.Backends {
+		agent := d.service.Backends[index].Agent
+		if d.agents[agent.String()] == nil {
+			d.agents[agent.String()] = NewDecider(agent, allAlive{}, Options{IdleTimeout: time.Hour})
+		}
+	}
+}
+
+// randomSnapshot returns one of the latest revisions.
+func (d *deployment) randomSnapshot() *catalog.Snapshot {
+	oldest := max(0, len(d.history)-1-laggingRevision)
+	return d.history[oldest+d.random.IntN(len(d.history)-oldest)]
+}
+
+// send passes one datagram of the flow through a balancer that holds a random
+// recent revision, and returns the back end that got it.
+func (d *deployment) send(t *testing.T, key Key, now time.Time) catalog.BackendID {
+	t.Helper()
+	hop, err := FirstHop(d.randomSnapshot(), allAlive{}, key, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.sent++
+	for {
+		d.hops++
+		agent := d.agents[hop.To.String()]
+		action := agent.Handle(now, Packet{Key: key, Route: hop.Route})
+		switch action.Kind {
+		case Deliver:
+			return action.Backend.ID
+		case Forward:
+			hop = action.Hop
+		case Wait:
+			agent.SetSnapshot(d.history[hop.Route.Revision-1])
+		case Drop:
+			t.Fatalf("datagram of %v dropped: %s", key, action.Reason)
+		}
+	}
+}
+
+// changeAt returns what the numbered planned change does to the service: ten
+// steps of the split from the old site to the new one, back ends added at the
+// new site, and those of the old site drained one after another.
+func (d *deployment) changeAt(number int) {
+	d.service.Backends = append([]catalog.Backend(nil), d.service.Backends...)
+	switch {
+	case number%2 == 0:
+		percent := uint32(number/2+1) * 10
+		d.service.Shares = []catalog.SiteShare{{Site: "new", Percent: percent}, {Site: "old", Percent: 100 - percent}}
+	case number < 8:
+		backend := testBackend(8+number, "new")
+		backend.Connections = openFlows
+		d.service.Backends = append(d.service.Backends, backend)
+	default:
+		d.service.Backends[(number-8)/2].State = catalog.BackendLeaving
+	}
+}
+
+// firstActive is the baseline without earlier owners: the first active back end
+// of the row, whatever held the flow before.
+func firstActive(service *catalog.Service, key Key) catalog.BackendID {
+	return service.Backends[Row(service, key.Bucket())[0]].ID
+}
+
+// moduloActive is the baseline of a hash modulo the number of active back ends.
+func moduloActive(service *catalog.Service, key Key) catalog.BackendID {
+	var active []catalog.BackendID
+	for index := range service.Backends {
+		if service.Backends[index].State == catalog.BackendActive {
+			active = append(active, service.Backends[index].ID)
+		}
+	}
+	return active[key.Hash()%uint64(len(active))]
+}
+
+// TestPlannedChangesBreakNoFlow keeps 20,000 flows open across 20 planned
+// changes with balancers and agents at different revisions, and counts the
+// flows that the baselines would have moved in the same run.
+func TestPlannedChangesBreakNoFlow(t *testing.T) {
+	is := is.New(t)
+	d := &deployment{random: rand.New(rand.NewPCG(1, 2)), agents: map[string]*Decider{}}
+	d.service = testService()
+	d.service.Shares = []catalog.SiteShare{{Site: "new", Percent: 0}, {Site: "old", Percent: 100}}
+	for number := range 7 {
+		backend := testBackend(number+1, "old")
+		backend.Connections = openFlows
+		d.service.Backends = append(d.service.Backends, backend)
+	}
+	d.publish(t)
+
+	now := time.Unix(1000, 0)
+	keys := make([]Key, openFlows)
+	owners := make([]catalog.BackendID, openFlows)
+	rendezvous := make([]catalog.BackendID, openFlows)
+	modulo := make([]catalog.BackendID, openFlows)
+	for i := range keys {
+		keys[i] = Key{Caller: address("198.51.%d.%d:%d", 100+i%100, 1+i/100%200, 1024+i), Service: d.service.Address}
+		owners[i] = d.send(t, keys[i], now)
+		rendezvous[i] = firstActive(&d.service, keys[i])
+		modulo[i] = moduloActive(&d.service, keys[i])
+	}
+	d.hops, d.sent = 0, 0
+	broken, brokenRendezvous, brokenModulo := map[int]bool{}, map[int]bool{}, map[int]bool{}
+	for number := range plannedChanges {
+		d.changeAt(number)
+		d.publish(t)
+		for i, key := range keys {
+			if d.send(t, key, now) != owners[i] {
+				broken[i] = true
+			}
+			if firstActive(&d.service, key) != rendezvous[i] {
+				brokenRendezvous[i] = true
+			}
+			if moduloActive(&d.service, key) != modulo[i] {
+				brokenModulo[i] = true
+			}
+		}
+	}
+	t.Logf("flows=%d changes=%d broken=%d broken_rendezvous=%d broken_modulo=%d hops_per_datagram=%.2f",
+		openFlows, plannedChanges, len(broken), len(brokenRendezvous), len(brokenModulo), float64(d.hops)/float64(d.sent))
+	is.Equal(len(broken), 0)
+	is.True(len(brokenRendezvous) > 0) // the changes must be such as to break flows without the mechanism
+	is.True(len(brokenModulo) > 0)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,82 @@
+// Package agent is the process beside one or more back ends. It receives the
+// datagrams of callers from balancers and other agents, decides with package
+// flow which of them are for its back ends, and delivers those: as datagrams to
+// back ends of udp services, as HTTP/1.1 requests to back ends of http services.
+package agent
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/internal/coordination"
+	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// leaveTimeout is how long the last message to the other processes may take.
+const leaveTimeout = 2 * time.Second
+
+// Run runs an agent until the context ends. It then takes no new work, finishes
+// what it has and returns nil. Errors: fault.Unavailable if a socket cannot be
+// had, fault.Internal otherwise.
+func Run(ctx context.Context, settings settings.Settings) error {
+	logger := logging.New(os.Stderr, settings.Log.Level)
+	logging.RouteNbio(logger)
+	node, err := coordination.Start(coordination.Options{
+		Node:     settings.Node,
+		Role:     membership.Agent,
+		Platform: settings.Platform,
+		Peers:    settings.Peers,
+		Log:      logger,
+	})
+	if err != nil {
+		return err
+	}
+	return Serve(ctx, Options{
+		Data:        settings.Node.DataAddress,
+		Metrics:     settings.Node.MetricsAddress,
+		IdleTimeout: settings.Flows.IdleTimeout,
+		DrainLimit:  DefaultDrainLimit,
+		Node:        node,
+		Log:         logger,
+	})
+}
+
+// DefaultDrainLimit is how long a stopping agent waits for its requests and flows.
+const DefaultDrainLimit = 30 * time.Second
+
+// Options are what an agent needs. All fields but Metrics must be set.
+type Options struct {
+	Data        netip.AddrPort // address of the data socket, by which the catalog names this agent
+	Metrics     netip.AddrPort // address that metrics are served at; invalid: none
+	IdleTimeout time.Duration  // a flow without a datagram for this long is over
+	DrainLimit  time.Duration  // how long a stopping agent waits for its requests and flows
+	Node        Coordination
+	Log         log.Interface
+}
+
+// Serve runs an agent on a coordination node, which it closes. Otherwise it is
+// like Run.
+func Serve(ctx context.Context, options Options) error {
+	node, logger := options.Node, options.Log
+	defer node.Close()
+	running, err := start(options)
+	if err != nil {
+		return err
+	}
+	logger.WithField("data", running.socket.LocalAddress()).Info("ready")
+	running.owner.run(ctx)
+	running.close()
+	leaveContext, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := node.Leave(leaveContext); err != nil {
+		logger.WithError(err).Warn("leave")
+	}
+	logger.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,321 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/gateway"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const serviceURL = "https://lesson.example/"
+
+// startEcho returns the address of a UDP back end that sends back each datagram
+// behind the source address that it sees.
+func startEcho(t *testing.T) net.Addr {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	t.Cleanup(func() {
+		_ = socket.Close()
+		<-stopped
+	})
+	go func() {
+		defer close(stopped)
+		content := make([]byte, wire.MaximumDatagram)
+		for {
+			length, from, err := socket.ReadFromUDPAddrPort(content)
+			if err != nil {
+				return
+			}
+			_, _ = socket.WriteToUDPAddrPort(fmt.Appendf(nil, "%d %s", from.Port(), content[:length]), from)
+		}
+	}()
+	return socket.LocalAddr()
+}
+
+// ask sends the text until a reply comes, since the agent may not yet listen.
+func ask(t *testing.T, caller *callerConn, text string) (port int, reply string) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); {
+		_, err := caller.WriteTo([]byte(text), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if received := caller.receive(100 * time.Millisecond); received != "" {
+			_, _ = fmt.Sscanf(received, "%d %s", &port, &reply)
+			return port, reply
+		}
+	}
+	t.Fatal("no reply")
+	return 0, ""
+}
+
+func TestUDPFlows(t *testing.T) {
+	is := is.New(t)
+	agent := startAgent(t, catalog.ProtocolUDP, startEcho(t))
+	first, second := newCaller(t, agent), newCaller(t, agent)
+	for _, garbage := range []string{"", "x", "\r\n\r\n\x00\r\nQUIT\n\x21\x12\xff\xff"} {
+		_, _ = first.socket.WriteToUDPAddrPort([]byte(garbage), agent.address)
+	}
+	firstPort, reply := ask(t, first, "a")
+	is.Equal(reply, "a")
+	secondPort, reply := ask(t, second, "b")
+	is.Equal(reply, "b")
+	is.True(firstPort != secondPort) // the back end tells flows apart
+	again, _ := ask(t, first, "c")
+	is.Equal(again, firstPort)
+
+	// Replies go where the latest datagram came from.
+	moved := newCaller(t, agent)
+	moved.caller = first.caller
+	port, reply := ask(t, moved, "d")
+	is.Equal(reply, "d")
+	is.Equal(port, firstPort)
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+func TestHTTPRequest(t *testing.T) {
+	is := is.New(t)
+	content := make([]byte, 3<<20)
+	_, _ = rand.Read(content)
+	backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Length", request.Header.Get("Content-Length"))
+		_ = http.NewResponseController(writer).EnableFullDuplex()
+		_, _ = io.Copy(writer, request.Body)
+	}))
+	defer backend.Close()
+	agent := startAgent(t, catalog.ProtocolHTTP, backend.Listener.Addr())
+	client := newHTTPClient(t, newCaller(t, agent))
+	response, err := client.Post(serviceURL+"upload", "audio/ogg", bytes.NewReader(content))
+	is.NoErr(err)
+	received, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.True(bytes.Equal(received, content))
+	is.Equal(response.ContentLength, int64(len(content)))
+	is.Equal(response.Header.Get(gateway.HeaderOutcome), string(gateway.OutcomeComplete))
+	is.Equal(response.Header.Get("Content-Type"), "application/octet-stream")
+	client.CloseIdleConnections()
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+// An answer that the back end cuts at any byte is reset on the caller's side.
+func TestCutAnswerIsReset(t *testing.T) {
+	const length = 20_000
+	backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		cut, _ := strconv.Atoi(request.URL.Query().Get("cut"))
+		if request.URL.Path == "/length" {
+			writer.Header().Set("Content-Length", strconv.Itoa(length))
+		}
+		writer.WriteHeader(http.StatusOK)
+		_, _ = writer.Write(make([]byte, cut))
+		_ = http.NewResponseController(writer).Flush()
+		if cut < length {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer backend.Close()
+	agent := startAgent(t, catalog.ProtocolHTTP, backend.Listener.Addr())
+	client := newHTTPClient(t, newCaller(t, agent))
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		framing := rapid.SampledFrom([]string{"length", "chunked"}).Draw(t, "framing")
+		cut := rapid.OneOf(rapid.IntRange(0, length), rapid.IntRange(length-2, length)).Draw(t, "cut")
+		response, err := client.Get(fmt.Sprintf("%s%s?cut=%d", serviceURL, framing, cut))
+		received := int64(0)
+		if err == nil {
+			received, err = io.Copy(io.Discard, response.Body)
+		}
+		is.Equal(err == nil, cut == length)
+		is.True(received <= int64(cut))
+	})
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+// A flow ends with its connection, so that it does not keep others out.
+func TestClosedConnectionFreesItsFlow(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer backend.Close()
+	agent := startAgent(t, catalog.ProtocolHTTP, backend.Listener.Addr())
+	agent.service.Backends[0].Connections = 1
+	agent.coordination.put(t, agent.service)
+	for range 2 {
+		client := newHTTPClient(t, newCaller(t, agent))
+		eventually(t, func() bool {
+			_, err := client.Get(serviceURL)
+			return err == nil
+		})
+		_ = client.Transport.(io.Closer).Close()
+	}
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+// A stop finishes the request that runs and refuses what comes later.
+func TestStopFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-release
+		_, _ = writer.Write(make([]byte, 200_000))
+	}))
+	defer backend.Close()
+	agent := startAgent(t, catalog.ProtocolHTTP, backend.Listener.Addr())
+	client := newHTTPClient(t, newCaller(t, agent))
+	received := make(chan int, 1)
+	go func() {
+		response, err := client.Get(serviceURL)
+		if err != nil {
+			received <- -1
+			return
+		}
+		content, err := io.ReadAll(response.Body)
+		if err != nil {
+			received <- -2
+			return
+		}
+		received <- len(content)
+	}()
+	<-started
+	agent.stop()
+	eventually(t, agent.coordination.announced.Load)
+	is.Equal(agent.coordination.left.Load(), false)
+	close(release)
+	is.Equal(<-received, 200_000)
+	agent.waitStopped(t)
+}
+
+// A back end that leaves finishes the request that runs and runs no other one of
+// the same caller. Once it is active again it runs those of others.
+func TestBackendLeavesAndReturns(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}, 9), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/slow" {
+			started <- struct{}{}
+			<-release
+		}
+		_, _ = io.WriteString(writer, "whole")
+	}))
+	defer backend.Close()
+	agent := startAgent(t, catalog.ProtocolHTTP, backend.Listener.Addr())
+	get := func(client *http.Client, path string) string {
+		response, err := client.Get(serviceURL + path)
+		if err != nil {
+			return err.Error()
+		}
+		content, err := io.ReadAll(response.Body)
+		if err != nil {
+			return err.Error()
+		}
+		return string(content)
+	}
+	first := newHTTPClient(t, newCaller(t, agent))
+	slow := make(chan string, 1)
+	go func() { slow <- get(first, "slow") }()
+	<-started
+	agent.service.Backends[0].State = catalog.BackendLeaving
+	agent.coordination.put(t, agent.service)
+	agent.service.Backends[0].State = catalog.BackendActive
+	agent.coordination.put(t, agent.service)
+	is.Equal(get(newHTTPClient(t, newCaller(t, agent)), ""), "whole")
+	is.Equal(get(first, ""), "request not run: leaving\n")
+	close(release)
+	is.Equal(<-slow, "whole")
+	eventually(t, func() bool { return get(first, "") == "whole" })
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+// A datagram of a newer configuration waits until that is here.
+func TestWaitsForConfiguration(t *testing.T) {
+	is := is.New(t)
+	agent := startAgent(t, catalog.ProtocolUDP, startEcho(t))
+	ask(t, newCaller(t, agent), "ready")
+	caller := newCaller(t, agent)
+	key := flow.Key{Caller: caller.caller, Service: agent.service.Address}
+	route := flow.Route{Revision: 2, Step: flow.StepSearch, Hops: 1, Chosen: flow.NoBackend}
+	is.NoErr(caller.send(key, flow.Hop{To: agent.address, Route: route}, []byte("early")))
+	eventually(t, func() bool { return agent.coordination.pulled.Load() == 2 })
+	agent.coordination.put(t, agent.service)
+	is.True(caller.receive(waitLimit) != "")
+	agent.stop()
+	agent.waitStopped(t)
+}
+
+// While it leaves, the agent sends new flows to another agent and serves its own.
+func TestLeavingAgentRefusesNewFlows(t *testing.T) {
+	is := is.New(t)
+	other := newCaller(t, nil)
+	otherAddress := other.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	agent := startAgent(t, catalog.ProtocolUDP, startEcho(t))
+	caller := newCaller(t, agent)
+	ask(t, caller, "old")
+	agent.service.Backends = append(agent.service.Backends, testBackend("b2", otherAddress, otherAddress))
+	agent.coordination.put(t, agent.service)
+	agent.stop()
+	eventually(t, agent.coordination.announced.Load)
+
+	newcomer := newCaller(t, agent)
+	key := flow.Key{Caller: newcomer.caller, Service: agent.service.Address}
+	route := flow.Route{Revision: 2, Step: flow.StepAdmit, Hops: 1, Chosen: 0}
+	is.NoErr(newcomer.send(key, flow.Hop{To: agent.address, Route: route}, []byte("new")))
+	datagram := make([]byte, wire.MaximumDatagram)
+	_ = other.SetReadDeadline(time.Now().Add(waitLimit))
+	length, err := other.socket.Read(datagram)
+	is.NoErr(err)
+	envelope, _, err := wire.ParseEnvelope(datagram[:length])
+	is.NoErr(err)
+	is.Equal(envelope.Key, key)
+	is.True(envelope.Route.Refused.Has(0))
+	_, reply := ask(t, caller, "still")
+	is.Equal(reply, "still")
+	agent.waitStopped(t)
+}
+
+// TestRun starts the agent with its own coordination node and nothing else.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	all := settings.Default()
+	all.Node = settings.Node{
+		ID: "agent-1", Region: "r", Zone: "z1",
+		DataAddress: freeAddress(t), ControlAddress: freeAddress(t), MetricsAddress: freeAddress(t),
+	}
+	all.Log.Level = "error"
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- Run(ctx, all) }()
+	eventually(t, func() bool {
+		response, err := http.Get("http://" + all.Node.MetricsAddress.String() + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	cancel()
+	is.NoErr(<-stopped)
+	http.DefaultClient.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/agent/datagram.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/buffer"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+// selfAddress is the address of this agent's data socket.
+type selfAddress = netip.AddrPort
+
+// handle takes one received datagram.
+func (o *owner) handle(now time.Time, datagram *buffer.Buffer) {
+	o.metrics.received.Inc()
+	o.decide(now, now, datagram)
+}
+
+// decide does what the decider says about a datagram that has waited since then.
+// It takes the buffer over.
+func (o *owner) decide(now, since time.Time, datagram *buffer.Buffer) {
+	envelope, headerLength, err := o.decoder.Decode(datagram.Bytes)
+	if err == nil && !envelope.HasRoute {
+		err = fault.New(fault.Invalid, "datagram of %v without a route", envelope.Key.Caller)
+	}
+	if err != nil {
+		datagram.Release()
+		o.drop(dropMalformed, err)
+		return
+	}
+	packet := flow.Packet{Key: envelope.Key, Route: envelope.Route, Payload: datagram.Bytes[headerLength:]}
+	action := o.decider.Handle(now, packet)
+	if o.mustRefuse(packet, action) {
+		action = o.refuse(now, packet, action)
+	}
+	switch action.Kind {
+	case flow.Deliver:
+		datagram.Bytes = packet.Payload
+		o.deliver(action, packet, datagram)
+	case flow.Forward:
+		o.forward(action.Hop, packet)
+		datagram.Release()
+	case flow.Wait:
+		o.wait(packet.Route.Revision, waitingDatagram{datagram, since})
+	default:
+		datagram.Release()
+		o.drop(dropReason(action.Reason.String()), nil)
+	}
+}
+
+// deliver hands the payload to the back end and takes the buffer over.
+func (o *owner) deliver(action flow.Action, packet flow.Packet, payload *buffer.Buffer) {
+	var err error
+	switch action.Service.Protocol {
+	case catalog.ProtocolUDP:
+		err = o.udp.Deliver(packet.Key, action.Backend.Address, packet.Route.Return, payload.Bytes)
+		payload.Release()
+	case catalog.ProtocolHTTP:
+		err = o.http.deliver(action, packet.Key, packet.Route.Return, payload)
+	default:
+		payload.Release()
+		o.drop(dropProtocol, nil)
+		return
+	}
+	if err != nil {
+		o.drop(dropBackend, err)
+		return
+	}
+	o.metrics.delivered.Inc()
+}
+
+// forward passes the datagram on to another agent.
+func (o *owner) forward(hop flow.Hop, packet flow.Packet) {
+	header, err := wire.FormatEnvelope(wire.Envelope{Key: packet.Key, Route: hop.Route, HasRoute: true})
+	if err != nil {
+		o.drop(dropMalformed, err)
+		return
+	}
+	datagram := buffer.Join(header, packet.Payload)
+	defer datagram.Release()
+	if err := o.sender.Send(datagram.Bytes, hop.To); err != nil {
+		o.drop(dropNetwork, err)
+		return
+	}
+	o.metrics.forwarded.Inc()
+}
+
+// wait keeps the datagram until a newer configuration is here.
+func (o *owner) wait(revision catalog.Revision, entry waitingDatagram) {
+	if !o.waiting.put(entry) {
+		entry.datagram.Release()
+		o.drop(dropWaitingFull, nil)
+		return
+	}
+	o.coordination.Pull(revision)
+}
--- /dev/null
+++ b/internal/agent/fabric_test.go
@@ -0,0 +1,116 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+// callerConn is the connection of one caller through the fabric and a balancer:
+// it adds and strips PROXY headers. It must not embed *net.UDPConn, since quic-go
+// would use its other methods to get around the headers.
+type callerConn struct {
+	socket *net.UDPConn
+	agent  *testAgent
+	caller netip.AddrPort
+}
+
+var callerPort atomic.Uint32
+
+func newCaller(t *testing.T, agent *testAgent) *callerConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	port := uint16(1024 + callerPort.Add(1))
+	return &callerConn{socket, agent, netip.AddrPortFrom(netip.MustParseAddr("203.0.113.5"), port)}
+}
+
+// WriteTo sends the payload as a balancer does.
+func (c *callerConn) WriteTo(payload []byte, _ net.Addr) (int, error) {
+	snapshot := c.agent.coordination.Snapshot()
+	key := flow.Key{Caller: c.caller, Service: c.agent.service.Address}
+	hop, err := flow.FirstHop(snapshot, c.agent.coordination, key, payload)
+	if err != nil {
+		return 0, err
+	}
+	if err := c.send(key, hop, payload); err != nil {
+		return 0, err
+	}
+	return len(payload), nil
+}
+
+func (c *callerConn) send(key flow.Key, hop flow.Hop, payload []byte) error {
+	hop.Route.Return = c.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	header, err := wire.FormatEnvelope(wire.Envelope{Key: key, Route: hop.Route, HasRoute: true})
+	if err != nil {
+		return err
+	}
+	_, err = c.socket.WriteToUDPAddrPort(append(header, payload...), hop.To)
+	return err
+}
+
+// ReadFrom returns the next reply for this caller.
+func (c *callerConn) ReadFrom(into []byte) (int, net.Addr, error) {
+	datagram := make([]byte, wire.MaximumDatagram)
+	for {
+		length, err := c.socket.Read(datagram)
+		if err != nil {
+			return 0, nil, err
+		}
+		envelope, headerLength, err := wire.ParseEnvelope(datagram[:length])
+		if err == nil && envelope.Key.Caller == c.caller && !envelope.HasRoute {
+			return copy(into, datagram[headerLength:length]), net.UDPAddrFromAddrPort(envelope.Key.Service), nil
+		}
+	}
+}
+
+func (c *callerConn) Close() error                       { return c.socket.Close() }
+func (c *callerConn) LocalAddr() net.Addr                { return c.socket.LocalAddr() }
+func (c *callerConn) SetDeadline(at time.Time) error     { return c.socket.SetDeadline(at) }
+func (c *callerConn) SetReadDeadline(at time.Time) error { return c.socket.SetReadDeadline(at) }
+func (c *callerConn) SetWriteDeadline(time.Time) error   { return nil }
+func (c *callerConn) SetReadBuffer(bytes int) error      { return c.socket.SetReadBuffer(bytes) }
+func (c *callerConn) SetWriteBuffer(bytes int) error     { return c.socket.SetWriteBuffer(bytes) }
+
+// receive returns the next reply as text, "" if none comes in time.
+func (c *callerConn) receive(wait time.Duration) string {
+	_ = c.SetReadDeadline(time.Now().Add(wait))
+	content := make([]byte, wire.MaximumDatagram)
+	length, _, err := c.ReadFrom(content)
+	if err != nil {
+		return ""
+	}
+	return string(content[:length])
+}
+
+// newHTTPClient returns an HTTP/3 client that calls through the connection.
+func newHTTPClient(t *testing.T, caller *callerConn) *http.Client {
+	t.Helper()
+	transport := &quic.Transport{Conn: caller}
+	roundTripper := &http3.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true},
+		Dial: func(ctx context.Context, _ string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			service := net.UDPAddrFromAddrPort(caller.agent.service.Address)
+			return transport.DialEarly(ctx, service, tlsConfig, config)
+		},
+	}
+	t.Cleanup(func() {
+		_ = roundTripper.Close()
+		_ = transport.Close()
+	})
+	return &http.Client{Transport: roundTripper}
+}
--- /dev/null
+++ b/internal/agent/gateway/gateway_test.go
@@ -0,0 +1,341 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 10 * time.Second
+
+// recorder is an Observer that keeps the last outcome.
+type recorder struct {
+	outcomes chan Outcome
+	busy     atomic.Int64
+}
+
+func (r *recorder) RequestDone(outcome Outcome, _ time.Duration) { r.outcomes <- outcome }
+func (r *recorder) SlotsBusy(busy int)                           { r.busy.Store(int64(busy)) }
+
+// front is a gateway behind an HTTP/1.1 server, which resets a connection where
+// an HTTP/3 server resets a stream.
+type front struct {
+	*httptest.Server
+	gateway  *Gateway
+	recorder *recorder
+}
+
+type cleaner interface{ Cleanup(func()) }
+
+func newFront(t cleaner, address net.Addr, slots uint32) *front {
+	backend := &catalog.Backend{Address: netip.MustParseAddrPort(address.String()), Slots: slots}
+	recorder := &recorder{outcomes: make(chan Outcome, 100)}
+	gateway := New(backend, recorder)
+	server := httptest.NewUnstartedServer(gateway)
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(func() {
+		server.Close()
+		gateway.Close()
+	})
+	return &front{server, gateway, recorder}
+}
+
+// rawBackend answers each connection with one function and counts the bytes that
+// it was sent.
+type rawBackend struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func newRawBackend(t cleaner, serve func(connection net.Conn)) *rawBackend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	backend := &rawBackend{Listener: listener}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(countedConn{connection, backend})
+			_ = connection.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-stopped
+	})
+	return backend
+}
+
+type countedConn struct {
+	net.Conn
+	backend *rawBackend
+}
+
+func (c countedConn) Read(into []byte) (int, error) {
+	length, err := c.Conn.Read(into)
+	c.backend.bytes.Add(int64(length))
+	return length, err
+}
+
+func readRequest(connection net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(connection))
+	if err == nil {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+// A cut answer must give an error or say that it is not complete, wherever the
+// cut is and however the answer's end is marked.
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		content := strings.Repeat("x", rapid.IntRange(0, 70_000).Draw(t, "length"))
+		framings := map[string]string{
+			"length":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content),
+			"chunked": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(content), content),
+			"close":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + content,
+		}
+		if content == "" {
+			framings["chunked"] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		}
+		framing := rapid.SampledFrom([]string{"length", "chunked", "close"}).Draw(t, "framing")
+		answer := framings[framing]
+		// Near the ends is where mistakes are likely.
+		cut := rapid.OneOf(
+			rapid.IntRange(0, len(answer)),
+			rapid.IntRange(max(0, len(answer)-8), len(answer)),
+			rapid.IntRange(0, min(80, len(answer))),
+		).Draw(t, "cut")
+		reset := rapid.Bool().Draw(t, "reset")
+		backend := newRawBackend(t, func(connection net.Conn) {
+			readRequest(connection)
+			_, _ = io.WriteString(connection, answer[:cut])
+			if reset {
+				_ = connection.(countedConn).Conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		response, err := http.Get(newFront(t, backend.Addr(), 1).URL)
+		if err != nil {
+			return
+		}
+		defer response.Body.Close()
+		received, err := io.ReadAll(response.Body)
+		outcome := Outcome(response.Header.Get(HeaderOutcome))
+		if outcome == OutcomeComplete && err == nil {
+			is.Equal(string(received), content)
+			is.True(framing != "close")
+			return
+		}
+		is.True(outcome != OutcomeNotRun)
+		whole := cut == len(answer) && framing != "close" && !reset
+		is.True(!whole)
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	dies := func(connection net.Conn) { readRequest(connection) }
+	hangs := func(connection net.Conn) { _, _ = io.Copy(io.Discard, connection) }
+	tests := []struct {
+		name       string
+		backend    func(connection net.Conn) // nil: nothing listens
+		timeout    string
+		method     string
+		status     int
+		outcome    Outcome
+		retryAfter string
+	}{
+		{"back end down", nil, "", "POST", 503, OutcomeNotRun, "1"},
+		{"back end dies after the request", dies, "", "POST", 502, OutcomeUnknown, ""},
+		{"back end dies after a safe request", dies, "", "GET", 502, OutcomeUnknown, ""},
+		{"no answer in time", hangs, "50", "POST", 504, OutcomeUnknown, ""},
+		{"timeout is no number", hangs, "soon", "POST", 400, OutcomeNotRun, ""},
+		{"timeout is zero", hangs, "0", "POST", 400, OutcomeNotRun, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			backend := newRawBackend(t, test.backend)
+			if test.backend == nil {
+				_ = backend.Close()
+			}
+			front := newFront(t, backend.Addr(), 1)
+			request, err := http.NewRequest(test.method, front.URL, strings.NewReader("order"))
+			is.NoErr(err)
+			request.Header.Set("Idempotency-Key", "k") // net/http repeats such requests if it may
+			if test.timeout != "" {
+				request.Header.Set(HeaderTimeout, test.timeout)
+			}
+			response, err := front.Client().Do(request)
+			is.NoErr(err)
+			defer response.Body.Close()
+			is.Equal(response.StatusCode, test.status)
+			is.Equal(Outcome(response.Header.Get(HeaderOutcome)), test.outcome)
+			is.Equal(response.Header.Get("Retry-After"), test.retryAfter)
+			is.Equal(<-front.recorder.outcomes, test.outcome)
+		})
+	}
+}
+
+// Whenever the answer says not-run, no byte may have reached the back end, even
+// if the time runs out at the worst moment.
+func TestNotRunIsProved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		backend := newRawBackend(t, func(connection net.Conn) { _, _ = io.Copy(io.Discard, connection) })
+		front := newFront(t, backend.Addr(), 1)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rapid.IntRange(0, 600).Draw(t, "microseconds"))*time.Microsecond)
+		defer cancel()
+		request := httptest.NewRequestWithContext(ctx, "POST", "/", strings.NewReader("order"))
+		var sent attempt
+		response, err := front.gateway.transport.RoundTrip(outgoing(sent.trace(ctx), request, *front.gateway.address.Load()))
+		if err == nil {
+			response.Body.Close()
+			return
+		}
+		if !sent.provesNotRun() {
+			return
+		}
+		_ = backend.Close()
+		time.Sleep(time.Millisecond) // a late byte would arrive now
+		is.Equal(backend.bytes.Load(), int64(0))
+	})
+}
+
+func TestNoSlot(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer backend.Close()
+	front := newFront(t, backend.Listener.Addr(), 1)
+	first := make(chan error, 1)
+	go func() {
+		response, err := http.Get(front.URL)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		first <- err
+	}()
+	for deadline := time.Now().Add(waitLimit); front.recorder.busy.Load() == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+	response, err := http.Get(front.URL)
+	is.NoErr(err)
+	_ = response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(Outcome(response.Header.Get(HeaderOutcome)), OutcomeNotRun)
+	is.Equal(response.Header.Get("Retry-After"), "1")
+	close(release)
+	is.NoErr(<-first)
+}
+
+// What the caller sends reaches the back end while the caller still sends, and
+// the other way round; headers of one connection do not pass.
+func TestStreamsBothWays(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan *http.Request, 1)
+	backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		seen <- request
+		writer.Header().Set("Trailer", "Digest")
+		writer.Header().Set(HeaderOutcome, "forged")
+		_ = http.NewResponseController(writer).EnableFullDuplex()
+		part := make([]byte, 4)
+		for range 3 {
+			if _, err := io.ReadFull(request.Body, part); err != nil {
+				return
+			}
+			_, _ = writer.Write(part)
+			writer.(http.Flusher).Flush()
+		}
+		writer.Header().Set("Digest", "d")
+	}))
+	defer backend.Close()
+	front := newFront(t, backend.Listener.Addr(), 1)
+	duplex := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_ = http.NewResponseController(writer).EnableFullDuplex() // HTTP/3 always has it
+		front.gateway.ServeHTTP(writer, request)
+	})
+	server := httptest.NewServer(duplex)
+	defer server.Close()
+
+	body, send := io.Pipe()
+	request, err := http.NewRequest("PUT", server.URL+"/a%2Fb?q=1", body)
+	is.NoErr(err)
+	request.Header.Set("Connection", "X-Hop")
+	request.Header.Set("X-Hop", "1")
+	request.Header.Set("X-End", "1")
+	request.Header.Set(HeaderTimeout, "60000")
+	go func() { _, _ = io.WriteString(send, "one.") }()
+	response, err := server.Client().Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.Header[HeaderOutcome], []string{string(OutcomeComplete)})
+	part := make([]byte, 4)
+	for _, next := range []string{"two.", "end.", ""} {
+		_, err := io.ReadFull(response.Body, part)
+		is.NoErr(err)
+		_, _ = io.WriteString(send, next)
+	}
+	_ = send.Close()
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(part)+string(rest), "end.")
+	is.Equal(response.Trailer.Get("Digest"), "d")
+	arrived := <-seen
+	is.Equal(arrived.RequestURI, "/a%2Fb?q=1")
+	is.Equal(arrived.Header.Get("X-Hop"), "")
+	is.Equal(arrived.Header.Get("X-End"), "1")
+	left, err := timeoutOf(arrived.Header)
+	is.NoErr(err)
+	is.True(left > 0 && left <= time.Minute)
+}
+
+// A caller that gives up cancels the request at the back end and frees the slot.
+func TestCancellationReachesBackEnd(t *testing.T) {
+	is := is.New(t)
+	started, canceled := make(chan struct{}), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		close(started)
+		<-request.Context().Done()
+		close(canceled)
+	}))
+	defer backend.Close()
+	front := newFront(t, backend.Listener.Addr(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "GET", front.URL, nil)
+	is.NoErr(err)
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err = front.Client().Do(request)
+	is.True(err != nil)
+	<-canceled
+	is.Equal(<-front.recorder.outcomes, OutcomeReset)
+	for deadline := time.Now().Add(waitLimit); front.recorder.busy.Load() != 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+}
--- /dev/null
+++ b/internal/agent/harness_test.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 10 * time.Second
+
+// eventually waits for the condition.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met in time")
+		}
+	}
+}
+
+// fakeCoordination holds a snapshot that tests set.
+type fakeCoordination struct {
+	mutex       sync.Mutex
+	snapshot    *catalog.Snapshot
+	subscribers []func(*catalog.Snapshot)
+	pulled      atomic.Uint64 // highest revision asked for
+	announced   atomic.Bool
+	left        atomic.Bool
+}
+
+func (f *fakeCoordination) Snapshot() *catalog.Snapshot {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.snapshot
+}
+
+func (f *fakeCoordination) Subscribe(callback func(*catalog.Snapshot)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.subscribers = append(f.subscribers, callback)
+	callback(f.snapshot)
+}
+
+func (f *fakeCoordination) Pull(at catalog.Revision)    { f.pulled.Store(uint64(at)) }
+func (f *fakeCoordination) Alive(netip.AddrPort) bool   { return true }
+func (f *fakeCoordination) SelfConfirmed() bool         { return true }
+func (f *fakeCoordination) AnnounceLeaving()            { f.announced.Store(true) }
+func (f *fakeCoordination) Leave(context.Context) error { f.left.Store(true); return nil }
+func (f *fakeCoordination) Close()                      {}
+
+// put writes a service and publishes the new snapshot.
+func (f *fakeCoordination) put(t *testing.T, service catalog.Service) {
+	t.Helper()
+	body, err := json.Marshal(service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	revision := f.snapshot.Revision() + 1
+	next, err := f.snapshot.With([]catalog.Object{{Name: service.Name, Revision: revision, Body: body}}, revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.snapshot = next
+	for _, callback := range f.subscribers {
+		callback(next)
+	}
+}
+
+// testAgent is an agent that serves one service.
+type testAgent struct {
+	coordination *fakeCoordination
+	address      netip.AddrPort
+	service      catalog.Service
+	stop         context.CancelFunc
+	stopped      chan error
+}
+
+// startAgent serves a service with one back end at the address.
+func startAgent(t *testing.T, protocol catalog.Protocol, backend net.Addr) *testAgent {
+	t.Helper()
+	agent := &testAgent{
+		coordination: &fakeCoordination{snapshot: catalog.Empty()},
+		address:      freeAddress(t),
+		stopped:      make(chan error, 1),
+	}
+	agent.service = catalog.Service{
+		Name:     "lesson",
+		Protocol: protocol,
+		Address:  netip.MustParseAddrPort("192.0.2.1:443"),
+		Shares:   []catalog.SiteShare{{Site: "old", Percent: 100}},
+		Backends: []catalog.Backend{testBackend("b1", agent.address, netip.MustParseAddrPort(backend.String()))},
+	}
+	agent.coordination.put(t, agent.service)
+	var ctx context.Context
+	ctx, agent.stop = context.WithCancel(context.Background())
+	options := Options{
+		Data:        agent.address,
+		IdleTimeout: time.Minute,
+		DrainLimit:  drainLimitOf(protocol),
+		Node:        agent.coordination,
+		Log:         &log.Logger{Handler: discard.New()},
+	}
+	go func() { agent.stopped <- Serve(ctx, options) }()
+	return agent
+}
+
+// drainLimitOf is short where flows have no end and so always reach the limit.
+func drainLimitOf(protocol catalog.Protocol) time.Duration {
+	if protocol == catalog.ProtocolUDP {
+		return time.Second
+	}
+	return waitLimit
+}
+
+func testBackend(id catalog.BackendID, agent, address netip.AddrPort) catalog.Backend {
+	return catalog.Backend{
+		ID: id, Site: "old", Zone: "z1", Agent: agent, Address: address,
+		Weight: 1, Slots: 7, Connections: 100, State: catalog.BackendActive,
+	}
+}
+
+// freeAddress returns an address that nothing listens on at present.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// waitStopped waits until Serve has returned nil.
+func (a *testAgent) waitStopped(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	select {
+	case err := <-a.stopped:
+		is.NoErr(err)
+	case <-time.After(2 * waitLimit):
+		t.Fatal("agent did not stop")
+	}
+	is.True(a.coordination.announced.Load())
+	is.True(a.coordination.left.Load())
+}
--- /dev/null
+++ b/internal/agent/http_backends.go
@@ -0,0 +1,235 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/buffer"
+	"github.com/burlmill/burlmill/internal/agent/gateway"
+	"github.com/burlmill/burlmill/internal/agent/quicserver"
+	"github.com/burlmill/burlmill/internal/agent/returnpath"
+)
+
+// httpBackends are the back ends of http services that this agent has had flows
+// for. They belong to the owner's goroutine.
+type httpBackends struct {
+	sender      returnpath.Sender
+	tls         *tls.Config
+	idleTimeout time.Duration
+	metrics     *metrics
+	byKey       map[backendKey]*httpBackend
+	stopping    bool // the agent takes no new work
+
+	// cutOff ends all requests when it is done.
+	cutOff    context.Context
+	cutOffNow context.CancelFunc
+	// drained receives each server whose shutdown has ended.
+	drained chan drainedServer
+}
+
+// backendKey names one host for as long as it exists: its server id changes with
+// its incarnation.
+type backendKey struct {
+	service  catalog.ServiceName
+	serverID uint32
+}
+
+// httpBackend is one back end. When it leaves, its server is shut down and keeps
+// the flows that it has; should it come back, further flows get a new server.
+type httpBackend struct {
+	gateway  *gateway.Gateway
+	current  *quicserver.Server // nil until it gets its first flow and while it leaves
+	draining []*quicserver.Server
+	leaving  bool
+}
+
+// drainedServer is a server that has ended.
+type drainedServer struct {
+	key    backendKey
+	server *quicserver.Server
+	err    error // fault.Deadline if requests were cut off
+}
+
+// deliver hands a datagram over, and with it its buffer.
+func (h *httpBackends) deliver(action flow.Action, key flow.Key, from netip.AddrPort, payload *buffer.Buffer) error {
+	held := h.backend(action.Service, action.Backend)
+	server, err := h.serverFor(held, action, key)
+	if err != nil {
+		payload.Release()
+		return err
+	}
+	return server.Deliver(key, from, payload)
+}
+
+// backend returns the entry of the back end and creates it if need be.
+func (h *httpBackends) backend(service *catalog.Service, backend *catalog.Backend) *httpBackend {
+	key := backendKey{service.Name, backend.ServerID()}
+	if held := h.byKey[key]; held != nil {
+		return held
+	}
+	created := &httpBackend{gateway: gateway.New(backend, h.metrics.forBackend(service, backend))}
+	h.byKey[key] = created
+	return created
+}
+
+// serverFor returns the server that holds the flow, else the one for new flows.
+func (h *httpBackends) serverFor(held *httpBackend, action flow.Action, key flow.Key) (*quicserver.Server, error) {
+	for _, server := range held.draining {
+		if server.Holds(key) {
+			return server, nil
+		}
+	}
+	if held.current != nil {
+		return held.current, nil
+	}
+	if count := len(held.draining); count > 0 && !action.New {
+		return held.draining[count-1], nil
+	}
+	if held.leaving || h.stopping {
+		return nil, fault.New(fault.Unavailable, "back end %s takes no new flow", action.Backend.ID)
+	}
+	server, err := h.start(held, action)
+	if err != nil {
+		return nil, err
+	}
+	held.current = server
+	return server, nil
+}
+
+func (h *httpBackends) start(held *httpBackend, action flow.Action) (*quicserver.Server, error) {
+	return quicserver.Start(quicserver.Options{
+		Service:     action.Service.Address,
+		ServerID:    action.Backend.ServerID(),
+		Sender:      h.sender,
+		Handler:     held.gateway,
+		Refusal:     http.HandlerFunc(held.gateway.Refuse),
+		TLS:         h.tls,
+		IdleTimeout: h.idleTimeout,
+	})
+}
+
+// end forgets a flow that is over.
+func (h *httpBackends) end(key flow.Key) {
+	for _, held := range h.byKey {
+		for _, server := range held.servers() {
+			server.End(key)
+		}
+	}
+}
+
+// ended returns the flows whose connections have ended.
+func (h *httpBackends) ended(now time.Time) []flow.Key {
+	var keys []flow.Key
+	for _, held := range h.byKey {
+		for _, server := range held.servers() {
+			keys = append(keys, server.Ended(now)...)
+		}
+	}
+	return keys
+}
+
+// servers returns all servers of the back end.
+func (h *httpBackend) servers() []*quicserver.Server {
+	if h.current == nil {
+		return h.draining
+	}
+	return append(slices.Clone(h.draining), h.current)
+}
+
+// reconcile takes in a newer configuration.
+func (h *httpBackends) reconcile(snapshot *catalog.Snapshot) {
+	for key, held := range h.byKey {
+		backend := findBackend(snapshot, key)
+		held.leaving = backend == nil || backend.State == catalog.BackendLeaving
+		if backend != nil {
+			held.gateway.Update(backend)
+		}
+		if held.leaving {
+			h.drain(key, held)
+		}
+		h.removeIfOver(key)
+	}
+}
+
+// findBackend returns the back end with that key, nil if it is gone.
+func findBackend(snapshot *catalog.Snapshot, key backendKey) *catalog.Backend {
+	service := snapshot.Service(key.service)
+	if service == nil {
+		return nil
+	}
+	for index := range service.Backends {
+		if service.Backends[index].ServerID() == key.serverID {
+			return &service.Backends[index]
+		}
+	}
+	return nil
+}
+
+// drainAll shuts all servers down, since the agent stops.
+func (h *httpBackends) drainAll() {
+	h.stopping = true
+	for key, held := range h.byKey {
+		h.drain(key, held)
+	}
+}
+
+// drain shuts the current server down: its callers are told to open their next
+// connection elsewhere, and its requests are finished.
+func (h *httpBackends) drain(key backendKey, held *httpBackend) {
+	server := held.current
+	if server == nil {
+		return
+	}
+	held.current = nil
+	held.draining = append(held.draining, server)
+	go func() {
+		err := server.Shutdown(h.cutOff)
+		h.drained <- drainedServer{key, server, err}
+	}()
+}
+
+// remove forgets a server that has ended and returns the flows it still had.
+func (h *httpBackends) remove(ended drainedServer) []flow.Key {
+	held := h.byKey[ended.key]
+	held.draining = slices.DeleteFunc(held.draining, func(server *quicserver.Server) bool {
+		return server == ended.server
+	})
+	h.removeIfOver(ended.key)
+	return ended.server.Flows()
+}
+
+// removeIfOver forgets a back end that leaves and has no server any more.
+func (h *httpBackends) removeIfOver(key backendKey) {
+	held := h.byKey[key]
+	if len(held.servers()) > 0 || !(held.leaving || h.stopping) {
+		return
+	}
+	held.gateway.Close()
+	delete(h.byKey, key)
+}
+
+// empty says whether no server is left.
+func (h *httpBackends) empty() bool {
+	for _, held := range h.byKey {
+		if len(held.servers()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// close ends what is left. Servers must be drained before.
+func (h *httpBackends) close() {
+	h.cutOffNow()
+	for key, held := range h.byKey {
+		held.gateway.Close()
+		delete(h.byKey, key)
+	}
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,149 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/gateway"
+	"github.com/burlmill/burlmill/internal/observability"
+)
+
+const (
+	metricsNamespace = observability.Namespace
+	metricsSubsystem = "agent"
+)
+
+// dropReason says why a datagram went nowhere. It is a label value.
+type dropReason string
+
+// The reasons besides those of flow.DropReason.
+const (
+	dropMalformed   dropReason = "malformed"    // no readable header, or one without a route
+	dropInboxFull   dropReason = "inbox-full"   // arrived faster than it could be handled
+	dropWaitingFull dropReason = "waiting-full" // too many wait for a newer configuration
+	dropWaitedLong  dropReason = "waited-long"  // the newer configuration did not come
+	dropBackend     dropReason = "backend"      // the back end could not be given the datagram
+	dropNetwork     dropReason = "network"      // sending failed
+	dropProtocol    dropReason = "protocol"     // the service's protocol has no datagrams
+)
+
+var ownDropReasons = []dropReason{
+	dropMalformed, dropInboxFull, dropWaitingFull, dropWaitedLong, dropBackend, dropNetwork, dropProtocol,
+}
+
+// metrics are the agent's metrics. All methods are safe for concurrent use.
+type metrics struct {
+	registry  *prometheus.Registry
+	received  prometheus.Counter
+	delivered prometheus.Counter
+	forwarded prometheus.Counter
+	replies   prometheus.Counter
+	dropped   *prometheus.CounterVec
+	flows     prometheus.Gauge
+	waiting   prometheus.Gauge
+	requests  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	slots     *prometheus.GaugeVec
+	busy      *prometheus.GaugeVec
+}
+
+func newMetrics() *metrics {
+	created := &metrics{
+		registry:  observability.NewRegistry(),
+		received:  counter("datagrams_received_total", "Datagrams received from balancers and other agents."),
+		delivered: counter("datagrams_delivered_total", "Datagrams handed to back ends."),
+		forwarded: counter("datagrams_forwarded_total", "Datagrams passed on to other agents."),
+		replies:   counter("replies_sent_total", "Datagrams of back ends of udp services sent to callers."),
+		dropped:   counters("datagrams_dropped_total", "Datagrams that went nowhere.", "reason"),
+		flows:     gauge("flows", "Open flows."),
+		waiting:   gauge("datagrams_waiting", "Datagrams that wait for a newer configuration."),
+		requests:  counters("requests_total", "Requests by what became of them.", "service", "backend", "outcome"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace,
+			Subsystem: metricsSubsystem,
+			Name:      "request_duration_seconds",
+			Help:      "Time from the head of a request to the end of its answer.",
+			Buckets:   prometheus.ExponentialBuckets(0.001, 4, 10),
+		}, []string{"service", "backend"}),
+		slots: gauges("slots", "Requests that the back end can run at once.", "service", "backend"),
+		busy:  gauges("slots_busy", "Requests that the back end runs.", "service", "backend"),
+	}
+	created.registry.MustRegister(
+		created.received, created.delivered, created.forwarded, created.replies, created.dropped,
+		created.flows, created.waiting, created.requests, created.duration, created.slots, created.busy,
+	)
+	created.createLabels()
+	return created
+}
+
+// createLabels makes every reason visible from the start.
+func (m *metrics) createLabels() {
+	for reason := range flow.DropReasonCount {
+		m.dropped.WithLabelValues(reason.String())
+	}
+	for _, reason := range ownDropReasons {
+		m.dropped.WithLabelValues(string(reason))
+	}
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: name, Help: help,
+	})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: name, Help: help,
+	}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: name, Help: help,
+	})
+}
+
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: name, Help: help,
+	}, labels)
+}
+
+// ReplySent counts a reply of a udp service.
+func (m *metrics) ReplySent() { m.replies.Inc() }
+
+// ReplyFailed counts a reply of a udp service that could not be sent.
+func (m *metrics) ReplyFailed(error) { m.dropped.WithLabelValues(string(dropNetwork)).Inc() }
+
+// backendMetrics are the metrics of one back end of an http service.
+type backendMetrics struct {
+	outcomes map[gateway.Outcome]prometheus.Counter
+	duration prometheus.Observer
+	busy     prometheus.Gauge
+}
+
+func (m *metrics) forBackend(service *catalog.Service, backend *catalog.Backend) *backendMetrics {
+	labels := []string{string(service.Name), string(backend.ID)}
+	created := &backendMetrics{
+		outcomes: map[gateway.Outcome]prometheus.Counter{},
+		duration: m.duration.WithLabelValues(labels...),
+		busy:     m.busy.WithLabelValues(labels...),
+	}
+	for _, outcome := range gateway.Outcomes() {
+		created.outcomes[outcome] = m.requests.WithLabelValues(append(labels, string(outcome))...)
+	}
+	return created
+}
+
+// RequestDone counts one request.
+func (b *backendMetrics) RequestDone(outcome gateway.Outcome, took time.Duration) {
+	b.outcomes[outcome].Inc()
+	b.duration.Observe(took.Seconds())
+}
+
+// SlotsBusy notes the number of requests that hold a slot.
+func (b *backendMetrics) SlotsBusy(busy int) { b.busy.Set(float64(busy)) }
--- /dev/null
+++ b/internal/agent/owner.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/buffer"
+	"github.com/burlmill/burlmill/internal/agent/returnpath"
+	"github.com/burlmill/burlmill/internal/agent/udpflow"
+	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const (
+	expiryInterval  = time.Second            // between looks for idle flows
+	waitingInterval = 100 * time.Millisecond // between looks for datagrams that waited too long
+)
+
+// owner is the goroutine that owns the decider and the flows. Datagrams and all
+// other events reach it through channels.
+type owner struct {
+	self         selfAddress
+	decider      *flow.Decider
+	decoder      *wire.Decoder
+	udp          *udpflow.Flows
+	http         *httpBackends
+	waiting      waitingQueue
+	sender       returnpath.Sender
+	coordination Coordination
+	metrics      *metrics
+	log          log.Interface
+	drops        *logging.Limiter
+	drainLimit   time.Duration
+	ready        *atomic.Bool // whether the agent takes new work
+	leaving      bool
+	limitPassed  bool // the drain limit has passed
+
+	inbox   chan *buffer.Buffer
+	changed chan struct{} // a newer snapshot is in force
+}
+
+// run handles events until the context ends and the agent is then drained.
+func (o *owner) run(ctx context.Context) {
+	expiry := time.NewTicker(expiryInterval)
+	defer expiry.Stop()
+	waiting := time.NewTicker(waitingInterval)
+	defer waiting.Stop()
+	stop := ctx.Done()
+	var limit <-chan time.Time
+	for !o.isDrained() {
+		select {
+		case datagram := <-o.inbox:
+			o.handle(time.Now(), datagram)
+		case <-o.changed:
+			o.takeSnapshot(time.Now())
+		case server := <-o.http.drained:
+			o.serverDrained(server)
+		case <-waiting.C:
+			o.dropExpiredWaiting(time.Now())
+		case <-expiry.C:
+			o.expire(time.Now())
+		case <-stop:
+			stop = nil
+			limit = time.After(o.drainLimit)
+			o.leave()
+		case <-limit:
+			o.cutOff()
+		}
+	}
+}
+
+// takeSnapshot takes the configuration in force and looks again at what waits.
+func (o *owner) takeSnapshot(now time.Time) {
+	snapshot := o.coordination.Snapshot()
+	o.endAll(o.decider.SetSnapshot(snapshot))
+	o.http.reconcile(snapshot)
+	o.showSlots(snapshot)
+	for _, entry := range o.waiting.takeAll() {
+		o.decide(now, entry.since, entry.datagram)
+	}
+	o.showSizes()
+}
+
+// showSlots makes the configured slots of this agent's back ends visible.
+func (o *owner) showSlots(snapshot *catalog.Snapshot) {
+	o.metrics.slots.Reset()
+	for _, service := range snapshot.Services() {
+		for index := range service.Backends {
+			backend := &service.Backends[index]
+			if service.Protocol == catalog.ProtocolHTTP && backend.Agent == o.self {
+				o.metrics.slots.WithLabelValues(string(service.Name), string(backend.ID)).Set(float64(backend.Slots))
+			}
+		}
+	}
+}
+
+// expire ends the flows that are over.
+func (o *owner) expire(now time.Time) {
+	o.endAll(o.decider.Expire(now))
+	o.endAll(o.http.ended(now))
+	o.showSizes()
+	o.drops.Flush()
+}
+
+// endAll ends flows wherever they are known.
+func (o *owner) endAll(keys []flow.Key) {
+	for _, key := range keys {
+		o.decider.End(key)
+		o.udp.End(key)
+		o.http.end(key)
+	}
+}
+
+func (o *owner) dropExpiredWaiting(now time.Time) {
+	for _, entry := range o.waiting.takeExpired(now) {
+		entry.datagram.Release()
+		o.drop(dropWaitedLong, nil)
+	}
+}
+
+func (o *owner) showSizes() {
+	o.metrics.flows.Set(float64(o.decider.Flows()))
+	o.metrics.waiting.Set(float64(len(o.waiting.entries)))
+}
+
+// drop counts a datagram that went nowhere, and logs it at a bounded rate.
+func (o *owner) drop(reason dropReason, err error) {
+	o.metrics.dropped.WithLabelValues(string(reason)).Inc()
+	fields := log.Fields{"reason": string(reason)}
+	if err != nil {
+		fields["error"] = err
+	}
+	o.drops.Log(log.WarnLevel, "drop", fields)
+}
--- /dev/null
+++ b/internal/agent/process.go
@@ -0,0 +1,167 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/agent/buffer"
+	"github.com/burlmill/burlmill/internal/agent/quicserver"
+	"github.com/burlmill/burlmill/internal/agent/udpflow"
+	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/observability"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const (
+	inboxCapacity  = 4096 // datagrams that may wait to be handled
+	headerCapacity = 8192 // headers that are remembered so as not to be read again
+
+	dropsLoggedPerSecond = 1
+	dropsLoggedAtOnce    = 5
+)
+
+// process is what a running agent consists of. Parts that were not started are nil.
+type process struct {
+	owner        *owner
+	socket       *wire.Socket
+	flows        *udpflow.Flows
+	http         *httpBackends
+	observations io.Closer
+	log          log.Interface
+}
+
+func start(options Options) (*process, error) {
+	started := &process{log: options.Log}
+	if err := started.open(options); err != nil {
+		started.close()
+		return nil, err
+	}
+	return started, nil
+}
+
+// open starts the parts one by one, each with those it needs.
+func (p *process) open(options Options) (err error) {
+	metrics := newMetrics()
+	inbox := make(chan *buffer.Buffer, inboxCapacity)
+	ready := new(atomic.Bool)
+	if p.observations, err = observability.Serve(options.Metrics, metrics.registry, ready.Load); err != nil {
+		return err
+	}
+	if p.socket, err = wire.Listen(options.Data, receiver(inbox, metrics)); err != nil {
+		return err
+	}
+	if p.flows, err = udpflow.New(p.socket, metrics); err != nil {
+		return err
+	}
+	if p.http, err = newHTTPBackends(options, p.socket, metrics); err != nil {
+		return err
+	}
+	p.owner = &owner{
+		self:         p.socket.LocalAddress(),
+		decider:      newDecider(options, p.socket.LocalAddress()),
+		decoder:      wire.NewDecoder(headerCapacity),
+		udp:          p.flows,
+		http:         p.http,
+		sender:       p.socket,
+		coordination: options.Node,
+		drainLimit:   options.DrainLimit,
+		metrics:      metrics,
+		log:          p.log,
+		drops:        newDropLimiter(p.log),
+		ready:        ready,
+		inbox:        inbox,
+		changed:      make(chan struct{}, 1),
+	}
+	options.Node.Subscribe(p.owner.snapshotChanged)
+	ready.Store(true)
+	return nil
+}
+
+// close frees the parts, each before those it needs.
+func (p *process) close() {
+	if p.http != nil {
+		p.http.close()
+	}
+	if p.flows != nil {
+		p.flows.Close()
+	}
+	if p.socket != nil {
+		p.logFailure(p.socket.Close())
+	}
+	if p.observations != nil {
+		p.logFailure(p.observations.Close())
+	}
+	if p.owner != nil {
+		p.owner.drops.Flush()
+	}
+}
+
+func (p *process) logFailure(err error) {
+	if err != nil {
+		p.log.WithError(err).Warn("close")
+	}
+}
+
+// receiver copies each datagram for the owner. If the owner cannot keep up, the
+// datagram is dropped, as by a full socket buffer.
+func receiver(inbox chan<- *buffer.Buffer, metrics *metrics) wire.Receiver {
+	full := metrics.dropped.WithLabelValues(string(dropInboxFull))
+	return func(datagram []byte, _ netip.AddrPort) {
+		copied := buffer.Join(datagram)
+		select {
+		case inbox <- copied:
+		default:
+			copied.Release()
+			full.Inc()
+		}
+	}
+}
+
+func newDecider(options Options, self netip.AddrPort) *flow.Decider {
+	return flow.NewDecider(self, options.Node, flow.Options{
+		IdleTimeout: options.IdleTimeout,
+		Confirmed:   func(time.Time) bool { return options.Node.SelfConfirmed() },
+	})
+}
+
+func newHTTPBackends(options Options, socket *wire.Socket, metrics *metrics) (*httpBackends, error) {
+	tlsConfig, err := quicserver.SelfSigned(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	cutOff, cutOffNow := context.WithCancel(context.Background())
+	return &httpBackends{
+		sender:      socket,
+		tls:         tlsConfig,
+		idleTimeout: options.IdleTimeout,
+		metrics:     metrics,
+		byKey:       map[backendKey]*httpBackend{},
+		cutOff:      cutOff,
+		cutOffNow:   cutOffNow,
+		drained:     make(chan drainedServer),
+	}, nil
+}
+
+func newDropLimiter(logger log.Interface) *logging.Limiter {
+	return logging.NewLimiter(logging.LimiterOptions{
+		Log:       logger,
+		PerSecond: dropsLoggedPerSecond,
+		Burst:     dropsLoggedAtOnce,
+		Now:       time.Now,
+	})
+}
+
+// snapshotChanged tells the owner to look at the configuration. It never blocks.
+func (o *owner) snapshotChanged(*catalog.Snapshot) {
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/agent/quicserver/packet_conn.go
@@ -0,0 +1,121 @@
+package quicserver
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/burlmill/burlmill/internal/agent/buffer"
+	"github.com/burlmill/burlmill/internal/agent/returnpath"
+)
+
+// queueCapacity is the number of datagrams of one back end that may wait for
+// quic-go to read them. More are dropped, as by a full socket buffer.
+const queueCapacity = 1024
+
+// received is one datagram from a caller.
+type received struct {
+	payload *buffer.Buffer
+	caller  *net.UDPAddr
+}
+
+// packetConn is the connection that quic-go serves one back end's callers on. It
+// has no socket of its own: datagrams come from the agent's data socket and
+// leave through it. It does not embed *net.UDPConn, whose other methods quic-go
+// would use to get around it.
+type packetConn struct {
+	local  *net.UDPAddr // the service's address
+	sender returnpath.Sender
+	paths  *callerPaths
+	queue  chan received
+
+	deadline  *readDeadline
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+var _ net.PacketConn = (*packetConn)(nil)
+
+func newPacketConn(local netip.AddrPort, sender returnpath.Sender, paths *callerPaths) *packetConn {
+	return &packetConn{
+		local:    net.UDPAddrFromAddrPort(local),
+		sender:   sender,
+		paths:    paths,
+		queue:    make(chan received, queueCapacity),
+		closed:   make(chan struct{}),
+		deadline: newReadDeadline(),
+	}
+}
+
+// put queues a datagram and takes the buffer over. It says false if the queue is full.
+func (p *packetConn) put(datagram received) bool {
+	select {
+	case p.queue <- datagram:
+		return true
+	default:
+		datagram.payload.Release()
+		return false
+	}
+}
+
+// ReadFrom waits for the next datagram.
+func (p *packetConn) ReadFrom(into []byte) (int, net.Addr, error) {
+	select {
+	case <-p.deadline.wait():
+		return 0, nil, os.ErrDeadlineExceeded
+	case <-p.closed:
+		return 0, nil, net.ErrClosed
+	case datagram := <-p.queue:
+		length := copy(into, datagram.payload.Bytes)
+		datagram.payload.Release()
+		return length, datagram.caller, nil
+	}
+}
+
+// WriteTo sends a datagram to the caller at the address. Like a network, it
+// gives no error for a caller that is gone.
+func (p *packetConn) WriteTo(payload []byte, address net.Addr) (int, error) {
+	select {
+	case <-p.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	caller, ok := address.(*net.UDPAddr)
+	if !ok {
+		return 0, net.InvalidAddrError(address.String())
+	}
+	if path := p.paths.get(caller.AddrPort()); path != nil {
+		_ = path.Send(p.sender, payload)
+	}
+	return len(payload), nil
+}
+
+// Close ends all reads and writes.
+func (p *packetConn) Close() error {
+	p.closeOnce.Do(func() { close(p.closed) })
+	return nil
+}
+
+// LocalAddr returns the service's address.
+func (p *packetConn) LocalAddr() net.Addr { return p.local }
+
+// SetDeadline sets the read deadline; writes never block.
+func (p *packetConn) SetDeadline(deadline time.Time) error { return p.SetReadDeadline(deadline) }
+
+// SetWriteDeadline does nothing, since writes never block.
+func (p *packetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadDeadline sets the time at which reads end, also those that wait now. A
+// zero time means never.
+func (p *packetConn) SetReadDeadline(deadline time.Time) error {
+	p.deadline.set(deadline)
+	return nil
+}
+
+// SetReadBuffer does nothing. quic-go logs a warning if the method is missing.
+func (p *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing. quic-go logs a warning if the method is missing.
+func (p *packetConn) SetWriteBuffer(int) error { return nil }
--- /dev/null
+++ b/internal/agent/quicserver/requests.go
@@ -0,0 +1,43 @@
+package quicserver
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// idlePollInterval is how often a stopping server looks whether requests run.
+const idlePollInterval = 20 * time.Millisecond
+
+// requestCounter counts the requests that the next handler runs.
+type requestCounter struct {
+	next  http.Handler
+	count atomic.Int64
+}
+
+// ServeHTTP runs one request.
+func (r *requestCounter) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	r.count.Add(1)
+	defer r.count.Add(-1)
+	r.next.ServeHTTP(writer, request)
+}
+
+func (r *requestCounter) running() int64 { return r.count.Load() }
+
+// waitIdle returns when no request has run for the grace time, or the context ends.
+func (r *requestCounter) waitIdle(ctx context.Context, grace time.Duration) {
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	idleSince := time.Now()
+	for time.Since(idleSince) < grace {
+		if r.running() > 0 {
+			idleSince = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/udpflow/poller.go
@@ -0,0 +1,76 @@
+package udpflow
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/lesismal/nbio"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/agent/returnpath"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+// poller reads the sockets of all flows with one goroutine and sends what it
+// reads to callers.
+type poller struct {
+	engine   *nbio.Engine
+	sender   returnpath.Sender
+	observer Observer
+	stopOnce sync.Once
+
+	// reply is the datagram being built: datagrams are read behind headroom
+	// bytes, into which the flow's header is put without moving the payload.
+	reply   [headroom + wire.MaximumDatagram]byte
+	payload []byte // the part of reply behind the headroom
+}
+
+// headroom is the space for a header, in bytes.
+const headroom = wire.MaximumHeader
+
+func startPoller(sender returnpath.Sender, observer Observer) (*poller, error) {
+	started := &poller{sender: sender, observer: observer}
+	started.payload = started.reply[headroom:]
+	// The reply buffer is not shared, so there must be one poller goroutine.
+	started.engine = nbio.NewEngine(nbio.Config{Name: "udpflow", NPoller: 1})
+	started.engine.OnReadBufferAlloc(func(*nbio.Conn) *[]byte { return &started.payload })
+	started.engine.OnData(started.sendReply)
+	if err := started.engine.Start(); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "start poller of udp flows")
+	}
+	return started, nil
+}
+
+// dial opens a socket to the back end whose datagrams are replies of the flow.
+func (p *poller) dial(backend netip.AddrPort, owner *udpFlow) (*nbio.Conn, error) {
+	// Engine.DialAsync is no choice: it reads a wrong address from a 16-byte IP.
+	socket, err := nbio.Dial("udp", backend.String())
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "open socket to back end %s", backend)
+	}
+	socket.SetSession(owner)
+	if _, err := p.engine.AddConn(socket); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "poll socket to back end %s", backend)
+	}
+	return socket, nil
+}
+
+// sendReply is called by nbio with a datagram that lies in p.payload.
+func (p *poller) sendReply(socket *nbio.Conn, payload []byte) {
+	owner, ok := socket.Session().(*udpFlow)
+	if !ok {
+		return
+	}
+	header := owner.path.Header()
+	start := headroom - len(header)
+	copy(p.reply[start:], header)
+	datagram := p.reply[start : headroom+len(payload)]
+	if err := p.sender.Send(datagram, owner.path.Return()); err != nil {
+		p.observer.ReplyFailed(err)
+		return
+	}
+	p.observer.ReplySent()
+}
+
+// stop ends the poller. nbio does not allow for a second stop of its engine.
+func (p *poller) stop() { p.stopOnce.Do(p.engine.Stop) }
--- /dev/null
+++ b/internal/agent/udpflow/udpflow_test.go
@@ -0,0 +1,158 @@
+package udpflow
+
+import (
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 10 * time.Second
+
+// fakeSender keeps what is sent.
+type fakeSender struct{ sent chan sentDatagram }
+
+type sentDatagram struct {
+	content string
+	to      netip.AddrPort
+}
+
+func (f *fakeSender) Send(datagram []byte, to netip.AddrPort) error {
+	f.sent <- sentDatagram{string(datagram), to}
+	return nil
+}
+
+func (f *fakeSender) ReplySent()        {}
+func (f *fakeSender) ReplyFailed(error) {}
+
+func newFlows(t testing.TB) (*Flows, *fakeSender) {
+	t.Helper()
+	sender := &fakeSender{sent: make(chan sentDatagram, 10)}
+	flows, err := New(sender, sender)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(flows.Close)
+	return flows, sender
+}
+
+func listen(t testing.TB, address netip.AddrPort) *net.UDPConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func keyOf(port int) flow.Key {
+	return flow.Key{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, byte(port >> 16), 5}), uint16(port)),
+		Service: netip.MustParseAddrPort("192.0.2.1:443"),
+	}
+}
+
+// A flow outlives a restart of its back end, and its replies carry its header.
+func TestBackendRestarts(t *testing.T) {
+	is := is.New(t)
+	flows, sender := newFlows(t)
+	fabric := netip.MustParseAddrPort("192.0.2.99:9")
+	backend := listen(t, netip.MustParseAddrPort("127.0.0.1:0"))
+	address := backend.LocalAddr().(*net.UDPAddr).AddrPort()
+	key := keyOf(1)
+	deliver := func() { _ = flows.Deliver(key, address, fabric, []byte("ping")) }
+	answer := func(backend *net.UDPConn) {
+		content := make([]byte, 10)
+		_ = backend.SetReadDeadline(time.Now().Add(waitLimit))
+		length, from, err := backend.ReadFromUDPAddrPort(content)
+		is.NoErr(err)
+		is.Equal(string(content[:length]), "ping")
+		_, err = backend.WriteToUDPAddrPort([]byte("pong"), from)
+		is.NoErr(err)
+	}
+	check := func() {
+		reply := <-sender.sent
+		is.Equal(reply.to, fabric)
+		envelope, length, err := wire.ParseEnvelope([]byte(reply.content))
+		is.NoErr(err)
+		is.Equal(envelope, wire.Envelope{Key: key})
+		is.Equal(reply.content[length:], "pong")
+	}
+	deliver()
+	answer(backend)
+	check()
+
+	is.NoErr(backend.Close())
+	for range 20 { // the system reports refused datagrams with a delay
+		deliver()
+		time.Sleep(time.Millisecond)
+	}
+	backend = listen(t, address)
+	deliver()
+	answer(backend)
+	check()
+	is.Equal(flows.Len(), 1)
+	flows.End(key)
+	is.Equal(flows.Len(), 0)
+}
+
+// memoryFlows is the number of flows by which memory is measured. Each needs a
+// file descriptor.
+const memoryFlows = 5000
+
+func heapInUse() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first one leaves pools behind
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkMemoryPerFlow reports what an open flow costs in this package, and
+// what its nbio connection costs besides. Neither holds the kernel's memory.
+func BenchmarkMemoryPerFlow(b *testing.B) {
+	backend := listen(b, netip.MustParseAddrPort("127.0.0.1:0"))
+	address := backend.LocalAddr().(*net.UDPAddr).AddrPort()
+	fabric := netip.MustParseAddrPort("192.0.2.99:9")
+	for b.Loop() {
+		flows, _ := newFlows(b)
+		var connections []*nbio.Conn
+		empty := heapInUse()
+		connections = make([]*nbio.Conn, 0, memoryFlows)
+		for range memoryFlows {
+			connection, err := flows.poller.dial(address, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			connections = append(connections, connection)
+		}
+		dialed := heapInUse()
+		for _, connection := range connections {
+			_ = connection.Close()
+		}
+		clear(connections)
+		connections = nil
+		before := heapInUse()
+		for port := range memoryFlows {
+			if err := flows.Deliver(keyOf(1024+port), address, fabric, []byte("x")); err != nil {
+				b.Fatal(err)
+			}
+		}
+		after := heapInUse()
+		ofConnection := float64(dialed-empty) / memoryFlows
+		b.ReportMetric(ofConnection, "B-nbio/flow")
+		b.ReportMetric(float64(after-before)/memoryFlows-ofConnection, "B-own/flow")
+		flows.Close()
+	}
+}
--- /dev/null
+++ b/internal/balancer/forwarder_bench_test.go
@@ -0,0 +1,145 @@
+package balancer
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const (
+	benchmarkFlows   = 1000  // flows that the load cycles through
+	benchmarkSenders = 2     // goroutines that send as fast as they can
+	roundDatagrams   = 10000 // datagrams handled by one socket before the other's turn
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// BenchmarkForwarder measures, in alternating rounds of the same run, a socket
+// with a forwarder and a socket that sends on what it receives as it is. The
+// ratio is the median over pairs of rounds.
+func BenchmarkForwarder(b *testing.B) {
+	for _, protocol := range []catalog.Protocol{catalog.ProtocolUDP, catalog.ProtocolHTTP} {
+		for _, size := range []int{200, 1200} {
+			b.Run(fmt.Sprintf("%s-%d-bytes", protocol, size), func(b *testing.B) {
+				benchmarkForwarder(b, protocol, size)
+			})
+		}
+	}
+}
+
+func benchmarkForwarder(b *testing.B, protocol catalog.Protocol, size int) {
+	sink := startSink(b)
+	agent := func(int) netip.AddrPort { return sink }
+	service := serviceOf("service", protocol, httpAddress, 7, agent)
+	configuration := &fakeConfiguration{snapshot: snapshotOf(b, 1, service)}
+	datagrams := benchmarkDatagrams(b, &service, size)
+
+	var plain, balancer *measuredSocket
+	plain = listenMeasured(b, func(datagram []byte, _ netip.AddrPort) { _ = plain.socket.Send(datagram, sink) })
+	var handler *forwarder
+	balancer = listenMeasured(b, func(datagram []byte, from netip.AddrPort) { handler.receive(datagram, from) })
+	handler = newTestForwarder(configuration, balancer.socket, 2*benchmarkSenders*benchmarkFlows)
+
+	plain.round(b, datagrams)
+	balancer.round(b, datagrams)
+	b.ReportAllocs()
+	b.ResetTimer()
+	var ratios []float64
+	var plainTime, balancerTime time.Duration
+	for handled := 0; handled < b.N; handled += roundDatagrams {
+		without := plain.round(b, datagrams)
+		with := balancer.round(b, datagrams)
+		ratios = append(ratios, float64(with)/float64(without))
+		plainTime += without
+		balancerTime += with
+	}
+	slices.Sort(ratios)
+	total := float64(len(ratios) * roundDatagrams)
+	b.ReportMetric(ratios[len(ratios)/2], "ratio")
+	b.ReportMetric(total/balancerTime.Seconds(), "datagrams/s")
+	b.ReportMetric(total/plainTime.Seconds(), "plain-datagrams/s")
+}
+
+// benchmarkDatagrams returns one datagram of each flow.
+func benchmarkDatagrams(b *testing.B, service *catalog.Service, size int) [][]byte {
+	datagrams := make([][]byte, benchmarkFlows)
+	for index := range datagrams {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(index)}), uint16(1000+index))
+		payload := make([]byte, size)
+		copy(payload, quicPayload(&service.Backends[index%len(service.Backends)]))
+		datagrams[index] = datagramOf(b, wire.Envelope{Key: flow.Key{Caller: caller, Service: service.Address}}, payload)
+	}
+	return datagrams
+}
+
+// measuredSocket counts what its receiver has handled.
+type measuredSocket struct {
+	socket  *wire.Socket
+	handled atomic.Int64
+}
+
+func listenMeasured(b *testing.B, receive wire.Receiver) *measuredSocket {
+	measured := &measuredSocket{}
+	socket, err := wire.Listen(loopback, func(datagram []byte, from netip.AddrPort) {
+		receive(datagram, from)
+		measured.handled.Add(1)
+	})
+	is.New(b).NoErr(err)
+	b.Cleanup(func() { _ = socket.Close() })
+	measured.socket = socket
+	return measured
+}
+
+// round puts the socket under more load than it can handle and returns the time
+// in which it handles the datagrams of one round.
+func (m *measuredSocket) round(b *testing.B, datagrams [][]byte) time.Duration {
+	var stop atomic.Bool
+	var senders sync.WaitGroup
+	for range benchmarkSenders {
+		connection, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(m.socket.LocalAddress()))
+		is.New(b).NoErr(err)
+		senders.Go(func() {
+			defer connection.Close()
+			for index := 0; !stop.Load(); index++ {
+				_, _ = connection.Write(datagrams[index%len(datagrams)])
+			}
+		})
+	}
+	m.await(b, m.handled.Load()+roundDatagrams/2) // fill the cache and the buffers
+	begin := time.Now()
+	start := m.handled.Load()
+	m.await(b, start+roundDatagrams)
+	perDatagram := time.Since(begin) / time.Duration(m.handled.Load()-start)
+	stop.Store(true)
+	senders.Wait()
+	return perDatagram * roundDatagrams
+}
+
+func (m *measuredSocket) await(b *testing.B, count int64) {
+	deadline := time.Now().Add(20 * time.Second)
+	for m.handled.Load() < count {
+		if time.Now().After(deadline) {
+			b.Fatal("the socket handles nothing")
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// startSink returns the address of a socket that reads and forgets.
+func startSink(b *testing.B) netip.AddrPort {
+	socket, err := wire.Listen(loopback, func([]byte, netip.AddrPort) {})
+	is.New(b).NoErr(err)
+	b.Cleanup(func() { _ = socket.Close() })
+	return socket.LocalAddress()
+}
--- /dev/null
+++ b/internal/coordination/exchange/answer.go
@@ -0,0 +1,155 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/dissemination"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// Receive answers a request.
+func (d *Decider) Receive(now time.Time, request *burlmillv1.ExchangeRequest) (*burlmillv1.ExchangeResponse, Output) {
+	from := request.GetState().GetFrom()
+	d.observe(now, request.GetState())
+	if request.GetMonitor() && request.GetHeard() > 0 {
+		d.members.Confirmed(from, d.timeOf(request.GetHeard()))
+	}
+	response := d.respond(now, request)
+	d.answerParts(now, request, response)
+	return response, d.finish(now)
+}
+
+// respond builds the part of a response that every exchange has.
+func (d *Decider) respond(now time.Time, request *burlmillv1.ExchangeRequest) *burlmillv1.ExchangeResponse {
+	from := request.GetState().GetFrom()
+	known := d.members.Table().Get(from)
+	response := &burlmillv1.ExchangeResponse{Stamp: d.stamp(now), Unknown: known == nil}
+	if known == nil || request.GetPull() != nil {
+		response.State = d.bareState()
+		return response
+	}
+	link := d.linkTo(from)
+	link.called = now
+	state, told := d.state(now, link)
+	link.told = told
+	if known.Status != membership.Alive {
+		state.Members = append(state.Members, encodeMember(known))
+	}
+	response.State = state
+	return response
+}
+
+// answerParts answers what the request asks for besides the heartbeat.
+func (d *Decider) answerParts(now time.Time, request *burlmillv1.ExchangeRequest, response *burlmillv1.ExchangeResponse) {
+	if pull := request.GetPull(); pull != nil {
+		response.Page = encodePage(d.catalog.Serve(now, catalog.Revision(pull.GetAfter())))
+		d.budget.Spend(now, len(response.Page.Objects))
+	}
+	if asked := request.GetMembers(); asked != nil {
+		response.Members = d.serveMembers(now, asked)
+	}
+	if compare := request.GetCompare(); compare != nil {
+		response.Compare = d.serveCompare(now, compare)
+	}
+}
+
+// Answered takes in the response to the request with that ID.
+func (d *Decider) Answered(now time.Time, id uint64, response *burlmillv1.ExchangeResponse) Output {
+	meaning, known := d.pending[id]
+	if !known {
+		return d.finish(now)
+	}
+	delete(d.pending, id)
+	from := response.GetState().GetFrom()
+	if meaning.peer != "" && from != meaning.peer {
+		d.replaced(now, meaning, from)
+		return d.finish(now)
+	}
+	d.observe(now, response.GetState())
+	d.answeredLink(id, meaning, response)
+	d.answeredParts(now, meaning, response)
+	return d.finish(now)
+}
+
+// replaced handles an answer from another process than the one that was asked:
+// the one that was asked has lost its address.
+func (d *Decider) replaced(now time.Time, meaning pending, from string) {
+	d.members.Declare(now, meaning.peer)
+	if meaning.pull != nil {
+		d.catalog.PullFailed(now, meaning.peer)
+	}
+	if meaning.link != nil {
+		meaning.link.open = 0
+	}
+	d.notice("member-replaced", d.members.Table().Get(from), nil)
+}
+
+func (d *Decider) answeredLink(id uint64, meaning pending, response *burlmillv1.ExchangeResponse) {
+	link := meaning.link
+	if link == nil {
+		return
+	}
+	if link.open == id {
+		link.open = 0
+	}
+	link.told = link.told.Max(meaning.told)
+	link.heard = response.GetStamp()
+	link.failed = false
+	link.introduce = response.GetUnknown()
+}
+
+func (d *Decider) answeredParts(now time.Time, meaning pending, response *burlmillv1.ExchangeResponse) {
+	if meaning.pull != nil {
+		d.takePage(now, *meaning.pull, response.GetPage())
+	}
+	if meaning.joins {
+		d.joinAnswered(now, meaning, response)
+	}
+	if meaning.asked {
+		d.takeMembers(now, meaning, response.GetMembers())
+	}
+	if compared := response.GetCompare(); compared != nil {
+		d.takeCompare(now, meaning, compared)
+	}
+}
+
+func (d *Decider) takePage(now time.Time, pull dissemination.Pull, encoded *burlmillv1.CatalogPage) {
+	page, err := decodePage(encoded)
+	if err != nil {
+		d.catalog.PullFailed(now, pull.Peer)
+		d.notice("page-refused", nil, err)
+		return
+	}
+	if err := d.catalog.Take(now, pull, page); err != nil {
+		d.notice("objects-refused", nil, err)
+	}
+}
+
+// Failed notes that the request with that ID got no answer.
+func (d *Decider) Failed(now time.Time, id uint64) Output {
+	meaning, known := d.pending[id]
+	if !known {
+		return d.finish(now)
+	}
+	delete(d.pending, id)
+	if meaning.link != nil && meaning.link.open == id {
+		meaning.link.open = 0
+		meaning.link.failed = true
+	}
+	if meaning.pull != nil {
+		d.catalog.PullFailed(now, meaning.peer)
+	}
+	if meaning.joins {
+		d.joinFailed()
+	}
+	return d.finish(now)
+}
+
+// stamp encodes a time for this process's own later use; it is never 0.
+func (d *Decider) stamp(now time.Time) uint64 { return uint64(now.Sub(d.started)/time.Millisecond) + 1 }
+
+func (d *Decider) timeOf(stamp uint64) time.Time {
+	return d.started.Add(time.Duration(stamp-1) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/coordination/exchange/codec.go
@@ -0,0 +1,172 @@
+package exchange
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/dissemination"
+	"github.com/burlmill/burlmill/fault"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// ageUnit is the unit of RegionAge.
+const ageUnit = 100 * time.Millisecond
+
+func encodeMembers(members []*membership.Member) []*burlmillv1.Member {
+	encoded := make([]*burlmillv1.Member, 0, len(members))
+	for _, member := range members {
+		encoded = append(encoded, encodeMember(member))
+	}
+	return encoded
+}
+
+func decodeMemberList(compressed []byte) ([]*burlmillv1.Member, error) {
+	list := &burlmillv1.Members{}
+	err := decompress(compressed, list)
+	return list.GetMembers(), err
+}
+
+func encodeMember(member *membership.Member) *burlmillv1.Member {
+	return &burlmillv1.Member{
+		Id:          member.ID,
+		Incarnation: member.Incarnation,
+		Status:      burlmillv1.MemberStatus(member.Status) + burlmillv1.MemberStatus_MEMBER_STATUS_ALIVE,
+		Role:        burlmillv1.MemberRole(member.Role),
+		Region:      member.Region,
+		Zone:        string(member.Zone),
+		Control:     encodeAddress(member.Control),
+		Data:        encodeAddress(member.Data),
+	}
+}
+
+// decodeMember reads a member that a peer sent. Errors are of kind fault.Invalid.
+func decodeMember(encoded *burlmillv1.Member) (*membership.Member, error) {
+	status := encoded.GetStatus()
+	if status < burlmillv1.MemberStatus_MEMBER_STATUS_ALIVE || status > burlmillv1.MemberStatus_MEMBER_STATUS_LEFT {
+		return nil, fault.InvalidField("member.status", status, "is not a known status")
+	}
+	if encoded.GetId() == "" || len(encoded.GetId()) > catalog.MaximumName {
+		return nil, fault.InvalidField("member.id", encoded.GetId(), "must be 1 to 63 bytes")
+	}
+	control, err := decodeAddress(encoded.GetControl())
+	if err != nil {
+		return nil, err
+	}
+	data, err := decodeAddress(encoded.GetData())
+	if err != nil {
+		return nil, err
+	}
+	return &membership.Member{
+		ID:          encoded.GetId(),
+		Incarnation: encoded.GetIncarnation(),
+		Status:      membership.Status(status - burlmillv1.MemberStatus_MEMBER_STATUS_ALIVE),
+		Role:        membership.Role(encoded.GetRole()),
+		Region:      encoded.GetRegion(),
+		Zone:        catalog.ZoneName(encoded.GetZone()),
+		Control:     control,
+		Data:        data,
+	}, nil
+}
+
+func encodeAddress(address netip.AddrPort) []byte {
+	encoded, _ := address.MarshalBinary() // never fails
+	return encoded
+}
+
+func decodeAddress(encoded []byte) (netip.AddrPort, error) {
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(encoded); err != nil {
+		return address, fault.Wrap(fault.Invalid, err, "member address of %d bytes", len(encoded))
+	}
+	return address, nil
+}
+
+func regionHash(region string) uint32 { return uint32(xxhash.Sum64String(region)) }
+
+func encodeObjects(objects []catalog.Object) []byte {
+	encoded := &burlmillv1.CatalogObjects{}
+	for _, object := range objects {
+		encoded.Objects = append(encoded.Objects, &burlmillv1.CatalogObject{
+			Name:     string(object.Name),
+			Revision: uint64(object.Revision),
+			Deleted:  object.Deleted,
+			Body:     object.Body,
+		})
+	}
+	return compress(encoded)
+}
+
+func decodeObjects(compressed []byte) ([]catalog.Object, error) {
+	encoded := &burlmillv1.CatalogObjects{}
+	if err := decompress(compressed, encoded); err != nil {
+		return nil, err
+	}
+	objects := make([]catalog.Object, 0, len(encoded.GetObjects()))
+	for _, object := range encoded.GetObjects() {
+		objects = append(objects, catalog.Object{
+			Name:     catalog.ServiceName(object.GetName()),
+			Revision: catalog.Revision(object.GetRevision()),
+			Deleted:  object.GetDeleted(),
+			Body:     object.GetBody(),
+		})
+	}
+	return objects, nil
+}
+
+func encodePage(page dissemination.Page) *burlmillv1.CatalogPage {
+	return &burlmillv1.CatalogPage{
+		Revision: uint64(page.Revision),
+		Objects:  encodeObjects(page.Objects),
+		More:     page.More,
+		Busy:     page.Busy,
+	}
+}
+
+func decodePage(encoded *burlmillv1.CatalogPage) (dissemination.Page, error) {
+	objects, err := decodeObjects(encoded.GetObjects())
+	return dissemination.Page{
+		Revision: catalog.Revision(encoded.GetRevision()),
+		Objects:  objects,
+		More:     encoded.GetMore(),
+		Busy:     encoded.GetBusy(),
+	}, err
+}
+
+func encodeVersions(versions []dissemination.Version) []*burlmillv1.ObjectVersion {
+	encoded := make([]*burlmillv1.ObjectVersion, 0, len(versions))
+	for _, version := range versions {
+		encoded = append(encoded, &burlmillv1.ObjectVersion{Name: string(version.Name), Revision: uint64(version.Revision)})
+	}
+	return encoded
+}
+
+func decodeVersions(encoded []*burlmillv1.ObjectVersion) []dissemination.Version {
+	versions := make([]dissemination.Version, 0, len(encoded))
+	for _, version := range encoded {
+		versions = append(versions, dissemination.Version{
+			Name:     catalog.ServiceName(version.GetName()),
+			Revision: catalog.Revision(version.GetRevision()),
+		})
+	}
+	return versions
+}
+
+func encodeBuckets(buckets []int) []uint32 {
+	encoded := make([]uint32, 0, len(buckets))
+	for _, bucket := range buckets {
+		encoded = append(encoded, uint32(bucket))
+	}
+	return encoded
+}
+
+func decodeBuckets(encoded []uint32) []int {
+	buckets := make([]int, 0, len(encoded))
+	for _, bucket := range encoded {
+		buckets = append(buckets, int(bucket))
+	}
+	return buckets
+}
--- /dev/null
+++ b/internal/coordination/exchange/compare.go
@@ -0,0 +1,173 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/dissemination"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// compareMembers asks one neighbour, whose table has differed for a while, for
+// the members in the buckets that differ.
+func (d *Decider) compareMembers(now time.Time) {
+	if !d.compare.IsZero() && now.Sub(d.compare) < membersInterval {
+		return
+	}
+	for _, link := range d.ordered {
+		if link.interval == 0 || link.differs.IsZero() || now.Sub(link.differs) < membersDelay {
+			continue
+		}
+		d.compare = now
+		d.askBuckets(now, link)
+		return
+	}
+}
+
+func (d *Decider) askBuckets(now time.Time, link *link) {
+	peer := d.members.Table().Get(link.peer)
+	if peer == nil {
+		return
+	}
+	buckets := d.members.Table().Buckets()
+	d.budget.Spend(now, 4*len(buckets))
+	request := &burlmillv1.ExchangeRequest{
+		State:   d.bareState(),
+		Members: &burlmillv1.MembersRequest{Buckets: buckets},
+	}
+	d.send(peer, request, pending{peer: link.peer, asked: true})
+}
+
+// serveBuckets returns the members of buckets that differ, beginning at a
+// random bucket, because not all may fit.
+func (d *Decider) serveBuckets(now time.Time, theirs []uint32) *burlmillv1.MembersPage {
+	if len(theirs) != membership.BucketCount {
+		return &burlmillv1.MembersPage{}
+	}
+	if !d.budget.Allows(now) {
+		return &burlmillv1.MembersPage{Busy: true}
+	}
+	differing, members := d.differing(theirs)
+	page := &burlmillv1.MembersPage{
+		Members:   compress(&burlmillv1.Members{Members: encodeMembers(members)}),
+		Differing: differing,
+	}
+	d.budget.Spend(now, len(page.Members))
+	return page
+}
+
+func (d *Decider) differing(theirs []uint32) (buckets []uint32, members []*membership.Member) {
+	ours := d.members.Table().Buckets()
+	start := d.random.IntN(membership.BucketCount)
+	for i := range membership.BucketCount {
+		bucket := (start + i) % membership.BucketCount
+		if theirs[bucket] == ours[bucket] {
+			continue
+		}
+		held := d.members.Table().InBucket(bucket)
+		if len(buckets) > 0 && len(members)+len(held) > membersPerCompare {
+			break
+		}
+		buckets = append(buckets, uint32(bucket))
+		members = append(members, held...)
+	}
+	return buckets, members
+}
+
+// takeMembers merges a peer's buckets and sends back what the peer lacks.
+func (d *Decider) takeMembers(now time.Time, meaning pending, page *burlmillv1.MembersPage) {
+	records, err := decodeMemberList(page.GetMembers())
+	if err != nil {
+		d.notice("page-refused", nil, err)
+		return
+	}
+	missing := d.missing(page.GetDiffering(), records)
+	d.mergeMembers(now, records, meaning.peer)
+	peer := d.members.Table().Get(meaning.peer)
+	if len(missing) == 0 || peer == nil || !d.budget.Allows(now) {
+		return
+	}
+	state := d.bareState()
+	state.Members = encodeMembers(missing)
+	d.budget.Spend(now, len(missing)*memberBytes)
+	d.send(peer, &burlmillv1.ExchangeRequest{State: state}, pending{peer: meaning.peer})
+}
+
+// missing returns the own records in the buckets that replace a peer's records
+// or that the peer does not have.
+func (d *Decider) missing(buckets []uint32, records []*burlmillv1.Member) []*membership.Member {
+	theirs := map[string]*membership.Member{}
+	for _, encoded := range records {
+		if record, err := decodeMember(encoded); err == nil {
+			theirs[record.ID] = record
+		}
+	}
+	var missing []*membership.Member
+	for _, bucket := range buckets {
+		for _, own := range d.members.Table().InBucket(int(bucket)) {
+			other := theirs[own.ID]
+			if other == nil && !own.Status.Gone() || other != nil && own.Supersedes(other) {
+				missing = append(missing, own)
+			}
+		}
+	}
+	return missing
+}
+
+// compareCatalog asks a peer at the same revision with other objects for its versions.
+func (d *Decider) compareCatalog(now time.Time) {
+	name, due := d.catalog.NextCompare(now)
+	peer := d.members.Table().Get(name)
+	if !due || peer == nil {
+		return
+	}
+	request := &burlmillv1.ExchangeRequest{
+		State:   d.bareState(),
+		Compare: &burlmillv1.CompareRequest{Buckets: d.catalog.Buckets()},
+	}
+	d.send(peer, request, pending{peer: name})
+}
+
+func (d *Decider) serveCompare(now time.Time, request *burlmillv1.CompareRequest) *burlmillv1.CompareResponse {
+	d.mergeObjects(request.GetObjects())
+	differing, versions := d.catalog.Versions(request.GetBuckets())
+	var names []catalog.ServiceName
+	for _, name := range request.GetNames() {
+		names = append(names, catalog.ServiceName(name))
+	}
+	return &burlmillv1.CompareResponse{
+		Versions:  encodeVersions(versions),
+		Differing: encodeBuckets(differing),
+		Objects:   encodeObjects(d.catalog.Named(names)),
+	}
+}
+
+func (d *Decider) mergeObjects(compressed []byte) {
+	objects, err := decodeObjects(compressed)
+	if err == nil {
+		err = d.catalog.Merge(objects)
+	}
+	if err != nil {
+		d.notice("objects-refused", nil, err)
+	}
+}
+
+// takeCompare merges objects and, after the first answer, sends and asks for what differs.
+func (d *Decider) takeCompare(now time.Time, meaning pending, response *burlmillv1.CompareResponse) {
+	d.mergeObjects(response.GetObjects())
+	difference := d.catalog.Compare(decodeBuckets(response.GetDiffering()), decodeVersions(response.GetVersions()))
+	peer := d.members.Table().Get(meaning.peer)
+	if peer == nil || len(difference.Send)+len(difference.Ask) == 0 {
+		return
+	}
+	d.send(peer, d.compareRequest(difference), pending{peer: meaning.peer})
+}
+
+func (d *Decider) compareRequest(difference dissemination.Difference) *burlmillv1.ExchangeRequest {
+	compare := &burlmillv1.CompareRequest{Objects: encodeObjects(difference.Send)}
+	for _, name := range difference.Ask {
+		compare.Names = append(compare.Names, string(name))
+	}
+	return &burlmillv1.ExchangeRequest{State: d.bareState(), Compare: compare}
+}
--- /dev/null
+++ b/internal/coordination/exchange/join.go
@@ -0,0 +1,106 @@
+package exchange
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+)
+
+// joinState is how far a newcomer has learned the members.
+type joinState struct {
+	done  bool
+	open  int       // requests under way
+	guide string    // id of the peer whose pages this process reads
+	retry time.Time // next attempt
+}
+
+// Joined says whether a peer has told this process all members.
+func (d *Decider) Joined() bool { return d.join.done }
+
+func (d *Decider) addSeeds(addresses []netip.AddrPort) {
+	for _, address := range addresses {
+		if address != d.members.Self().Control && !slices.Contains(d.seeds, address) {
+			d.seeds = append(d.seeds, address)
+		}
+	}
+}
+
+// continueJoin asks some seeds for the members, until one has told them all.
+// Later it keeps asking now and then while this process knows nobody.
+func (d *Decider) continueJoin(now time.Time) {
+	alone := d.members.Table().Live() <= 1
+	if (d.join.done && !alone) || d.join.open > 0 || now.Before(d.join.retry) || len(d.seeds) == 0 {
+		return
+	}
+	d.join.retry = now.Add(joinRetryTime + time.Duration(d.random.Int64N(int64(joinRetryTime))))
+	for _, index := range d.random.Perm(len(d.seeds))[:min(joinFanOut, len(d.seeds))] {
+		d.askMembers(d.seeds[index], "")
+	}
+}
+
+// askMembers asks for the page of members after an id, and introduces this process.
+func (d *Decider) askMembers(to netip.AddrPort, after string) {
+	state := d.bareState()
+	state.Members = append(state.Members, encodeMember(d.members.Self()))
+	d.lastID++
+	d.join.open++
+	d.pending[d.lastID] = pending{joins: true}
+	d.output.Sends = append(d.output.Sends, Send{
+		ID:      d.lastID,
+		To:      to,
+		Request: &burlmillv1.ExchangeRequest{State: state, Members: &burlmillv1.MembersRequest{After: after}},
+	})
+}
+
+func (d *Decider) joinAnswered(now time.Time, meaning pending, response *burlmillv1.ExchangeResponse) {
+	d.join.open--
+	page := response.GetMembers()
+	if page.GetBusy() {
+		d.join.guide = ""
+		return
+	}
+	records, err := decodeMemberList(page.GetMembers())
+	if err != nil {
+		d.join.guide = ""
+		d.notice("page-refused", nil, err)
+		return
+	}
+	d.mergeMembers(now, records, response.GetState().GetFrom())
+	d.members.Heard(now, response.GetState().GetFrom())
+	d.continuePages(response.GetState().GetFrom(), page.GetNext())
+}
+
+// continuePages reads on from the first peer that answered.
+func (d *Decider) continuePages(from, next string) {
+	if next == "" {
+		d.join.done = true
+		return
+	}
+	peer := d.members.Table().Get(from)
+	if d.join.done || peer == nil || (d.join.guide != "" && d.join.guide != from) {
+		return
+	}
+	d.join.guide = from
+	d.askMembers(peer.Control, next)
+}
+
+func (d *Decider) joinFailed() {
+	d.join.open--
+	d.join.guide = ""
+}
+
+// serveMembers answers a question for members.
+func (d *Decider) serveMembers(now time.Time, asked *burlmillv1.MembersRequest) *burlmillv1.MembersPage {
+	if len(asked.GetBuckets()) > 0 {
+		return d.serveBuckets(now, asked.GetBuckets())
+	}
+	if !d.budget.Allows(now) {
+		return &burlmillv1.MembersPage{Busy: true}
+	}
+	members, next := d.members.Table().Page(asked.GetAfter(), membersPerPage)
+	page := &burlmillv1.MembersPage{Members: compress(&burlmillv1.Members{Members: encodeMembers(members)}), Next: next}
+	d.budget.Spend(now, len(page.Members))
+	return page
+}
--- /dev/null
+++ b/internal/coordination/exchange/readers.go
@@ -0,0 +1,36 @@
+package exchange
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burlmill/burlmill/membership"
+)
+
+// Readers returns the IDs of a region's readers: the balancers with the highest
+// hash, or agents where there is no balancer. The hash depends on the region
+// and the ID, so that all nodes agree without an election.
+func Readers(members []*membership.Member, region string, count int) []string {
+	candidates := withRole(members, region, membership.Balancer)
+	if len(candidates) == 0 {
+		candidates = withRole(members, region, membership.Agent)
+	}
+	slices.SortFunc(candidates, func(a, b string) int {
+		return cmp.Or(cmp.Compare(readerRank(region, b), readerRank(region, a)), cmp.Compare(a, b))
+	})
+	return candidates[:min(max(count, 1), len(candidates))]
+}
+
+func withRole(members []*membership.Member, region string, role membership.Role) []string {
+	var ids []string
+	for _, member := range members {
+		if member.Region == region && member.Role == role {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+func readerRank(region, id string) uint64 { return xxhash.Sum64String(region + "/" + id) }
--- /dev/null
+++ b/internal/coordination/hollow/fleet.go
@@ -0,0 +1,263 @@
+// Package hollow runs a fleet of deciders of package exchange in one process,
+// on a simulated network in virtual time. It counts the bytes that each node
+// would send and receive, and the time until a change is known everywhere. The
+// nodes are hollow in that they have no sockets and carry no traffic; every
+// decision is made by the code of real processes.
+package hollow
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burlmill/burlmill/catalog"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/internal/coordination/exchange"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// What an exchange costs besides its two messages, as measured by
+// BenchmarkExchange of package coordination on connections that persist.
+const (
+	FramingBytes = 50     // HTTP/2 and connect, request and response together
+	PacketBytes  = 6 * 52 // IPv4 and TCP headers of the packets of one exchange
+	refusedDelay = time.Millisecond
+	maximumSeeds = 16 // addresses that a newcomer takes from the machine list
+)
+
+// Options describes a fleet.
+type Options struct {
+	Nodes          int
+	Regions        int
+	ZonesPerRegion int
+	Readers        int           // per region
+	ZoneDelay      time.Duration // one way, within a zone
+	RegionDelay    time.Duration // one way, between zones of a region
+	WideDelay      time.Duration // one way, between regions
+	Seed           uint64        // of everything random
+}
+
+// Fleet is a set of hollow nodes. It is not safe for concurrent use.
+type Fleet struct {
+	options  Options
+	now      time.Time
+	random   *rand.Rand
+	queue    eventQueue
+	order    uint64
+	nodes    []*Node // all that ever ran
+	running  map[netip.AddrPort]*Node
+	cut      map[string]bool // regions that are apart
+	store    Store
+	lastPort int
+	CPU      time.Duration // wall time spent in deciders
+}
+
+// Node is one hollow process.
+type Node struct {
+	Decider  *exchange.Decider
+	Member   membership.Member
+	Running  bool
+	Bytes    int64 // sent plus received: messages and their framing
+	Messages int64 // exchanges in which the node took part
+}
+
+// New returns a fleet whose nodes all know each other.
+func New(options Options) *Fleet {
+	fleet := &Fleet{
+		options: options,
+		now:     time.Unix(1_700_000_000, 0),
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		running: map[netip.AddrPort]*Node{},
+		cut:     map[string]bool{},
+		store:   Store{objects: map[catalog.ServiceName]catalog.Object{}},
+	}
+	for range options.Nodes {
+		fleet.start(fleet.newMember())
+	}
+	for _, node := range fleet.nodes {
+		for _, other := range fleet.nodes {
+			if other != node {
+				node.Decider.Members().Merge(fleet.now, &other.Member, "")
+			}
+		}
+	}
+	return fleet
+}
+
+// Now returns the virtual time.
+func (f *Fleet) Now() time.Time { return f.now }
+
+// Running returns the nodes that run, in order of their start.
+func (f *Fleet) Running() []*Node {
+	var running []*Node
+	for _, node := range f.nodes {
+		if node.Running {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+func (f *Fleet) newMember() membership.Member {
+	f.lastPort++
+	index := f.lastPort
+	region := fmt.Sprintf("region-%d", index%f.options.Regions)
+	role := membership.Agent
+	if index/f.options.Regions%4 == 0 {
+		role = membership.Balancer
+	}
+	address := netip.AddrFrom4([4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)})
+	return membership.Member{
+		ID:          fmt.Sprintf("%s-%05d", role, index),
+		Incarnation: uint64(f.now.UnixMilli()),
+		Role:        role,
+		Region:      region,
+		Zone:        catalog.ZoneName(fmt.Sprintf("zone-%d-%d", index%f.options.Regions, index/f.options.Regions%f.options.ZonesPerRegion)),
+		Control:     netip.AddrPortFrom(address, 7000),
+		Data:        netip.AddrPortFrom(address, 7001),
+	}
+}
+
+// start runs a node that knows only itself.
+func (f *Fleet) start(member membership.Member) *Node {
+	random := rand.New(rand.NewPCG(f.options.Seed, f.random.Uint64()))
+	node := &Node{Decider: exchange.New(f.now, member, random), Member: member, Running: true}
+	f.nodes = append(f.nodes, node)
+	f.running[member.Control] = node
+	f.after(time.Duration(f.random.Int64N(int64(exchange.TickInterval))), func() { f.tick(node) })
+	return node
+}
+
+// Join starts a new node that finds the others by the lagging machine list.
+func (f *Fleet) Join() *Node {
+	node := f.start(f.newMember())
+	f.seed(node)
+	return node
+}
+
+func (f *Fleet) seed(node *Node) {
+	var seeds []netip.AddrPort
+	for range maximumSeeds {
+		seeds = append(seeds, f.nodes[f.random.IntN(len(f.nodes))].Member.Control)
+	}
+	f.apply(node, node.Decider.Seeds(f.now, seeds))
+}
+
+// Crash ends a node without a word.
+func (f *Fleet) Crash(node *Node) {
+	node.Running = false
+	delete(f.running, node.Member.Control)
+}
+
+// Restart starts a node anew under the ID and the addresses of one that crashed.
+func (f *Fleet) Restart(crashed *Node) *Node {
+	member := crashed.Member
+	member.Incarnation = uint64(f.now.UnixMilli())
+	node := f.start(member)
+	f.seed(node)
+	return node
+}
+
+// Leave has a node say that it left, and stops it soon after.
+func (f *Fleet) Leave(node *Node) {
+	f.apply(node, node.Decider.SetStatus(f.now, membership.Left))
+	f.after(time.Second, func() { f.Crash(node) })
+}
+
+// SetCut takes a region apart from all others, or joins it again.
+func (f *Fleet) SetCut(region string, cut bool) { f.cut[region] = cut }
+
+// Run lets virtual time pass.
+func (f *Fleet) Run(duration time.Duration) {
+	end := f.now.Add(duration)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(event)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+}
+
+func (f *Fleet) tick(node *Node) {
+	if !node.Running {
+		return
+	}
+	f.timed(func() { f.apply(node, node.Decider.Tick(f.now)) })
+	f.after(exchange.TickInterval, func() { f.tick(node) })
+}
+
+func (f *Fleet) timed(work func()) {
+	began := time.Now()
+	work()
+	f.CPU += time.Since(began)
+}
+
+// apply sends what a decider wants sent.
+func (f *Fleet) apply(node *Node, output exchange.Output) {
+	for _, send := range output.Sends {
+		f.send(node, send)
+	}
+}
+
+func (f *Fleet) send(from *Node, send exchange.Send) {
+	to := f.running[send.To]
+	if to == nil {
+		f.after(refusedDelay, func() { f.fail(from, send.ID) })
+		return
+	}
+	f.after(f.delay(from, to), func() { f.receive(from, to, send) })
+}
+
+func (f *Fleet) receive(from, to *Node, send exchange.Send) {
+	if !to.Running || f.apart(from, to) {
+		f.after(exchange.Timeout, func() { f.fail(from, send.ID) })
+		return
+	}
+	var response *burlmillv1.ExchangeResponse
+	f.timed(func() {
+		var output exchange.Output
+		response, output = to.Decider.Receive(f.now, send.Request)
+		f.apply(to, output)
+	})
+	bytes := int64(proto.Size(send.Request) + proto.Size(response) + FramingBytes)
+	for _, side := range []*Node{from, to} {
+		side.Bytes += bytes
+		side.Messages++
+	}
+	f.after(f.delay(from, to), func() { f.answer(from, to, send.ID, response) })
+}
+
+func (f *Fleet) answer(from, to *Node, id uint64, response *burlmillv1.ExchangeResponse) {
+	if f.apart(from, to) {
+		f.after(exchange.Timeout, func() { f.fail(from, id) })
+		return
+	}
+	if from.Running {
+		f.timed(func() { f.apply(from, from.Decider.Answered(f.now, id, response)) })
+	}
+}
+
+func (f *Fleet) fail(node *Node, id uint64) {
+	if node.Running {
+		f.timed(func() { f.apply(node, node.Decider.Failed(f.now, id)) })
+	}
+}
+
+func (f *Fleet) apart(a, b *Node) bool {
+	return a.Member.Region != b.Member.Region && (f.cut[a.Member.Region] || f.cut[b.Member.Region])
+}
+
+func (f *Fleet) delay(a, b *Node) time.Duration {
+	switch {
+	case a.Member.Region != b.Member.Region:
+		return f.options.WideDelay
+	case a.Member.Zone != b.Member.Zone:
+		return f.options.RegionDelay
+	default:
+		return f.options.ZoneDelay
+	}
+}
--- /dev/null
+++ b/internal/coordination/hollow/queue.go
@@ -0,0 +1,44 @@
+package hollow
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a point of virtual time.
+type event struct {
+	at    time.Time
+	order uint64 // of creation; events at the same time happen in this order
+	run   func()
+}
+
+// eventQueue is a heap of events, earliest first.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(added any) { *q = append(*q, added.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = event{}
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// after has something happen after a while.
+func (f *Fleet) after(delay time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: f.now.Add(delay), order: f.order, run: run})
+}
--- /dev/null
+++ b/internal/coordination/hollow/store.go
@@ -0,0 +1,69 @@
+package hollow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/internal/coordination/exchange"
+)
+
+// storeDelay is the time in which a reader's long poll brings a change.
+const storeDelay = 10 * time.Millisecond
+
+// Store stands for the platform's object store.
+type Store struct {
+	Down     bool
+	revision catalog.Revision
+	objects  map[catalog.ServiceName]catalog.Object
+}
+
+// Store returns the fleet's store.
+func (f *Fleet) Store() *Store { return &f.store }
+
+// Write puts an object into the store and lets the readers know.
+func (f *Fleet) Write(name catalog.ServiceName, body []byte) catalog.Revision {
+	f.store.revision++
+	f.store.objects[name] = catalog.Object{Name: name, Revision: f.store.revision, Body: body}
+	f.after(storeDelay, f.ReadStore)
+	return f.store.revision
+}
+
+// Restore puts the store back to an older revision with other content.
+func (s *Store) Restore(revision catalog.Revision) {
+	s.revision = revision
+	clear(s.objects)
+}
+
+// ReadStore brings the store's changes to every node that considers itself a reader.
+func (f *Fleet) ReadStore() {
+	if f.store.Down {
+		return
+	}
+	for _, node := range f.Running() {
+		region := node.Member.Region
+		readers := exchange.Readers(node.Decider.Members().Reachable(), region, f.options.Readers)
+		if slices.Contains(readers, node.Member.ID) {
+			f.read(node)
+		}
+	}
+}
+
+func (f *Fleet) read(node *Node) {
+	after := node.Decider.Snapshot().Revision()
+	var changed []catalog.Object
+	for _, object := range f.store.objects {
+		if object.Revision > after {
+			changed = append(changed, object)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	slices.SortFunc(changed, func(a, b catalog.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	f.timed(func() {
+		output, _ := node.Decider.StoreChanged(f.now, changed, changed[len(changed)-1].Revision)
+		f.apply(node, output)
+	})
+}
--- /dev/null
+++ b/internal/coordination/node_test.go
@@ -0,0 +1,162 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// memoryStore is a store that can be down and can be restored to an older state.
+type memoryStore struct {
+	mutex    sync.Mutex
+	revision catalog.Revision
+	objects  map[catalog.ServiceName]catalog.Object
+	down     bool
+	watchers map[string]bool
+}
+
+func (s *memoryStore) write(name catalog.ServiceName, port int) catalog.Revision {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	body := fmt.Sprintf(`{"name":%q,"protocol":"udp","address":"10.0.0.1:%d","shares":[{"site":"old","percent":100}]}`, name, port)
+	s.objects[name] = catalog.Object{Name: name, Revision: s.revision, Body: []byte(body)}
+	return s.revision
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// restore puts the store back to an older revision and forgets all objects.
+func (s *memoryStore) restore(revision catalog.Revision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision = revision
+	clear(s.objects)
+}
+
+func (s *memoryStore) Watch(ctx context.Context, after catalog.Revision, _ time.Duration) (platform.Changes, error) {
+	sleep(ctx, 20*time.Millisecond)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return platform.Changes{}, fault.New(fault.Unavailable, "store is down")
+	}
+	changes := platform.Changes{Revision: s.revision}
+	for _, object := range s.objects {
+		if object.Revision > after {
+			changes.Objects = append(changes.Objects, object)
+		}
+	}
+	return changes, nil
+}
+
+func (s *memoryStore) Machines(context.Context) ([]platform.Machine, error) { return nil, nil }
+
+func startNode(t testing.TB, id string, role membership.Role, store Store, seeds ...netip.AddrPort) *Node {
+	t.Helper()
+	node, err := Start(nodeOptions(id, role, store, seeds...))
+	if err != nil {
+		t.Fatalf("start %s: %v", id, err)
+	}
+	t.Cleanup(node.Close)
+	return node
+}
+
+func nodeOptions(id string, role membership.Role, store Store, seeds ...netip.AddrPort) Options {
+	return Options{
+		Node: settings.Node{
+			ID:             id,
+			Region:         "north",
+			Zone:           "a",
+			ControlAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+			DataAddress:    netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20000+len(id)*100+int(id[len(id)-1]))),
+		},
+		Role:     role,
+		Platform: settings.Platform{Readers: 1},
+		Peers:    settings.Peers{Seeds: seeds},
+		Log:      &log.Logger{Handler: logfmt.New(io.Discard), Level: log.InfoLevel},
+		Store:    store,
+	}
+}
+
+// eventually polls until the condition holds or the deadline passes.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within the deadline: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func atRevision(revision catalog.Revision, nodes ...*Node) func() bool {
+	return func() bool {
+		for _, node := range nodes {
+			if node.Snapshot().Revision() < revision {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestThreeProcesses runs three nodes over the real transport: the
+// configuration reaches all, survives the store, never goes back, and the
+// others learn who left and who crashed.
+func TestThreeProcesses(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("nodes", func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{objects: map[catalog.ServiceName]catalog.Object{}}
+		first := startNode(t, "balancer-1", membership.Balancer, store)
+		second := startNode(t, "balancer-2", membership.Balancer, store, first.ControlAddress())
+		third := startNode(t, "agent-1", membership.Agent, store, first.ControlAddress())
+		eventually(t, "all know each other", func() bool {
+			return len(first.Members()) == 3 && len(second.Members()) == 3 && len(third.Members()) == 3
+		})
+		eventually(t, "config everywhere", atRevision(store.write("lessons", 443), first, second, third))
+
+		store.setDown(true)
+		newcomer := startNode(t, "agent-2", membership.Agent, store, second.ControlAddress())
+		eventually(t, "newcomer learns from peers while the store is down", atRevision(1, newcomer))
+
+		store.setDown(false)
+		held := store.write("scores", 444)
+		eventually(t, "store is read again", atRevision(held, first, second, third, newcomer))
+		store.restore(0)
+		store.write("lessons", 445)
+		time.Sleep(time.Second)
+		is.Equal(third.Snapshot().Revision(), held)
+		is.Equal(int(third.Snapshot().Service("lessons").Address.Port()), 443)
+
+		eventually(t, "leases are confirmed", func() bool { return first.SelfConfirmed() && third.SelfConfirmed() })
+		is.NoErr(newcomer.Leave(t.Context()))
+		eventually(t, "leaving is told", func() bool { return !first.Alive(newcomer.options.Node.DataAddress) })
+		is.True(second.Alive(third.options.Node.DataAddress))
+		third.Close()
+		eventually(t, "crash is noticed", func() bool {
+			return !first.Alive(third.options.Node.DataAddress) && !second.Alive(third.options.Node.DataAddress)
+		})
+	})
+}
--- /dev/null
+++ b/internal/coordination/transport.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/burlmill/burlmill/fault"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/gen/burlmill/v1/burlmillv1connect"
+	"github.com/burlmill/burlmill/internal/coordination/exchange"
+)
+
+// Bounds of the transport.
+const (
+	maximumMessage    = 1 << 20         // bytes of one message
+	connectionIdle    = 2 * time.Minute // after which an unused connection is closed
+	maximumClients    = 64              // clients kept; neighbours are about ten
+	readHeaderTimeout = 5 * time.Second // of one request
+)
+
+// gzipName is the compression that connect-go would use by itself. It is turned
+// off, because lists are compressed within the messages, where they are counted.
+const gzipName = "gzip"
+
+// caller sends exchanges over connections that persist.
+type caller struct {
+	http    *http.Client
+	mutex   sync.Mutex
+	clients map[netip.AddrPort]burlmillv1connect.CoordinationServiceClient
+}
+
+func newCaller() *caller {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols:       protocols,
+		IdleConnTimeout: connectionIdle,
+		DialContext:     (&net.Dialer{Timeout: exchange.Timeout}).DialContext,
+	}
+	return &caller{
+		http:    &http.Client{Transport: transport},
+		clients: map[netip.AddrPort]burlmillv1connect.CoordinationServiceClient{},
+	}
+}
+
+func (c *caller) close() { c.http.CloseIdleConnections() }
+
+// exchange sends one request. The time limit is not told to the peer, which
+// answers at once anyway; telling it would cost bytes in every heartbeat.
+func (c *caller) exchange(ctx context.Context, to netip.AddrPort, request *burlmillv1.ExchangeRequest) (*burlmillv1.ExchangeResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer time.AfterFunc(exchange.Timeout, cancel).Stop()
+	response, err := c.client(to).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "exchange with %s", to)
+	}
+	return response.Msg, nil
+}
+
+func (c *caller) client(to netip.AddrPort) burlmillv1connect.CoordinationServiceClient {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known := c.clients[to]; known != nil {
+		return known
+	}
+	if len(c.clients) >= maximumClients {
+		clear(c.clients)
+	}
+	client := burlmillv1connect.NewCoordinationServiceClient(c.http, "http://"+to.String(),
+		connect.WithAcceptCompression(gzipName, nil, nil),
+		connect.WithReadMaxBytes(maximumMessage))
+	c.clients[to] = client
+	return client
+}
+
+// server answers exchanges and serves the further handlers.
+type server struct {
+	node     *Node
+	listener net.Listener
+	http     *http.Server
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	return listener, fault.Wrap(fault.Unavailable, err, "control address %s", address)
+}
+
+func newServer(node *Node, listener net.Listener) *server {
+	server := &server{node: node, listener: listener}
+	mux := http.NewServeMux()
+	path, handler := burlmillv1connect.NewCoordinationServiceHandler(server,
+		connect.WithCompression(gzipName, nil, nil),
+		connect.WithReadMaxBytes(maximumMessage))
+	mux.Handle(path, withoutDate(handler))
+	for _, further := range node.options.Handlers {
+		mux.Handle(further.Path, further.Handler)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server.http = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
+	return server
+}
+
+// withoutDate leaves out the Date header, which would be sent anew each second.
+func withoutDate(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header()["Date"] = nil
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+func (s *server) serve() {
+	err := s.http.Serve(s.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.node.options.Log.WithError(err).Error("control-server")
+	}
+}
+
+func (s *server) close() { _ = s.http.Close() }
+
+// Exchange implements the coordination service.
+func (s *server) Exchange(ctx context.Context, request *connect.Request[burlmillv1.ExchangeRequest]) (*connect.Response[burlmillv1.ExchangeResponse], error) {
+	answer := make(chan *burlmillv1.ExchangeResponse, 1)
+	posted := s.node.post(func(now time.Time) {
+		response, output := s.node.decider.Receive(now, request.Msg)
+		s.node.apply(output)
+		answer <- response
+	})
+	if !posted {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("node is stopping"))
+	}
+	select {
+	case response := <-answer:
+		return connect.NewResponse(response), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.node.context.Done():
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("node is stopping"))
+	}
+}
--- /dev/null
+++ b/internal/coordination/view.go
@@ -0,0 +1,55 @@
+package coordination
+
+import (
+	"net/netip"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/membership"
+)
+
+// view is what the rest of the process may see. It is immutable.
+type view struct {
+	snapshot  *catalog.Snapshot
+	version   uint64 // of the membership machine
+	members   []*membership.Member
+	reachable map[netip.AddrPort]struct{} // data addresses
+}
+
+func (n *Node) buildView() *view {
+	members := n.decider.Members().Reachable()
+	built := &view{
+		snapshot:  n.decider.Snapshot(),
+		version:   n.decider.Members().Version(),
+		members:   members,
+		reachable: make(map[netip.AddrPort]struct{}, len(members)),
+	}
+	for _, member := range members {
+		built.reachable[member.Data] = struct{}{}
+	}
+	return built
+}
+
+// MembershipVersion returns a number that changes whenever the answer of Alive
+// may have changed.
+func (n *Node) MembershipVersion() uint64 { return n.view.Load().version }
+
+// publish replaces the view if the decider's state has changed.
+func (n *Node) publish() {
+	current := n.view.Load()
+	if current.version == n.decider.Members().Version() && current.snapshot == n.decider.Snapshot() {
+		return
+	}
+	next := n.buildView()
+	n.view.Store(next)
+	if next.snapshot == current.snapshot {
+		return
+	}
+	n.options.Log.WithField("node", n.options.Node.ID).
+		WithField("revision", next.snapshot.Revision()).
+		Info("configuration")
+	n.subscribersMutex.Lock()
+	defer n.subscribersMutex.Unlock()
+	for _, callback := range n.subscribers {
+		callback(next.snapshot)
+	}
+}
--- /dev/null
+++ b/internal/lab/backend/backend_test.go
@@ -0,0 +1,171 @@
+package backend_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/internal/lab/backend"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, options backend.Options) *backend.Backend {
+	t.Helper()
+	options.ID = "lesson-1"
+	options.Service = "lesson"
+	options.Address = netip.MustParseAddrPort("127.0.0.1:0")
+	server, err := backend.Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		_ = server.Close()
+	})
+	return server
+}
+
+func ask(ctx context.Context, server *backend.Backend, method, path, id, body string) (*http.Response, []byte, error) {
+	request, _ := http.NewRequestWithContext(ctx, method, "http://"+server.Address().String()+path, strings.NewReader(body))
+	request.Header.Set(backend.HeaderRequestID, id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response, content, err
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func TestAnswersAreBoundToTheirRequest(t *testing.T) {
+	is := is.New(t)
+	server := start(t, backend.Options{})
+	digest, _, _ := backend.DigestOf("a", strings.NewReader("sheet"))
+	for _, path := range []string{"/echo", "/slow?ms=1", "/upload"} {
+		response, _, err := ask(t.Context(), server, "POST", path, "a", "sheet")
+		is.NoErr(err)
+		is.Equal(response.Header.Get(backend.HeaderDigest), digest)
+		is.Equal(response.Header.Get(backend.HeaderService), "lesson")
+	}
+	for _, path := range []string{"/download?bytes=1000", "/download?bytes=1000&ms=20"} {
+		_, content, err := ask(t.Context(), server, "GET", path, "b", "")
+		is.NoErr(err)
+		wanted, _ := io.ReadAll(io.LimitReader(backend.Content("lesson", "b"), 1000))
+		is.True(bytes.Equal(content, wanted))
+	}
+	_, content, err := ask(t.Context(), server, "GET", "/cut?after=10", "c", "")
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.Equal(len(content), 10)
+	eventually(t, "the cut run ends", func() bool { return server.Counts().Busy == 0 })
+	runs := server.Journal().Runs()
+	is.Equal(len(runs), 6)
+	is.Equal(runs[5].End, backend.RunCut)
+	is.Equal(runs[0].End, backend.RunComplete)
+	is.Equal(len(server.Journal().Repeated()), 3) // "a" was posted three times
+}
+
+func TestSlotsShedAndCancellationFreesThem(t *testing.T) {
+	is := is.New(t)
+	server := start(t, backend.Options{Slots: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, _, err := ask(ctx, server, "GET", "/slow?ms=60000", "long", "")
+		done <- err
+	}()
+	eventually(t, "the long request runs", func() bool { return server.Counts().Busy == 1 })
+	response, _, err := ask(t.Context(), server, "GET", "/echo", "shed", "")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(!server.Journal().Ran("shed"))
+	cancel()
+	is.True(<-done != nil)
+	eventually(t, "the slot is free", func() bool { return server.Counts().Busy == 0 })
+	is.Equal(server.Journal().Runs()[0].End, backend.RunCanceled)
+}
+
+func TestEndpointsLagAndLie(t *testing.T) {
+	is := is.New(t)
+	server := start(t, backend.Options{Slots: 3})
+	status := func() int {
+		response, _, err := ask(t.Context(), server, "GET", "/health", "", "")
+		is.NoErr(err)
+		return response.StatusCode
+	}
+	is.Equal(status(), http.StatusOK)
+	_, _, err := ask(t.Context(), server, "POST", "/lab/endpoints", "", `{"mode":"lag","lag_milliseconds":3600000}`)
+	is.NoErr(err)
+	_, _, err = ask(t.Context(), server, "POST", "/lab/drain", "", "")
+	is.NoErr(err)
+	is.Equal(status(), http.StatusOK)
+	server.SetEndpoints(backend.EndpointBehavior{Mode: backend.EndpointsTrue})
+	is.Equal(status(), http.StatusServiceUnavailable)
+	server.SetEndpoints(backend.EndpointBehavior{Mode: backend.EndpointsLie})
+	is.Equal(status(), http.StatusOK)
+}
+
+func TestShutdownFinishesWhatRuns(t *testing.T) {
+	is := is.New(t)
+	server := start(t, backend.Options{ColdStart: time.Hour, ColdDelay: 50 * time.Millisecond})
+	done := make(chan error)
+	go func() {
+		_, _, err := ask(t.Context(), server, "GET", "/echo", "last", "")
+		done <- err
+	}()
+	eventually(t, "the request runs", func() bool { return server.Counts().Busy == 1 })
+	is.NoErr(server.Shutdown(t.Context()))
+	is.NoErr(<-done)
+	is.Equal(server.Journal().Runs()[0].End, backend.RunComplete)
+}
+
+func TestEchoNamesBackendAndRecordsFlows(t *testing.T) {
+	is := is.New(t)
+	server := start(t, backend.Options{})
+	socket, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(server.Address()))
+	is.NoErr(err)
+	defer socket.Close()
+	for sequence := range uint64(3) {
+		sent := backend.Datagram{Flow: fmt.Sprint("f", sequence/2), Sequence: sequence}
+		_, err = socket.Write(sent.Append(nil, 20))
+		is.NoErr(err)
+		buffer := make([]byte, 200)
+		is.NoErr(socket.SetReadDeadline(time.Now().Add(10 * time.Second)))
+		length, err := socket.Read(buffer)
+		is.NoErr(err)
+		echo, err := backend.ParseEcho(buffer[:length])
+		is.NoErr(err)
+		is.Equal(echo, backend.Echo{Service: "lesson", Backend: "lesson-1", Datagram: sent})
+	}
+	is.Equal(server.Counts().Flows, uint64(1))
+	is.Equal(len(server.Journal().Flows()), 2)
+	is.Equal(len(server.Journal().SplitFlows()), 0)
+	_, _, err = ask(t.Context(), server, "POST", "/echo", "r", "")
+	is.NoErr(err)
+	var fetched backend.Journal
+	is.NoErr(fetched.Fetch(t.Context(), server.Address()))
+	is.True(fetched.Ran("r"))
+	is.Equal(len(fetched.Flows()), 2)
+	counts, err := backend.FetchCounts(t.Context(), server.Address())
+	is.NoErr(err)
+	is.Equal(counts, server.Counts())
+}
--- /dev/null
+++ b/internal/lab/backend/control.go
@@ -0,0 +1,86 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+// PathCounts is where a back end answers its Counts as JSON.
+const PathCounts = "/lab/counts"
+
+// Where a back end answers what its journal holds, as JSON.
+const (
+	pathRuns  = "/lab/runs"
+	pathFlows = "/lab/flows"
+)
+
+// fetchLimit bounds one request of Fetch.
+const fetchLimit = 10 * time.Second
+
+func (b *Backend) serveRuns(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, b.journal.Runs())
+}
+
+func (b *Backend) serveFlows(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, b.journal.Flows())
+}
+
+func (b *Backend) serveCounts(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, b.Counts())
+}
+
+func (b *Backend) serveDrain(writer http.ResponseWriter, _ *http.Request) {
+	b.Drain()
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// Fetch adds what a back end in another process has recorded to this journal.
+// Fetch each back end once, into a journal that no back end here writes to.
+// Errors are of kind fault.Unavailable.
+func (j *Journal) Fetch(ctx context.Context, address netip.AddrPort) error {
+	var runs []Run
+	if err := fetch(ctx, address, pathRuns, &runs); err != nil {
+		return err
+	}
+	var flows []FlowSighting
+	if err := fetch(ctx, address, pathFlows, &flows); err != nil {
+		return err
+	}
+	j.mutex.Lock()
+	j.runs = append(j.runs, runs...)
+	j.mutex.Unlock()
+	for _, sighting := range flows {
+		j.sight(sighting)
+	}
+	return nil
+}
+
+// FetchCounts returns the counts of a back end in another process. Errors are of
+// kind fault.Unavailable.
+func FetchCounts(ctx context.Context, address netip.AddrPort) (Counts, error) {
+	var counts Counts
+	err := fetch(ctx, address, PathCounts, &counts)
+	return counts, err
+}
+
+func fetch(ctx context.Context, address netip.AddrPort, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "read %s of the back end at %s", path, address)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "read %s of the back end at %s", path, address)
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(response.Body).Decode(into)
+	return fault.Wrap(fault.Unavailable, err, "read %s of the back end at %s", path, address)
+}
--- /dev/null
+++ b/internal/lab/caller/flows.go
@@ -0,0 +1,79 @@
+package caller
+
+import (
+	"net"
+	"time"
+)
+
+// maximumReply is the longest reply read, in bytes.
+const maximumReply = 65507
+
+// reopenPause is the wait after a socket could not be opened.
+const reopenPause = 100 * time.Millisecond
+
+// shortestRead is the least time given to a read.
+const shortestRead = time.Millisecond
+
+// StartFlows starts flows that each have a socket of their own.
+func StartFlows(load FlowLoad) *Run {
+	run := newRun()
+	for number := range load.Flows {
+		// Spreads the flows' datagrams evenly over the interval.
+		offset := load.Interval * time.Duration(number) / time.Duration(load.Flows)
+		run.working.Go(func() { load.keepFlow(run, offset) })
+	}
+	return run
+}
+
+// keepFlow runs one flow after another until the run is stopped.
+func (l *FlowLoad) keepFlow(run *Run, offset time.Duration) {
+	run.sleep(offset)
+	for !run.stopped() {
+		if err := l.runFlow(run); err != nil {
+			run.sleep(reopenPause)
+		}
+	}
+}
+
+// runFlow is the life of one flow. Its goroutine owns the flow's state and socket.
+func (l *FlowLoad) runFlow(run *Run) error {
+	socket, err := net.DialUDP("udp", localFor(l.Address), net.UDPAddrFromAddrPort(l.Address))
+	if err != nil {
+		return err
+	}
+	defer socket.Close()
+	var flow *flowState
+	nextSend := time.Now()
+	run.tally.update(func(result *Result) { flow = newFlowState(l, nextSend, result) })
+	buffer := make([]byte, maximumReply)
+	for !flow.over {
+		now := time.Now()
+		if run.stopped() {
+			flow.close()
+		}
+		if !now.Before(nextSend) {
+			var datagram []byte
+			run.tally.update(func(result *Result) { datagram = flow.send(now, result) })
+			_, _ = socket.Write(datagram)
+			nextSend = nextSend.Add(l.Interval)
+		}
+		// A deadline in the past would hide replies that wait already.
+		_ = socket.SetReadDeadline(later(nextSend, now.Add(shortestRead)))
+		length, err := socket.Read(buffer)
+		now = time.Now()
+		run.tally.update(func(result *Result) {
+			if err == nil {
+				flow.receive(now, buffer[:length], result)
+			}
+			flow.check(now, result)
+		})
+	}
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/lab/caller/flows_test.go
@@ -0,0 +1,147 @@
+package caller
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/lab/backend"
+)
+
+const waitLimit = 10 * time.Second
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func TestFlowStateChecksReplies(t *testing.T) {
+	const limit = time.Second
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		replies []string // with %s for the flow's name
+		silence time.Duration
+		want    Result
+	}{
+		{"good", []string{"s/a|%s|0|", "s/a|%s|1|"}, 0, Result{Answered: 1, Replies: 2}},
+		{"moved", []string{"s/a|%s|0|", "s/b|%s|1|"}, 0, Result{Answered: 1, Replies: 1, Broken: 1, Moved: 1}},
+		{"other service", []string{"t/a|%s|0|"}, 0, Result{Misrouted: 1}},
+		{"other flow", []string{"s/a|x%s|0|"}, 0, Result{Wrong: 1}},
+		{"never sent", []string{"s/a|%s|2|"}, 0, Result{Wrong: 1}},
+		{"unreadable", []string{"%s"}, 0, Result{Wrong: 1}},
+		{"silent", []string{"s/a|%s|0|"}, limit, Result{Answered: 1, Replies: 1, Broken: 1}},
+		{"unanswered", nil, limit, Result{Unanswered: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			result := NewResult()
+			state := newFlowState(&FlowLoad{Service: "s", SilenceLimit: limit}, start, &result)
+			state.send(start, &result)
+			state.send(start, &result)
+			for _, reply := range test.replies {
+				state.receive(start, fmt.Appendf(nil, reply, state.name), &result)
+			}
+			state.check(start.Add(test.silence), &result)
+			is.Equal(state.over, test.want.Broken+test.want.Unanswered > 0)
+			test.want.Flows, test.want.Sent, result.Latency = 1, 2, nil
+			is.Equal(result, test.want)
+		})
+	}
+}
+
+func startBackend(t *testing.T) *backend.Backend {
+	t.Helper()
+	server, err := backend.Start(backend.Options{ID: "a", Service: "s", Address: anyPort})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server
+}
+
+func TestFlowsAnsweredThenBroken(t *testing.T) {
+	is := is.New(t)
+	server := startBackend(t)
+	load := FlowLoad{
+		Service:      "s",
+		Address:      server.Address(),
+		Flows:        5,
+		Interval:     5 * time.Millisecond,
+		Lifetime:     50 * time.Millisecond,
+		SilenceLimit: waitLimit,
+	}
+	run := StartFlows(load)
+	eventually(t, "flows follow one another", func() bool { return run.Snapshot().Flows > 10 })
+	result := run.Stop()
+	is.Equal(result.Answered, result.Flows)
+	is.Equal(result.Broken+result.Unanswered+result.Wrong+result.Misrouted, uint64(0))
+	is.True(result.Latency.TotalCount() > 0)
+	is.True(Judge(result, server.Journal()).Good())
+
+	load.Lifetime, load.SilenceLimit = 0, 200*time.Millisecond
+	run = StartFlows(load)
+	eventually(t, "every flow is answered", func() bool { return run.Snapshot().Answered == 5 })
+	is.NoErr(server.Close())
+	eventually(t, "every flow is broken", func() bool { return run.Snapshot().Broken == 5 })
+	is.Equal(run.Stop().Moved, uint64(0))
+}
+
+// scriptedInjector answers each datagram at once from the back end now named.
+type scriptedInjector struct {
+	backend atomic.Value // string
+	mutex   sync.Mutex
+	keys    map[flow.Key]bool
+}
+
+func (s *scriptedInjector) Inject(key flow.Key, payload []byte, reply func([]byte)) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.keys[key] = true
+	reply(bytes.Join([][]byte{[]byte("s/" + s.backend.Load().(string)), payload}, []byte("|")))
+	return nil
+}
+
+func (s *scriptedInjector) Forget(key flow.Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.keys, key)
+}
+
+func TestHollowFlowsSeeAMove(t *testing.T) {
+	is := is.New(t)
+	const flows = 500
+	injector := &scriptedInjector{keys: map[flow.Key]bool{}}
+	injector.backend.Store("a")
+	run := StartHollowFlows(FlowLoad{
+		Service:      "s",
+		Address:      netip.MustParseAddrPort("127.0.0.1:7"),
+		Flows:        flows,
+		Interval:     20 * time.Millisecond,
+		SilenceLimit: waitLimit,
+	}, injector)
+	eventually(t, "every flow is answered", func() bool { return run.Snapshot().Answered == flows })
+	injector.backend.Store("b")
+	eventually(t, "every flow has moved", func() bool { return run.Snapshot().Moved == flows })
+	result := run.Stop()
+	is.Equal(result.Broken, uint64(flows))
+	is.Equal(result.Answered, result.Flows)
+	is.Equal(len(injector.keys), 0)
+}
--- /dev/null
+++ b/internal/lab/caller/http.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/lab/backend"
+)
+
+const (
+	idleLimit       = 15 * time.Second // a connection without any packet for this long is given up
+	keepAlivePeriod = 3 * time.Second
+	dialLimit       = 10 * time.Second
+)
+
+// HTTPOptions says which service an HTTP caller talks to.
+type HTTPOptions struct {
+	Service catalog.ServiceName
+	Address netip.AddrPort // of the service, at the fabric
+	TLS     *tls.Config    // nil: any certificate is accepted
+}
+
+// HTTPCaller is one HTTP/3 client with a UDP socket and at most one connection.
+// It never repeats a request. Only one request at a time may be made with it.
+type HTTPCaller struct {
+	options    HTTPOptions
+	socket     *net.UDPConn
+	quic       *quic.Transport
+	http       *http3.Transport
+	connection *quic.Conn // nil before the first request
+	client     *http3.ClientConn
+}
+
+// NewHTTPCaller opens the caller's socket. Errors are of kind fault.Unavailable.
+func NewHTTPCaller(options HTTPOptions) (*HTTPCaller, error) {
+	socket, err := net.ListenUDP("udp", localFor(options.Address))
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "open a caller's socket")
+	}
+	configuration := &tls.Config{InsecureSkipVerify: true} //nolint:gosec // the lab's agents have no known issuer
+	if options.TLS != nil {
+		configuration = options.TLS.Clone()
+	}
+	configuration.NextProtos = []string{http3.NextProtoH3}
+	options.TLS = configuration
+	return &HTTPCaller{
+		options: options,
+		socket:  socket,
+		quic:    &quic.Transport{Conn: socket},
+		http:    &http3.Transport{DisableCompression: true},
+	}, nil
+}
+
+// localFor returns the local end for sockets that reach the address: the same IP
+// address, any port.
+func localFor(address netip.AddrPort) *net.UDPAddr {
+	return &net.UDPAddr{IP: address.Addr().AsSlice()}
+}
+
+// Close ends the caller and its connection.
+func (c *HTTPCaller) Close() error {
+	c.hangUp()
+	return errors.Join(c.http.Close(), c.quic.Close(), c.socket.Close())
+}
+
+// Do makes the request, waits for the whole answer and verifies it.
+func (c *HTTPCaller) Do(ctx context.Context, request Request) Answer {
+	begin := time.Now()
+	if err := c.connect(ctx); err != nil {
+		return Answer{Outcome: OutcomeUnreached, Error: err, Latency: time.Since(begin)}
+	}
+	response, err := c.client.RoundTrip(c.prepare(ctx, request))
+	if err != nil {
+		return Answer{Outcome: OutcomeUnknown, Error: err, Latency: time.Since(begin)}
+	}
+	defer response.Body.Close()
+	answer := c.judge(request, response)
+	answer.Status = response.StatusCode
+	answer.Backend = catalog.BackendID(response.Header.Get(backend.HeaderBackend))
+	answer.Latency = time.Since(begin)
+	return answer
+}
+
+// connect makes sure that there is a live connection.
+func (c *HTTPCaller) connect(ctx context.Context) error {
+	if c.connection != nil && c.connection.Context().Err() == nil {
+		return nil
+	}
+	c.hangUp()
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	connection, err := c.quic.Dial(ctx, net.UDPAddrFromAddrPort(c.options.Address), c.options.TLS, &quic.Config{
+		MaxIdleTimeout:  idleLimit,
+		KeepAlivePeriod: keepAlivePeriod,
+	})
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "connect to %s at %s", c.options.Service, c.options.Address)
+	}
+	c.connection = connection
+	c.client = c.http.NewClientConn(connection)
+	return nil
+}
+
+func (c *HTTPCaller) hangUp() {
+	if c.connection != nil {
+		_ = c.connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		c.connection = nil
+	}
+}
+
+func (c *HTTPCaller) prepare(ctx context.Context, request Request) *http.Request {
+	prepared, err := http.NewRequestWithContext(ctx, request.method(), "https://"+c.options.Address.String()+request.path(), nil)
+	if err != nil {
+		panic("a request's path must be valid: " + err.Error())
+	}
+	if request.Header != nil {
+		prepared.Header = request.Header.Clone()
+	}
+	prepared.Header.Set(backend.HeaderRequestID, request.ID)
+	if request.IdempotencyKey != "" {
+		prepared.Header.Set(backend.HeaderIdempotencyKey, request.IdempotencyKey)
+	}
+	if request.hasBody() {
+		prepared.Body = io.NopCloser(pace(ctx, c.body(request), request.Bytes, request.Duration))
+		prepared.ContentLength = request.Bytes
+	}
+	return prepared
+}
+
+// body returns what the caller sends with the request.
+func (c *HTTPCaller) body(request Request) io.Reader {
+	return io.LimitReader(backend.Content(c.options.Service, request.ID), request.Bytes)
+}
+
+// judge reads and verifies the answer.
+func (c *HTTPCaller) judge(request Request, response *http.Response) Answer {
+	switch response.Header.Get(HeaderOutcome) {
+	case outcomeNotRun:
+		_, _ = io.Copy(io.Discard, response.Body)
+		return Answer{Outcome: OutcomeRefused, RetryAfter: retryAfter(response)}
+	case outcomeUnknown:
+		return Answer{Outcome: OutcomeUnknown, Error: fault.New(fault.Unknown, "answered as unknown with status %d", response.StatusCode)}
+	}
+	service := response.Header.Get(backend.HeaderService)
+	if service != "" && service != string(c.options.Service) {
+		return Answer{Outcome: OutcomeMisrouted, Error: fault.New(fault.Internal, "answered by service %q", service)}
+	}
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable:
+		return Answer{Outcome: OutcomeRefused, RetryAfter: retryAfter(response)}
+	case response.StatusCode != http.StatusOK:
+		return Answer{Outcome: OutcomeUnknown, Error: fault.New(fault.Unknown, "status %d", response.StatusCode)}
+	case service == "":
+		return Answer{Outcome: OutcomeWrong, Error: fault.New(fault.Internal, "the answer names no service")}
+	}
+	return c.verify(request, response)
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/lab/caller/load.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"context"
+	"time"
+)
+
+// RequestLoad describes many HTTP callers that make one request after another.
+type RequestLoad struct {
+	HTTPOptions
+	Callers               int
+	Pause                 time.Duration // between an answer and the caller's next request
+	RequestsPerConnection int           // a caller opens a new connection, from a new port, after so many; 0: never
+	Limit                 time.Duration // for one request; 0: none
+	// Next makes a caller's next request. It is called from many goroutines.
+	Next func(caller, number int) Request
+}
+
+// StartRequests starts the load.
+func StartRequests(load RequestLoad) *Run {
+	run := newRun()
+	for number := range load.Callers {
+		run.working.Go(func() { load.call(run, number) })
+	}
+	return run
+}
+
+// call is the life of one caller.
+func (l RequestLoad) call(run *Run, callerNumber int) {
+	var caller *HTTPCaller
+	defer func() {
+		if caller != nil {
+			_ = caller.Close()
+		}
+	}()
+	for number := 0; !run.stopped(); number++ {
+		if l.RequestsPerConnection > 0 && number%l.RequestsPerConnection == 0 && caller != nil {
+			_ = caller.Close()
+			caller = nil
+		}
+		request := l.Next(callerNumber, number)
+		answer := Answer{Outcome: OutcomeUnreached}
+		if caller == nil {
+			caller, answer.Error = NewHTTPCaller(l.HTTPOptions)
+		}
+		if caller != nil {
+			answer = l.do(caller, request)
+		}
+		run.tally.update(func(result *Result) { result.recordAnswer(request, answer) })
+		run.sleep(l.Pause)
+	}
+}
+
+func (l RequestLoad) do(caller *HTTPCaller, request Request) Answer {
+	ctx := context.Background()
+	if l.Limit > 0 {
+		limited, cancel := context.WithTimeout(ctx, l.Limit)
+		defer cancel()
+		ctx = limited
+	}
+	return caller.Do(ctx, request)
+}
+
+func (r *Result) recordAnswer(request Request, answer Answer) {
+	r.Requests++
+	switch answer.Outcome {
+	case OutcomeComplete:
+		r.Complete++
+		r.recordLatency(answer.Latency)
+	case OutcomeRefused:
+		r.Refused++
+		r.RefusedIDs = append(r.RefusedIDs, request.ID)
+	case OutcomeUnreached:
+		r.Unreached++
+	case OutcomeUnknown:
+		r.Unknown++
+	case OutcomeWrong:
+		r.Wrong++
+	case OutcomeMisrouted:
+		r.Misrouted++
+	}
+}
--- /dev/null
+++ b/internal/lab/cluster/machines.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+// register puts the node on the platform's machine list.
+func (c *Cluster) register(ctx context.Context, node *Node) error {
+	machine := platform.Machine{
+		ID: node.ID, Role: node.Role, Region: region, Zone: node.Zone,
+		Control: node.Control(), Data: node.Data(),
+	}
+	body, err := json.Marshal(machine)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encode machine %s", node.ID)
+	}
+	return c.machineRequest(ctx, http.MethodPut, node, body)
+}
+
+// Unregister takes the node off the machine list.
+func (c *Cluster) Unregister(ctx context.Context, node *Node) error {
+	return c.machineRequest(ctx, http.MethodDelete, node, nil)
+}
+
+func (c *Cluster) machineRequest(ctx context.Context, method string, node *Node, body []byte) error {
+	url := c.StoreURL + platform.PathMachines + "/" + node.ID
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "machine list request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "machine list")
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fault.New(fault.Unavailable, "machine list: %s %s: %s", method, url, response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,159 @@
+// Package demo runs the main job of burlmill on the stand-ins of the lab: real
+// clients reach two services through three balancers and four agents, one
+// balancer is killed on the way, and a table tells what the clients saw.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/lab/caller"
+	"github.com/burlmill/burlmill/internal/lab/cluster"
+)
+
+// Options are the sizes of a run.
+type Options struct {
+	Duration time.Duration // of the load, above 0; a balancer is killed after a third of it
+	Callers  int           // HTTP/3 clients
+	Flows    int           // UDP flows
+}
+
+// DefaultOptions is what the README's command runs.
+var DefaultOptions = Options{Duration: 9 * time.Second, Callers: 8, Flows: 200}
+
+// Names of the two services.
+const (
+	Lessons catalog.ServiceName = "lessons" // HTTP/3
+	Media   catalog.ServiceName = "media"   // UDP
+)
+
+const (
+	downloadBytes         = 256 << 10 // bytes of each third request's answer
+	echoBytes             = 2 << 10   // bytes of the other requests
+	requestLimit          = 10 * time.Second
+	requestPause          = 5 * time.Millisecond
+	requestsPerConnection = 20
+	flowInterval          = 50 * time.Millisecond
+	flowSilenceLimit      = 5 * time.Second
+	fabricNoticeDelay     = 300 * time.Millisecond // after which the fabric stops using a dead balancer
+)
+
+// Plan is the deployment of the demo.
+func Plan() cluster.Plan {
+	return cluster.Plan{
+		Zones:     []catalog.ZoneName{"zone-1", "zone-2", "zone-3"},
+		Balancers: 3,
+		Services: []cluster.ServicePlan{
+			{Name: Lessons, Protocol: catalog.ProtocolHTTP, Backends: 2, Slots: 7, Site: "old"},
+			{Name: Media, Protocol: catalog.ProtocolUDP, Backends: 2, Slots: 7, Site: "old"},
+		},
+	}
+}
+
+// Run runs the demo and writes its progress and its table to output. The error
+// is of kind fault.Internal if a flow was broken or an answer was wrong, cut or
+// misrouted, or if a process did not stop cleanly.
+func Run(ctx context.Context, output io.Writer, options Options) (err error) {
+	progress := newProgress(output)
+	progress.say("building and starting the store, 3 balancers, 4 agents, 4 back ends")
+	deployment, err := cluster.Start(ctx, Plan())
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := deployment.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	progress.say("all processes are ready; load starts")
+	report, err := runLoad(ctx, deployment, progress, options)
+	if err != nil {
+		return err
+	}
+	progress.say("stopping every process")
+	stopErr := deployment.StopAll()
+	report.write(output)
+	if stopErr != nil {
+		return fault.Wrap(fault.Internal, stopErr, "a process did not stop cleanly")
+	}
+	return report.verdict()
+}
+
+// runLoad runs clients of both services and kills one balancer meanwhile.
+func runLoad(ctx context.Context, deployment *cluster.Cluster, progress progress, options Options) (report, error) {
+	requests := caller.StartRequests(requestLoad(deployment, options))
+	flows := caller.StartFlows(flowLoad(deployment, options))
+	waitErr := killOneBalancer(ctx, deployment, progress, options.Duration)
+	report := report{requests: requests.Stop(), flows: flows.Stop()}
+	if waitErr != nil {
+		return report, waitErr
+	}
+	return report, report.readBackends(ctx, deployment)
+}
+
+func killOneBalancer(ctx context.Context, deployment *cluster.Cluster, progress progress, duration time.Duration) error {
+	if err := wait(ctx, duration/3); err != nil {
+		return err
+	}
+	victim := deployment.Balancers[0]
+	progress.say(fmt.Sprintf("killing %s", victim.ID))
+	victim.Process.Kill()
+	if err := wait(ctx, fabricNoticeDelay); err != nil {
+		return err
+	}
+	deployment.Balancers = deployment.Balancers[1:]
+	deployment.SyncFabric()
+	progress.say("the fabric no longer uses it")
+	return wait(ctx, duration-duration/3)
+}
+
+func wait(ctx context.Context, duration time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(fault.Canceled, ctx.Err(), "stopped")
+	case <-time.After(duration):
+		return nil
+	}
+}
+
+func requestLoad(deployment *cluster.Cluster, options Options) caller.RequestLoad {
+	return caller.RequestLoad{
+		HTTPOptions: caller.HTTPOptions{
+			Service: Lessons,
+			Address: deployment.Fabric.ServiceAddress(Lessons),
+		},
+		Callers:               options.Callers,
+		Pause:                 requestPause,
+		RequestsPerConnection: requestsPerConnection,
+		Limit:                 requestLimit,
+		Next:                  nextRequest,
+	}
+}
+
+func nextRequest(callerNumber, number int) caller.Request {
+	request := caller.Request{
+		ID:        fmt.Sprintf("caller-%d-request-%d", callerNumber, number),
+		Operation: caller.OperationEcho,
+		Bytes:     echoBytes,
+	}
+	if number%3 == 0 {
+		request.Operation = caller.OperationDownload
+		request.Bytes = downloadBytes
+	}
+	return request
+}
+
+func flowLoad(deployment *cluster.Cluster, options Options) caller.FlowLoad {
+	return caller.FlowLoad{
+		Service:      Media,
+		Address:      deployment.Fabric.ServiceAddress(Media),
+		Flows:        options.Flows,
+		Interval:     flowInterval,
+		SilenceLimit: flowSilenceLimit,
+		Padding:      100,
+	}
+}
--- /dev/null
+++ b/internal/lab/demo/report.go
@@ -0,0 +1,109 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/lab/backend"
+	"github.com/burlmill/burlmill/internal/lab/caller"
+	"github.com/burlmill/burlmill/internal/lab/cluster"
+)
+
+// progress prints what happens, with the time since the start.
+type progress struct {
+	output  io.Writer
+	started time.Time
+}
+
+func newProgress(output io.Writer) progress { return progress{output: output, started: time.Now()} }
+
+func (p progress) say(text string) {
+	fmt.Fprintf(p.output, "%6.1fs  %s\n", time.Since(p.started).Seconds(), text)
+}
+
+// report is what the clients and the back ends saw.
+type report struct {
+	requests         caller.Result
+	flows            caller.Result
+	requestImbalance float64 // busiest back end's requests divided by the mean
+	flowImbalance    float64 // busiest back end's flows divided by the mean
+}
+
+// readBackends asks the back ends how much each has got.
+func (r *report) readBackends(ctx context.Context, deployment *cluster.Cluster) error {
+	var runs, flows []uint64
+	for _, member := range deployment.Backends {
+		counts, err := backend.FetchCounts(ctx, member.Address)
+		if err != nil {
+			return err
+		}
+		if member.Service == Lessons {
+			runs = append(runs, counts.Runs)
+		} else {
+			flows = append(flows, counts.Flows)
+		}
+	}
+	r.requestImbalance = imbalance(runs)
+	r.flowImbalance = imbalance(flows)
+	return nil
+}
+
+// imbalance returns the largest value divided by the mean, 0 without any work.
+func imbalance(values []uint64) float64 {
+	var largest, sum uint64
+	for _, value := range values {
+		largest = max(largest, value)
+		sum += value
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(largest) * float64(len(values)) / float64(sum)
+}
+
+// cut returns the requests that reached a back end but gave no whole answer.
+func (r *report) cut() uint64 { return r.requests.Unknown }
+
+// write prints the table.
+func (r *report) write(output io.Writer) {
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { fmt.Fprintf(table, "%s\t%v\n", name, value) }
+	latency := func(result caller.Result, quantile float64) string {
+		return fmt.Sprintf("%.2f ms", float64(result.Latency.ValueAtQuantile(quantile))/1000)
+	}
+	row("requests", r.requests.Requests)
+	row("requests complete", r.requests.Complete)
+	row("requests refused (not run)", r.requests.Refused)
+	row("requests without a connection", r.requests.Unreached)
+	row("flows", r.flows.Flows)
+	row("broken flows", r.flows.Broken+r.flows.Unanswered)
+	row("misrouted", r.requests.Misrouted+r.flows.Misrouted)
+	row("wrong answers", r.requests.Wrong+r.flows.Wrong)
+	row("cut answers", r.cut())
+	row("request latency p50", latency(r.requests, 50))
+	row("request latency p99", latency(r.requests, 99))
+	row("datagram latency p50", latency(r.flows, 50))
+	row("datagram latency p99", latency(r.flows, 99))
+	row("request imbalance (max / mean)", fmt.Sprintf("%.2f", r.requestImbalance))
+	row("flow imbalance (max / mean)", fmt.Sprintf("%.2f", r.flowImbalance))
+	_ = table.Flush()
+}
+
+// verdict returns an error if anything was broken, misrouted, wrong or cut, or
+// if nothing was served.
+func (r *report) verdict() error {
+	if r.requests.Complete == 0 || r.flows.Answered == 0 {
+		return fault.New(fault.Internal, "nothing was served: %d requests complete, %d flows answered", r.requests.Complete, r.flows.Answered)
+	}
+	faulty := r.flows.Broken + r.flows.Unanswered +
+		r.requests.Misrouted + r.flows.Misrouted +
+		r.requests.Wrong + r.flows.Wrong + r.cut() + r.requests.Unreached
+	if faulty > 0 {
+		return fault.New(fault.Internal, "%d requests or flows were broken, misrouted, wrong or cut", faulty)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fabric/fabric_test.go
@@ -0,0 +1,170 @@
+package fabric_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/lab/fabric"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const waitLimit = 10 * time.Second
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// reflector stands in for a balancer: it returns each datagram as it came, from
+// another socket than the one it was received on.
+type reflector struct {
+	address  netip.AddrPort
+	received atomic.Int64
+}
+
+func startReflector(t testing.TB) *reflector {
+	t.Helper()
+	inward, outward := listen(t), listen(t)
+	reflector := &reflector{address: inward.LocalAddr().(*net.UDPAddr).AddrPort()}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = inward.Close()
+		_ = outward.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		buffer := make([]byte, wire.MaximumDatagram)
+		for {
+			length, from, err := inward.ReadFromUDPAddrPort(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			reflector.received.Add(1)
+			_, _ = outward.WriteToUDPAddrPort(buffer[:length], from)
+		}
+	}()
+	return reflector
+}
+
+func listen(t testing.TB) *net.UDPConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(anyPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return socket
+}
+
+func startFabric(t testing.TB, balancers ...netip.AddrPort) *fabric.Fabric {
+	t.Helper()
+	running, err := fabric.Start(fabric.Options{
+		Services:  []fabric.ServicePort{{Name: "lesson", Address: anyPort}, {Name: "library", Address: anyPort}},
+		Balancers: balancers,
+		Seed:      1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = running.Close() })
+	return running
+}
+
+func exchange(socket *net.UDPConn, text string) (string, error) {
+	if _, err := socket.Write([]byte(text)); err != nil {
+		return "", err
+	}
+	_ = socket.SetReadDeadline(time.Now().Add(waitLimit))
+	buffer := make([]byte, wire.MaximumDatagram)
+	length, err := socket.Read(buffer)
+	return string(buffer[:length]), err
+}
+
+func TestSpraysAndReturnsReplies(t *testing.T) {
+	is := is.New(t)
+	first, second, third := startReflector(t), startReflector(t), startReflector(t)
+	running := startFabric(t, first.address, second.address)
+	socket, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(running.ServiceAddress("library")))
+	is.NoErr(err)
+	defer socket.Close()
+	const datagrams = 400
+	for number := range datagrams {
+		reply, err := exchange(socket, fmt.Sprint(number))
+		is.NoErr(err)
+		is.Equal(reply, fmt.Sprint(number))
+	}
+	is.True(first.received.Load() > datagrams/4)
+	is.True(second.received.Load() > datagrams/4)
+	running.SetBalancers([]netip.AddrPort{third.address})
+	_, err = exchange(socket, "moved")
+	is.NoErr(err)
+	is.Equal(third.received.Load(), int64(1))
+	is.Equal(running.Counts(), fabric.Counts{In: datagrams + 1, Out: datagrams + 1})
+	running.SetBalancers(nil)
+	_, err = socket.Write([]byte("lost"))
+	is.NoErr(err)
+	for deadline := time.Now().Add(waitLimit); running.Counts().Dropped == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+}
+
+func TestHollowCallersAndInvalidReplies(t *testing.T) {
+	is := is.New(t)
+	running := startFabric(t, startReflector(t).address)
+	key := flow.Key{Caller: netip.MustParseAddrPort("10.9.8.7:5000"), Service: running.ServiceAddress("lesson")}
+	replies := make(chan string, 1)
+	is.NoErr(running.Inject(key, []byte("hello"), func(payload []byte) { replies <- string(payload) }))
+	select {
+	case reply := <-replies:
+		is.Equal(reply, "hello")
+	case <-time.After(waitLimit):
+		t.Fatal("no reply")
+	}
+	key.Service = netip.MustParseAddrPort("127.0.0.1:1")
+	is.Equal(fault.Of(running.Inject(key, nil, nil)), fault.NotFound)
+
+	// A reply is invalid when it has no header, or names another service than
+	// the one whose datagram it answers.
+	socket := listen(t)
+	defer socket.Close()
+	running.SetBalancers([]netip.AddrPort{socket.LocalAddr().(*net.UDPAddr).AddrPort()})
+	key.Service = running.ServiceAddress("lesson")
+	is.NoErr(running.Inject(key, []byte("x"), nil))
+	_ = socket.SetReadDeadline(time.Now().Add(waitLimit))
+	_, returnAddress, err := socket.ReadFromUDPAddrPort(make([]byte, wire.MaximumDatagram))
+	is.NoErr(err)
+	key.Service = running.ServiceAddress("library")
+	header, err := wire.FormatEnvelope(wire.Envelope{Key: key})
+	is.NoErr(err)
+	for _, reply := range [][]byte{header, []byte("no header")} {
+		_, err = socket.WriteToUDPAddrPort(reply, returnAddress)
+		is.NoErr(err)
+	}
+	for deadline := time.Now().Add(waitLimit); running.Counts().Invalid < 2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+}
+
+// BenchmarkRoundTrip sends through the fabric with a bounded number of datagrams
+// in flight: caller, fabric, balancer and back are two sockets' work each way.
+func BenchmarkRoundTrip(b *testing.B) {
+	running := startFabric(b, startReflector(b).address)
+	key := flow.Key{Caller: netip.MustParseAddrPort("10.9.8.7:5000"), Service: running.ServiceAddress("lesson")}
+	window := make(chan struct{}, 64)
+	payload := make([]byte, 200)
+	for b.Loop() {
+		window <- struct{}{}
+		if err := running.Inject(key, payload, func([]byte) { <-window }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fabric/port.go
@@ -0,0 +1,191 @@
+package fabric
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+const (
+	socketBuffer  = 4 << 20 // bytes asked of the kernel for each direction of each socket
+	headerRoom    = 256     // bytes kept free in front of a datagram for its header
+	cachedHeaders = 1 << 17 // callers whose header is kept; the cache is emptied when it is full
+)
+
+// port carries one service: callers reach front, balancers and agents reach back.
+type port struct {
+	service ServicePort
+	front   *net.UDPConn
+	back    *net.UDPConn
+	picker  *picker
+	counts  *counters
+
+	mutex  sync.RWMutex
+	hollow map[netip.AddrPort]*hollowCaller
+}
+
+// hollowCaller is a caller without a socket.
+type hollowCaller struct {
+	header []byte
+	reply  func(payload []byte)
+}
+
+func openPort(service ServicePort, picker *picker, counts *counters) (*port, error) {
+	front, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(service.Address))
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "listen for callers of %s", service.Name)
+	}
+	back, err := net.ListenUDP("udp", &net.UDPAddr{IP: service.Address.Addr().AsSlice()})
+	if err != nil {
+		_ = front.Close()
+		return nil, fault.Wrap(fault.Unavailable, err, "listen for replies of %s", service.Name)
+	}
+	for _, socket := range []*net.UDPConn{front, back} {
+		_ = socket.SetReadBuffer(socketBuffer)
+		_ = socket.SetWriteBuffer(socketBuffer)
+	}
+	service.Address = unmapped(front.LocalAddr().(*net.UDPAddr).AddrPort())
+	return &port{
+		service: service,
+		front:   front,
+		back:    back,
+		picker:  picker,
+		counts:  counts,
+		hollow:  map[netip.AddrPort]*hollowCaller{},
+	}, nil
+}
+
+// carryToBalancers reads callers' datagrams until the socket is closed. Each is
+// read behind some free room, so that its header goes in front without a copy.
+func (p *port) carryToBalancers() {
+	buffer := make([]byte, headerRoom+wire.MaximumDatagram)
+	headers := map[netip.AddrPort][]byte{}
+	for {
+		length, source, err := p.front.ReadFromUDPAddrPort(buffer[headerRoom:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.counts.in.Add(1)
+		caller := unmapped(source)
+		header := headers[caller]
+		if header == nil {
+			header, err = p.formatHeader(caller)
+			if err != nil {
+				p.counts.dropped.Add(1)
+				continue
+			}
+			if len(headers) >= cachedHeaders {
+				clear(headers)
+			}
+			headers[caller] = header
+		}
+		start := headerRoom - len(header)
+		copy(buffer[start:], header)
+		p.sendToBalancer(buffer[start : headerRoom+length])
+	}
+}
+
+// carryToCallers reads replies until the socket is closed.
+func (p *port) carryToCallers() {
+	buffer := make([]byte, wire.MaximumDatagram)
+	for {
+		length, _, err := p.back.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.deliver(buffer[:length])
+	}
+}
+
+func (p *port) deliver(datagram []byte) {
+	envelope, headerLength, err := wire.ParseEnvelope(datagram)
+	if err != nil || envelope.Key.Service != p.service.Address {
+		p.counts.invalid.Add(1)
+		return
+	}
+	payload := datagram[headerLength:]
+	if hollow := p.hollowAt(envelope.Key.Caller); hollow != nil {
+		p.counts.out.Add(1)
+		hollow.reply(payload)
+		return
+	}
+	if _, err := p.front.WriteToUDPAddrPort(payload, envelope.Key.Caller); err != nil {
+		p.counts.invalid.Add(1)
+		return
+	}
+	p.counts.out.Add(1)
+}
+
+func (p *port) inject(key flow.Key, payload []byte, reply func([]byte)) error {
+	hollow := p.hollowAt(key.Caller)
+	if hollow == nil {
+		header, err := p.formatHeader(key.Caller)
+		if err != nil {
+			return err
+		}
+		hollow = &hollowCaller{header: header, reply: reply}
+		p.mutex.Lock()
+		p.hollow[key.Caller] = hollow
+		p.mutex.Unlock()
+	}
+	p.counts.in.Add(1)
+	datagram := make([]byte, 0, len(hollow.header)+len(payload))
+	datagram = append(datagram, hollow.header...)
+	datagram = append(datagram, payload...)
+	p.sendToBalancer(datagram)
+	return nil
+}
+
+func (p *port) forget(key flow.Key) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.hollow, key.Caller)
+}
+
+func (p *port) hollowAt(caller netip.AddrPort) *hollowCaller {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	return p.hollow[caller]
+}
+
+// sendToBalancer sends from the back socket, so that its address is where replies come.
+func (p *port) sendToBalancer(datagram []byte) {
+	balancer, ok := p.picker.pick()
+	if !ok {
+		p.counts.dropped.Add(1)
+		return
+	}
+	if _, err := p.back.WriteToUDPAddrPort(datagram, balancer); err != nil {
+		p.counts.dropped.Add(1)
+	}
+}
+
+func (p *port) formatHeader(caller netip.AddrPort) ([]byte, error) {
+	header, err := wire.FormatEnvelope(wire.Envelope{Key: flow.Key{Caller: caller, Service: p.service.Address}})
+	if err != nil {
+		return nil, err
+	}
+	if len(header) > headerRoom {
+		return nil, fault.New(fault.Internal, "a header of %d bytes does not fit %d", len(header), headerRoom)
+	}
+	return header, nil
+}
+
+func (p *port) close() error {
+	return errors.Join(p.front.Close(), p.back.Close())
+}
+
+func unmapped(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
--- /dev/null
+++ b/internal/lab/faultproxy/udp.go
@@ -0,0 +1,140 @@
+package faultproxy
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+const (
+	maximumDatagram = 65507   // bytes
+	socketBuffer    = 4 << 20 // bytes asked of the kernel for each direction
+)
+
+// UDP is a running proxy for datagrams. Each source gets a socket of its own
+// towards the target; whatever reaches that socket, from any address, goes back
+// to the source. All methods are safe for concurrent use.
+type UDP struct {
+	*controls
+	target   net.Addr
+	socket   *net.UDPConn
+	toTarget *line
+	toClient *line
+	running  sync.WaitGroup
+
+	mutex    sync.Mutex
+	closed   bool
+	sessions map[netip.AddrPort]*net.UDPConn
+}
+
+// StartUDP opens the proxy's socket. Errors are of kind fault.Unavailable.
+func StartUDP(options Options) (*UDP, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(options.Listen))
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "listen on %s", options.Listen)
+	}
+	_ = socket.SetReadBuffer(socketBuffer)
+	controls := newControls(options.Seed)
+	proxy := &UDP{
+		controls: controls,
+		target:   net.UDPAddrFromAddrPort(options.Target),
+		socket:   socket,
+		toTarget: newLine(controls, ToTarget),
+		toClient: newLine(controls, ToClient),
+		sessions: map[netip.AddrPort]*net.UDPConn{},
+	}
+	proxy.running.Go(proxy.toTarget.run)
+	proxy.running.Go(proxy.toClient.run)
+	proxy.running.Go(proxy.readClients)
+	return proxy, nil
+}
+
+// Address returns the address that clients send to.
+func (u *UDP) Address() netip.AddrPort {
+	return u.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Close closes every socket and waits for the proxy's goroutines. What still
+// waits is dropped.
+func (u *UDP) Close() error {
+	u.mutex.Lock()
+	if u.closed {
+		u.mutex.Unlock()
+		return nil
+	}
+	u.closed = true
+	problems := []error{u.socket.Close()}
+	for _, session := range u.sessions {
+		problems = append(problems, session.Close())
+	}
+	u.mutex.Unlock()
+	close(u.toTarget.closed)
+	close(u.toClient.closed)
+	u.running.Wait()
+	return errors.Join(problems...)
+}
+
+func (u *UDP) readClients() {
+	read(u.socket, func(payload []byte, source netip.AddrPort) {
+		session := u.session(source)
+		if session == nil {
+			return
+		}
+		u.enter(u.toTarget, payload, func(payload []byte) { _, _ = session.WriteTo(payload, u.target) })
+	})
+}
+
+// session returns the socket of a source, nil when there can be none.
+func (u *UDP) session(source netip.AddrPort) *net.UDPConn {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if session := u.sessions[source]; session != nil || u.closed {
+		return session
+	}
+	local := u.socket.LocalAddr().(*net.UDPAddr)
+	session, err := net.ListenUDP("udp", &net.UDPAddr{IP: local.IP})
+	if err != nil {
+		return nil
+	}
+	_ = session.SetReadBuffer(socketBuffer)
+	u.sessions[source] = session
+	u.running.Go(func() {
+		read(session, func(payload []byte, _ netip.AddrPort) {
+			u.enter(u.toClient, payload, func(payload []byte) { _, _ = u.socket.WriteToUDPAddrPort(payload, source) })
+		})
+	})
+	return session
+}
+
+// enter puts a datagram on a line with the fate that the faults decide.
+func (u *UDP) enter(line *line, payload []byte, send func([]byte)) {
+	fate := u.decide(line.direction)
+	if fate.lost {
+		return
+	}
+	kept := bytes.Clone(payload)
+	due := time.Now().Add(fate.delay + fate.late)
+	for range fate.copies {
+		line.offer(item{payload: kept, due: due, send: send})
+	}
+}
+
+// read hands each datagram to handle until the socket is closed. The payload is
+// valid only during the call.
+func read(socket *net.UDPConn, handle func(payload []byte, source netip.AddrPort)) {
+	buffer := make([]byte, maximumDatagram)
+	for {
+		length, source, err := socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			handle(buffer[:length], source)
+		}
+	}
+}
