--- /dev/null
+++ b/internal/lab/process/group.go
@@ -0,0 +1,181 @@
+// Package process runs real burlmill binaries for tests and experiments: it
+// builds them, starts, stops, kills and freezes them, keeps their logs, and
+// leaves none behind, even when the starting program is killed.
+package process
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"os/signal"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Group is a set of child processes that end with it. Its methods are safe for
+// concurrent use.
+type Group struct {
+	directory string // of built binaries
+	starts    chan func()
+	signals   chan os.Signal
+	running   sync.WaitGroup
+
+	mutex    sync.Mutex
+	closed   bool
+	children []*Process
+	built    map[string]string // path of the binary by package
+}
+
+// Command says what to start.
+type Command struct {
+	Name        string // for error messages
+	Path        string // of the binary, as returned by Build
+	Arguments   []string
+	Environment []string // additional "NAME=value" entries
+}
+
+// NewGroup returns an empty group. On an interrupt or termination signal it kills
+// its children and then lets the signal have its usual effect. Errors are of kind
+// fault.Unavailable.
+func NewGroup() (*Group, error) {
+	directory, err := os.MkdirTemp("", "burlmill-lab-")
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "make a directory for binaries")
+	}
+	group := &Group{
+		directory: directory,
+		starts:    make(chan func()),
+		signals:   make(chan os.Signal, 1),
+		built:     map[string]string{},
+	}
+	signal.Notify(group.signals, os.Interrupt, syscall.SIGTERM)
+	group.running.Go(group.serveStarts)
+	group.running.Go(group.awaitSignal)
+	return group, nil
+}
+
+// serveStarts starts all children from one operating system thread that lives as
+// long as the group: a parent death signal is sent when the starting thread ends.
+func (g *Group) serveStarts() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for start := range g.starts {
+		start()
+	}
+}
+
+func (g *Group) awaitSignal() {
+	received, open := <-g.signals
+	if !open {
+		return
+	}
+	g.killAll()
+	_ = os.RemoveAll(g.directory)
+	signal.Reset(received)
+	_ = syscall.Kill(os.Getpid(), received.(syscall.Signal))
+}
+
+// Build compiles the main package, given as "go build" takes it, once per group
+// and returns the path of the binary. Errors are of kind fault.Invalid and hold
+// the compiler's output.
+func (g *Group) Build(mainPackage string) (string, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if path, done := g.built[mainPackage]; done {
+		return path, nil
+	}
+	directory, err := os.MkdirTemp(g.directory, "")
+	if err != nil {
+		return "", fault.Wrap(fault.Unavailable, err, "make a directory for %s", mainPackage)
+	}
+	// A trailing separator makes the compiler name the binary after the package.
+	output, err := exec.Command("go", "build", "-o", directory+"/", mainPackage).CombinedOutput()
+	if err != nil {
+		return "", fault.Wrap(fault.Invalid, err, "build %s: %s", mainPackage, output)
+	}
+	entries, err := os.ReadDir(directory)
+	if err != nil || len(entries) != 1 {
+		return "", fault.New(fault.Invalid, "%s is not one main package", mainPackage)
+	}
+	path := directory + "/" + entries[0].Name()
+	g.built[mainPackage] = path
+	return path, nil
+}
+
+// Start starts a child. Errors are of kind fault.Unavailable.
+func (g *Group) Start(command Command) (*Process, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return nil, fault.New(fault.Unavailable, "start %s: the group is closed", command.Name)
+	}
+	child := newProcess(command)
+	started := make(chan error)
+	g.starts <- func() { started <- child.command.Start() }
+	if err := <-started; err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "start %s", command.Name)
+	}
+	g.children = append(g.children, child)
+	g.running.Go(child.reap)
+	return child, nil
+}
+
+// StopAll sends every running child SIGTERM and waits until all have ended. The
+// error joins those of Process.Stop. Children that ended before are left out:
+// whoever killed them knows why.
+func (g *Group) StopAll(limit time.Duration) error {
+	children := g.stillRunning()
+	problems := make([]error, len(children))
+	var stopping sync.WaitGroup
+	for number, child := range children {
+		stopping.Go(func() { problems[number] = child.Stop(limit) })
+	}
+	stopping.Wait()
+	return errors.Join(problems...)
+}
+
+// stillRunning returns the children that have not ended.
+func (g *Group) stillRunning() []*Process {
+	return slices.DeleteFunc(g.list(), func(child *Process) bool {
+		select {
+		case <-child.ended:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// Close kills every child, waits until all are gone and removes the binaries.
+func (g *Group) Close() error {
+	g.mutex.Lock()
+	if g.closed {
+		g.mutex.Unlock()
+		return nil
+	}
+	g.closed = true
+	g.mutex.Unlock()
+	g.killAll()
+	signal.Stop(g.signals)
+	close(g.signals)
+	close(g.starts)
+	g.running.Wait()
+	return os.RemoveAll(g.directory)
+}
+
+func (g *Group) list() []*Process {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return append([]*Process(nil), g.children...)
+}
+
+func (g *Group) killAll() {
+	for _, child := range g.list() {
+		child.Kill()
+	}
+}
--- /dev/null
+++ b/internal/lab/process/log.go
@@ -0,0 +1,58 @@
+package process
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+)
+
+// tailLength is how many bytes of a log go into an error message.
+const tailLength = 2000
+
+// logBuffer keeps everything written to it and tells waiters about additions.
+type logBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+	signal chan struct{} // closed and replaced at each write
+}
+
+func newLogBuffer() *logBuffer {
+	return &logBuffer{signal: make(chan struct{})}
+}
+
+// Write implements io.Writer; it never fails.
+func (l *logBuffer) Write(written []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.signal)
+	l.signal = make(chan struct{})
+	return l.buffer.Write(written)
+}
+
+// changed returns a channel that is closed at the next write.
+func (l *logBuffer) changed() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.signal
+}
+
+func (l *logBuffer) text() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.buffer.String()
+}
+
+func (l *logBuffer) tail() string {
+	text := l.text()
+	return text[max(0, len(text)-tailLength):]
+}
+
+// lineWith returns the first complete line that contains the text.
+func (l *logBuffer) lineWith(text string) (string, bool) {
+	for line := range strings.Lines(l.text()) {
+		if strings.HasSuffix(line, "\n") && strings.Contains(line, text) {
+			return strings.TrimSuffix(line, "\n"), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/lab/store/api.go
@@ -0,0 +1,267 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+// maximumWait bounds how long a watch may wait.
+const maximumWait = time.Minute
+
+// apiHandler serves the published protocol, behind the fault switches.
+func (s *Store) apiHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathObjects+"/{name}", s.getObject)
+	mux.HandleFunc("PUT "+platform.PathObjects+"/{name}", s.writeObject)
+	mux.HandleFunc("DELETE "+platform.PathObjects+"/{name}", s.writeObject)
+	mux.HandleFunc("GET "+platform.PathObjects, s.listObjects)
+	mux.HandleFunc("GET "+platform.PathWatch, s.watchObjects)
+	mux.HandleFunc("GET "+platform.PathMachines, s.listMachines)
+	mux.HandleFunc("PUT "+platform.PathMachines+"/{id}", s.putMachine)
+	mux.HandleFunc("DELETE "+platform.PathMachines+"/{id}", s.deleteMachine)
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if !s.hang(request.Context()) {
+			cut(response)
+			return
+		}
+		s.slow(request.Context())
+		mux.ServeHTTP(response, request)
+	})
+}
+
+// slow waits for half of the time that is added to each answer.
+func (s *Store) slow(ctx context.Context) {
+	pause(ctx, s.Faults().Slow.duration()/2)
+}
+
+func (s *Store) getObject(response http.ResponseWriter, request *http.Request) {
+	name := catalog.ServiceName(request.PathValue("name"))
+	object := query(s, func(state *state) platform.Object {
+		state.counters.Reads++
+		return state.table.objects[name]
+	})
+	s.slow(request.Context())
+	switch {
+	case object.Version == 0:
+		answerProblem(response, fault.New(fault.NotFound, "object %q does not exist", name))
+	case object.Deleted:
+		answerObject(response, http.StatusNotFound, object)
+	default:
+		answerObject(response, http.StatusOK, object)
+	}
+}
+
+// writeObject serves PUT and DELETE.
+func (s *Store) writeObject(response http.ResponseWriter, request *http.Request) {
+	change, err := readChange(request)
+	if err != nil {
+		answerProblem(response, err)
+		return
+	}
+	delayed, lost := s.nextWriteFaults()
+	if delayed > 0 {
+		s.tasks.Go(func() { s.applyLater(change, delayed) })
+		cut(response)
+		return
+	}
+	object, applied := s.apply(change)
+	s.slow(request.Context())
+	switch {
+	case lost:
+		cut(response)
+	case !applied:
+		answerObject(response, http.StatusPreconditionFailed, object)
+	default:
+		response.Header().Set(platform.HeaderETag, platform.FormatEntityTag(object.Version))
+		answer(response, http.StatusOK, platform.Written{Name: object.Name, Version: object.Version})
+	}
+}
+
+func readChange(request *http.Request) (change, error) {
+	expected, err := platform.ParseEntityTag(request.Header.Get(platform.HeaderIfMatch))
+	if err != nil {
+		return change{}, err
+	}
+	change := change{
+		name:     catalog.ServiceName(request.PathValue("name")),
+		expected: expected,
+		deleted:  request.Method == http.MethodDelete,
+		annotations: platform.Annotations{
+			CommandID: platform.CommandID(request.Header.Get(platform.HeaderCommandID)),
+			Author:    request.Header.Get(platform.HeaderAuthor),
+		},
+	}
+	if err := change.annotations.Validate(); err != nil {
+		return change, err
+	}
+	if change.deleted {
+		return change, nil
+	}
+	change.body, err = io.ReadAll(request.Body)
+	if err != nil {
+		return change, fault.Wrap(fault.Invalid, err, "body")
+	}
+	if len(change.body) > catalog.MaximumBody || !json.Valid(change.body) {
+		return change, fault.InvalidField("body", len(change.body), "must be JSON of at most "+strconv.Itoa(catalog.MaximumBody)+" bytes")
+	}
+	return change, nil
+}
+
+// nextWriteFaults counts a write and says which faults it meets.
+func (s *Store) nextWriteFaults() (delayed time.Duration, lost bool) {
+	s.do(func(state *state) {
+		state.counters.Writes++
+		switch {
+		case state.faults.DelayWrites > 0:
+			state.faults.DelayWrites--
+			delayed = max(state.faults.WriteDelay.duration(), 1)
+			state.counters.DelayedWrites++
+		case state.faults.LoseReplies > 0:
+			state.faults.LoseReplies--
+			lost = true
+		}
+	})
+	return delayed, lost
+}
+
+// applyLater applies a delayed write, unless the store ends before.
+func (s *Store) applyLater(change change, delay time.Duration) {
+	if !pause(s.context, delay) {
+		return
+	}
+	s.apply(change)
+	s.do(func(state *state) { state.counters.DelayedWrites-- })
+}
+
+func (s *Store) apply(change change) (object platform.Object, applied bool) {
+	s.do(func(state *state) {
+		object, applied = state.table.apply(change)
+		if applied {
+			state.notify()
+		}
+	})
+	return object, applied
+}
+
+func (s *Store) listObjects(response http.ResponseWriter, request *http.Request) {
+	after, err := parseAfter(request)
+	if err != nil {
+		answerProblem(response, err)
+		return
+	}
+	list := query(s, func(state *state) platform.ChangeList {
+		state.counters.Reads++
+		return state.table.changes(after)
+	})
+	s.slow(request.Context())
+	answer(response, http.StatusOK, list)
+}
+
+func parseAfter(request *http.Request) (catalog.Revision, error) {
+	text := request.URL.Query().Get(platform.QueryAfter)
+	after, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fault.InvalidField(platform.QueryAfter, text, "must be a version")
+	}
+	return catalog.Revision(after), nil
+}
+
+func (s *Store) watchObjects(response http.ResponseWriter, request *http.Request) {
+	after, err := parseAfter(request)
+	if err != nil {
+		answerProblem(response, err)
+		return
+	}
+	text := request.URL.Query().Get(platform.QueryWait)
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maximumWait {
+		answerProblem(response, fault.InvalidField(platform.QueryWait, text, "must be 0s to "+maximumWait.String()))
+		return
+	}
+	s.do(func(state *state) {
+		state.counters.Watches++
+		state.counters.OpenWatches++
+	})
+	defer s.do(func(state *state) { state.counters.OpenWatches-- })
+	list, whole := s.awaitChanges(request.Context(), after, wait)
+	if !whole {
+		cut(response)
+		return
+	}
+	s.slow(request.Context())
+	answer(response, http.StatusOK, list)
+}
+
+// awaitChanges waits until the version is above after, at most for wait. It
+// returns false if the store fails before that.
+func (s *Store) awaitChanges(ctx context.Context, after catalog.Revision, wait time.Duration) (platform.ChangeList, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	expired := false
+	for {
+		var list platform.ChangeList
+		var outage Outage
+		var changed <-chan struct{}
+		s.do(func(state *state) {
+			list = state.table.changes(after)
+			outage = state.faults.Outage
+			changed = state.changed
+		})
+		switch {
+		case outage != OutageNone:
+			s.hang(ctx)
+			return list, false
+		case list.Version > after || expired:
+			return list, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-ctx.Done():
+			return list, false
+		}
+	}
+}
+
+func (s *Store) listMachines(response http.ResponseWriter, request *http.Request) {
+	machines := query(s, func(state *state) []platform.Machine {
+		state.counters.Reads++
+		return state.machines.at(time.Now().Add(-state.faults.MachineLag.duration()))
+	})
+	list := platform.MachineList{Machines: []json.RawMessage{}}
+	for _, machine := range machines {
+		encoded, err := json.Marshal(machine)
+		if err != nil {
+			answerProblem(response, err)
+			return
+		}
+		list.Machines = append(list.Machines, encoded)
+	}
+	s.slow(request.Context())
+	answer(response, http.StatusOK, list)
+}
+
+func (s *Store) putMachine(response http.ResponseWriter, request *http.Request) {
+	var machine platform.Machine
+	if err := json.NewDecoder(request.Body).Decode(&machine); err != nil {
+		answerProblem(response, fault.Wrap(fault.Invalid, err, "machine"))
+		return
+	}
+	machine.ID = request.PathValue("id")
+	s.SetMachine(machine)
+	answer(response, http.StatusOK, machine)
+}
+
+func (s *Store) deleteMachine(response http.ResponseWriter, request *http.Request) {
+	s.RemoveMachine(request.PathValue("id"))
+	answer(response, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/lab/store/machines.go
@@ -0,0 +1,49 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+// maximumMachineLists is how many former machine lists are kept to serve late ones.
+const maximumMachineLists = 4096
+
+// machineLog holds the machine list as it was at each change, oldest first.
+type machineLog []machineList
+
+type machineList struct {
+	since    time.Time
+	machines map[string]platform.Machine // by id
+}
+
+// change appends the list that edit makes of the latest one.
+func (l machineLog) change(now time.Time, edit func(machines map[string]platform.Machine)) machineLog {
+	machines := map[string]platform.Machine{}
+	if len(l) > 0 {
+		machines = maps.Clone(l[len(l)-1].machines)
+	}
+	edit(machines)
+	l = append(l, machineList{since: now, machines: machines})
+	if len(l) > maximumMachineLists {
+		l = slices.Clone(l[len(l)-maximumMachineLists:])
+	}
+	return l
+}
+
+// at returns the machines listed at the time, in order of id.
+func (l machineLog) at(when time.Time) []platform.Machine {
+	for _, list := range slices.Backward(l) {
+		if list.since.After(when) {
+			continue
+		}
+		machines := make([]platform.Machine, 0, len(list.machines))
+		for _, id := range slices.Sorted(maps.Keys(list.machines)) {
+			machines = append(machines, list.machines[id])
+		}
+		return machines
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/store/store_test.go
@@ -0,0 +1,265 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+const (
+	shortTimeout = 150 * time.Millisecond // of clients that are to time out
+	patience     = 10 * time.Second       // until a condition must hold
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture is a running store and a client of it.
+type fixture struct {
+	store  *Store
+	client *platform.Client
+}
+
+func start(t testing.TB, timeout time.Duration) fixture {
+	store, err := Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := platform.NewClient(store.URL(), platform.Options{Timeout: timeout})
+	t.Cleanup(func() {
+		client.Close()
+		store.Close()
+	})
+	return fixture{store: store, client: client}
+}
+
+func write(name catalog.ServiceName, expected catalog.Revision, body string) platform.Write {
+	return platform.Write{
+		Name:     name,
+		Expected: expected,
+		Body:     json.RawMessage(body),
+		Command:  platform.NewCommandID(),
+		Author:   "operator",
+	}
+}
+
+// eventually polls until the condition holds.
+func eventually(t testing.TB, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition does not hold")
+		}
+	}
+}
+
+func TestFaultKinds(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		put    fault.Kind
+		get    fault.Kind
+		status platform.Status // of the write, once the faults are over
+	}{
+		{"refuse", Faults{Outage: OutageRefuse}, fault.Unavailable, fault.Unavailable, platform.StillUnknown},
+		{"hang", Faults{Outage: OutageHang}, fault.Unknown, fault.Deadline, platform.StillUnknown},
+		{"slow", Faults{Slow: Milliseconds(3 * shortTimeout / 2 / time.Millisecond)}, fault.Unknown, fault.Deadline, platform.Applied},
+		{"lost reply", Faults{LoseReplies: 1}, fault.Unknown, fault.NotFound, platform.Applied},
+		{"delayed write", Faults{DelayWrites: 1, WriteDelay: 50}, fault.Unknown, fault.NotFound, platform.Applied},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, shortTimeout)
+			is.NoErr(f.store.SetFaults(test.faults))
+			_, err := f.client.Get(t.Context(), "other")
+			is.Equal(fault.Of(err), test.get)
+			put := write("lessons", 0, `{"a":1}`)
+			_, err = f.client.Put(t.Context(), put)
+			is.Equal(fault.Of(err), test.put)
+			is.NoErr(f.store.SetFaults(Faults{}))
+			eventually(t, func() bool {
+				outcome, err := f.client.Resolve(t.Context(), put)
+				return err == nil && outcome.Status == test.status
+			})
+		})
+	}
+}
+
+func TestConflictingCommands(t *testing.T) {
+	is := is.New(t)
+	f := start(t, patience)
+	first := write("lessons", 0, `{"a":1}`)
+	version, err := f.client.Put(t.Context(), first)
+	is.NoErr(err)
+	second := write("lessons", 0, `{"a":2}`)
+	_, err = f.client.Put(t.Context(), second)
+	var conflict *platform.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(fault.Of(err), fault.Conflict)
+	is.Equal(conflict.Current.Version, version)
+	is.Equal(conflict.Current.Annotations, platform.Annotations{CommandID: first.Command, Author: "operator"})
+	again, err := f.client.Put(t.Context(), first) // a repeat is not a conflict
+	is.NoErr(err)
+	is.Equal(again, version)
+
+	deletion := write("lessons", version, "")
+	deleted, err := f.client.Delete(t.Context(), deletion)
+	is.NoErr(err)
+	object, err := f.client.Get(t.Context(), "lessons")
+	is.Equal(fault.Of(err), fault.NotFound)
+	is.Equal(object.Version, deleted)
+	_, err = f.client.Put(t.Context(), write("lessons", 0, `{}`)) // a deletion is a version too
+	is.Equal(fault.Of(err), fault.Conflict)
+	_, err = f.client.Put(t.Context(), write("lessons", deleted, `{}`))
+	is.NoErr(err)
+	_, err = f.client.Put(t.Context(), write("lessons", deleted, `{`))
+	is.Equal(fault.Of(err), fault.Invalid)
+}
+
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	f := start(t, patience)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	received := make(chan platform.Changes, 1)
+	go func() {
+		defer close(received)
+		changes, err := f.client.Watch(ctx, 0, patience)
+		if err == nil {
+			received <- changes
+		}
+	}()
+	eventually(t, func() bool { return f.store.Counters().OpenWatches == 1 })
+	_, err := f.client.Put(ctx, write(platform.InternalPrefix+"lease", 0, `{}`))
+	is.NoErr(err)
+	eventually(t, func() bool { return f.store.Counters().Watches == 2 }) // it did not return for that
+	snapshot := f.store.Snapshot()
+	version, err := f.client.Put(ctx, write("lessons", 0, `{"a":1}`))
+	is.NoErr(err)
+	changes := <-received
+	want := catalog.Object{Name: "lessons", Revision: version, Body: []byte(`{"a":1}`)}
+	is.Equal(changes, platform.Changes{Revision: version, Objects: []catalog.Object{want}})
+
+	is.NoErr(f.store.Restore(snapshot))
+	changes, err = f.client.Watch(ctx, version, time.Millisecond)
+	is.NoErr(err)
+	is.Equal(changes, platform.Changes{Revision: version - 1})
+}
+
+func TestMachineListLags(t *testing.T) {
+	is := is.New(t)
+	f := start(t, patience)
+	f.store.SetMachine(platform.Machine{ID: "one", Role: "agent"})
+	is.NoErr(f.store.SetFaults(Faults{MachineLag: Milliseconds(time.Hour / time.Millisecond)}))
+	machines, err := f.client.Machines(t.Context())
+	is.NoErr(err)
+	is.Equal(len(machines), 0)
+	is.NoErr(f.store.SetFaults(Faults{}))
+	machines, err = f.client.Machines(t.Context())
+	is.NoErr(err)
+	is.Equal(machines, []platform.Machine{{ID: "one", Role: "agent"}})
+}
+
+func TestFaultsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	f := start(t, patience)
+	defer http.DefaultClient.CloseIdleConnections()
+	post := func(body string) int {
+		response, err := http.Post(f.store.LabURL()+PathFaults, "application/json", bytes.NewBufferString(body))
+		is.NoErr(err)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	is.Equal(post(`{"outage":"refuse"}`), http.StatusOK)
+	_, err := f.client.Changes(t.Context(), 0)
+	is.Equal(fault.Of(err), fault.Unavailable)
+	is.Equal(post(`{"outage":"sometimes"}`), http.StatusBadRequest)
+	is.Equal(post(`{}`), http.StatusOK)
+	_, err = f.client.Changes(t.Context(), 0)
+	is.NoErr(err)
+}
+
+// TestResolveNeverGuesses writes one object from several hands under faults and
+// holds each verdict of Resolve against what was applied in the end.
+func TestResolveNeverGuesses(t *testing.T) {
+	f := start(t, patience)
+	rapid.Check(t, func(rt *rapid.T) {
+		name := catalog.ServiceName(platform.NewCommandID())
+		applied := map[platform.CommandID]catalog.Revision{}
+		current := catalog.Revision(0)
+		look := func() {
+			object, err := f.client.Get(t.Context(), name)
+			if err != nil && fault.Of(err) != fault.NotFound {
+				rt.Fatal(err)
+			}
+			current = object.Version
+			applied[object.Annotations.CommandID] = object.Version
+			for _, entry := range object.History {
+				applied[entry.Annotations.CommandID] = entry.Version
+			}
+		}
+		type verdict struct {
+			write  platform.Write
+			status platform.Status
+			got    catalog.Revision
+		}
+		var sent []platform.Write
+		var verdicts []verdict
+		rt.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) { look() },
+			"put": func(rt *rapid.T) {
+				faults := rapid.SampledFrom([]Faults{{}, {LoseReplies: 1}, {DelayWrites: 1, WriteDelay: 3}}).Draw(rt, "faults")
+				if err := f.store.SetFaults(faults); err != nil {
+					rt.Fatal(err)
+				}
+				put := write(name, current, `{}`)
+				_, _ = f.client.Put(t.Context(), put)
+				sent = append(sent, put)
+			},
+			"others": func(rt *rapid.T) {
+				_ = f.store.SetFaults(Faults{})
+				for i := range rapid.IntRange(1, platform.HistoryLimit+2).Draw(rt, "writes") {
+					if i%(platform.HistoryLimit/2) == 0 {
+						look() // before the history forgets
+					}
+					version, err := f.client.Put(t.Context(), write(name, current, `{}`))
+					if err == nil {
+						current = version
+					}
+				}
+			},
+			"resolve": func(rt *rapid.T) {
+				if len(sent) == 0 {
+					rt.Skip("nothing sent")
+				}
+				put := rapid.SampledFrom(sent).Draw(rt, "write")
+				outcome, err := f.client.Resolve(t.Context(), put)
+				if err != nil {
+					rt.Fatal(err)
+				}
+				verdicts = append(verdicts, verdict{write: put, status: outcome.Status, got: outcome.Version})
+			},
+		})
+		eventually(t, func() bool { return f.store.Counters().DelayedWrites == 0 })
+		look()
+		for _, verdict := range verdicts {
+			version, was := applied[verdict.write.Command]
+			wrong := verdict.status == platform.Applied && (!was || version != verdict.got)
+			if wrong || verdict.status == platform.NotApplied && was {
+				rt.Fatalf("verdict %s version %d, but applied=%t version %d", verdict.status, verdict.got, was, version)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/observability/observability.go
@@ -0,0 +1,113 @@
+// Package observability serves the metrics and the health of a process over
+// HTTP: /metrics in the Prometheus text format, /healthz as long as the process
+// answers at all, and /readyz as long as it can do its work.
+package observability
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Namespace is the first part of the name of every metric of burlmill.
+const Namespace = "burlmill"
+
+// Bounds of the server.
+const (
+	pollers      = 1
+	maximumLoad  = 64 << 10 // bytes of one request, body included
+	stopDeadline = 2 * time.Second
+)
+
+// NewRegistry returns a registry with the metrics of the Go runtime and of the
+// operating system's process.
+func NewRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+// Serve starts to serve at the address until the closer is closed. ready is
+// called for each request of /readyz, from any goroutine. An invalid address
+// serves nothing and is no error. Errors are of kind fault.Unavailable.
+func Serve(address netip.AddrPort, registry *prometheus.Registry, ready func() bool) (io.Closer, error) {
+	if !address.IsValid() {
+		return &server{}, nil
+	}
+	// nbhttp waits forever where it cannot listen, so the listener is made here.
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "serve metrics at %v", address)
+	}
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Listen:    func(string, string) (net.Listener, error) { return listener, nil },
+		Name:      "observability",
+		Network:   "tcp",
+		Addrs:     []string{address.String()},
+		NPoller:   pollers,
+		ReadLimit: maximumLoad,
+		Handler:   newHandler(registry, ready),
+	})
+	if err := engine.Start(); err != nil {
+		_ = listener.Close()
+		return nil, fault.Wrap(fault.Unavailable, err, "serve metrics at %v", address)
+	}
+	return &server{engine: engine}, nil
+}
+
+func newHandler(registry *prometheus.Registry, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
+		answer(writer, http.StatusOK, "healthy")
+	})
+	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
+		if ready() {
+			answer(writer, http.StatusOK, "ready")
+			return
+		}
+		answer(writer, fault.Unavailable.Answer().HTTPStatus, "not ready")
+	})
+	return mux
+}
+
+func answer(writer http.ResponseWriter, status int, text string) {
+	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writer.WriteHeader(status)
+	fmt.Fprintln(writer, text)
+}
+
+// server is a running engine, or none.
+type server struct {
+	engine *nbhttp.Engine
+	once   sync.Once
+}
+
+// Close stops the server. It may be called twice.
+func (s *server) Close() error {
+	if s.engine == nil {
+		return nil
+	}
+	var err error
+	s.once.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopDeadline)
+		defer cancel()
+		err = s.engine.Shutdown(ctx)
+	})
+	return fault.Wrap(fault.Deadline, err, "stop serving metrics")
+}
--- /dev/null
+++ b/internal/observability/observability_test.go
@@ -0,0 +1,82 @@
+package observability
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+func TestMain(m *testing.M) {
+	logging.SetLevel(logging.LevelNone)
+	goleak.VerifyTestMain(m)
+}
+
+// freeAddress returns a loopback address whose port is free at present.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	registry := NewRegistry()
+	counter := prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: "things_total"})
+	registry.MustRegister(counter)
+	counter.Add(3)
+	var ready atomic.Bool
+	address := freeAddress(t)
+	closer, err := Serve(address, registry, ready.Load)
+	is.NoErr(err)
+	_, err = Serve(address, registry, ready.Load)
+	is.Equal(fault.Of(err), fault.Unavailable)
+
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	get := func(path string) (int, string) {
+		response, err := client.Get("http://" + address.String() + path)
+		is.NoErr(err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		return response.StatusCode, string(body)
+	}
+	status, body := get("/metrics")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(body, "\nburlmill_things_total 3\n"))
+	is.True(strings.Contains(body, "process_cpu_seconds_total"))
+	status, _ = get("/readyz")
+	is.Equal(status, http.StatusBadGateway)
+	ready.Store(true)
+	status, _ = get("/readyz")
+	is.Equal(status, http.StatusOK)
+	status, _ = get("/healthz")
+	is.Equal(status, http.StatusOK)
+	status, _ = get("/other")
+	is.Equal(status, http.StatusNotFound)
+
+	is.NoErr(closer.Close())
+	is.NoErr(closer.Close())
+	_, err = client.Get("http://" + address.String() + "/healthz")
+	is.True(err != nil)
+}
+
+func TestNoAddressServesNothing(t *testing.T) {
+	is := is.New(t)
+	closer, err := Serve(netip.AddrPort{}, NewRegistry(), nil)
+	is.NoErr(err)
+	is.NoErr(closer.Close())
+}
--- /dev/null
+++ b/internal/operator/apply.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+// Expectation is the version at which an operator last saw a service; 0 means
+// that it must not exist.
+type Expectation struct {
+	Service catalog.ServiceName
+	Version catalog.Revision
+}
+
+// Apply writes the services in their order, each in place of what the store
+// holds. Nothing is written, and the error of kind fault.Invalid tells why, if
+// any of them breaks a rule or claims an address that another service holds at
+// that point. After the first service that is not written no other is tried. A
+// service whose expectation is not met is a conflict.
+func (o *Operator) Apply(ctx context.Context, services []catalog.Service, expectations []Expectation) ([]Result, error) {
+	if err := checkExpectations(services, expectations); err != nil {
+		return nil, err
+	}
+	if err := o.checkTogether(ctx, services); err != nil {
+		return nil, err
+	}
+	var results []Result
+	stopped := false
+	for _, service := range services {
+		result := Result{Service: service.Name, Status: NotTried}
+		if !stopped {
+			result = o.applyOne(ctx, service, expectations)
+		}
+		stopped = stopped || !result.Succeeded()
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func (o *Operator) applyOne(ctx context.Context, service catalog.Service, expectations []Expectation) Result {
+	current, err := o.read(ctx, service.Name)
+	if err != nil {
+		return failure(service.Name, err)
+	}
+	if version, done := current.VersionOf(o.options.Command); done {
+		return repeated(current, version, &service)
+	}
+	for _, expectation := range expectations {
+		if expectation.Service == service.Name && !expectation.isMet(current) {
+			return failure(service.Name, &platform.ConflictError{Current: current})
+		}
+	}
+	return o.replace(ctx, current, service)
+}
+
+func (e *Expectation) isMet(current platform.Object) bool {
+	if current.Deleted {
+		return e.Version == 0 || e.Version == current.Version
+	}
+	return e.Version == current.Version
+}
+
+// checkExpectations refuses expectations that no service of the command answers.
+func checkExpectations(services []catalog.Service, expectations []Expectation) error {
+	var problems []error
+	for _, expectation := range expectations {
+		isNamed := func(service catalog.Service) bool { return service.Name == expectation.Service }
+		if !slices.ContainsFunc(services, isNamed) {
+			problems = append(problems, fault.InvalidField("expect", expectation.Service, "is not among the services to apply"))
+		}
+	}
+	return errors.Join(problems...)
+}
+
+// checkTogether takes the services into a snapshot of the store, one after the
+// other, as every node will. Objects in the store that are not valid by
+// themselves count as absent.
+func (o *Operator) checkTogether(ctx context.Context, services []catalog.Service) error {
+	changes, err := retry(ctx, o.options, func() (platform.Changes, error) { return o.store.Changes(ctx, 0) })
+	if err != nil {
+		return fmt.Errorf("read the store: %w", err)
+	}
+	snapshot, _ := catalog.Empty().With(changes.Objects, changes.Revision)
+	var problems []error
+	for _, service := range services {
+		body, err := json.Marshal(service)
+		if err != nil {
+			return fault.Wrap(fault.Internal, err, "format service")
+		}
+		revision := snapshot.Revision() + 1
+		object := catalog.Object{Name: service.Name, Revision: revision, Body: body}
+		snapshot, err = snapshot.With([]catalog.Object{object}, revision)
+		if err != nil {
+			problems = append(problems, fmt.Errorf("service %q: %w", service.Name, err))
+		}
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/operator/modify.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Drain marks the back end as leaving, so that it takes no new work.
+func (o *Operator) Drain(ctx context.Context, service catalog.ServiceName, backend catalog.BackendID) Result {
+	return o.setState(ctx, service, backend, catalog.BackendLeaving)
+}
+
+// Undrain marks the back end as active, so that it takes new work again.
+func (o *Operator) Undrain(ctx context.Context, service catalog.ServiceName, backend catalog.BackendID) Result {
+	return o.setState(ctx, service, backend, catalog.BackendActive)
+}
+
+func (o *Operator) setState(ctx context.Context, name catalog.ServiceName, id catalog.BackendID, state catalog.BackendState) Result {
+	return o.modify(ctx, name, func(service *catalog.Service) error {
+		hasID := func(backend catalog.Backend) bool { return backend.ID == id }
+		index := slices.IndexFunc(service.Backends, hasID)
+		if index < 0 {
+			return fault.New(fault.NotFound, "service %q has no back end %q", name, id)
+		}
+		service.Backends[index].State = state
+		return nil
+	})
+}
+
+// Shift sets the shares of the sites given and leaves the others as they are.
+// All shares of the service must still add up to 100 percent.
+func (o *Operator) Shift(ctx context.Context, name catalog.ServiceName, shares []catalog.SiteShare) Result {
+	return o.modify(ctx, name, func(service *catalog.Service) error {
+		for _, share := range shares {
+			if err := setShare(service, share); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func setShare(service *catalog.Service, share catalog.SiteShare) error {
+	isOfSite := func(held catalog.SiteShare) bool { return held.Site == share.Site }
+	index := slices.IndexFunc(service.Shares, isOfSite)
+	if index < 0 {
+		return fault.New(fault.NotFound, "service %q has no site %q", service.Name, share.Site)
+	}
+	service.Shares[index] = share
+	return nil
+}
+
+// modify reads the service, changes it and writes it back on condition that
+// nobody wrote in between. It does not start again after a conflict: the other
+// writer may have meant the opposite.
+func (o *Operator) modify(ctx context.Context, name catalog.ServiceName, change func(*catalog.Service) error) Result {
+	current, err := o.read(ctx, name)
+	if err != nil {
+		return failure(name, err)
+	}
+	if version, done := current.VersionOf(o.options.Command); done {
+		return repeated(current, version, nil)
+	}
+	if current.Version == 0 || current.Deleted {
+		return failure(name, fault.New(fault.NotFound, "service %q does not exist", name))
+	}
+	service, err := catalog.ParseService(name, current.Body)
+	if err != nil {
+		return failure(name, fmt.Errorf("the store's version %d cannot be changed: %w", current.Version, err))
+	}
+	if err := change(&service); err != nil {
+		return failure(name, err)
+	}
+	return o.replace(ctx, current, service)
+}
--- /dev/null
+++ b/internal/operator/result.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/platform"
+)
+
+// Status says what became of one object.
+type Status uint8
+
+// What can become of an object.
+const (
+	NotApplied Status = iota // surely not written
+	NotTried                 // left out because an earlier object was not written
+	Applied                  // written
+	Unchanged                // the store says the same already
+	Conflict                 // surely not written, because another writer came first
+	Unknown                  // may have been written
+)
+
+// Result is what a command did to one object.
+type Result struct {
+	Service catalog.ServiceName
+	Status  Status
+	Version catalog.Revision // version the object has with this content, if Applied or Unchanged
+	Latest  catalog.Revision // version the object had when last seen, if Applied or Unchanged
+	Err     error            // why, if neither Applied nor Unchanged
+}
+
+// Succeeded says whether the store holds, or held, what the command asked for.
+func (r *Result) Succeeded() bool { return r.Status == Applied || r.Status == Unchanged }
+
+// String returns the result as one line, without a line end.
+func (r *Result) String() string { return fmt.Sprintf("%s: %s", r.Service, r.text()) }
+
+func (r *Result) text() string {
+	switch r.Status {
+	case Applied:
+		return appliedText(r)
+	case Unchanged:
+		return fmt.Sprintf("unchanged at version %d", r.Version)
+	case NotTried:
+		return "not tried"
+	case Conflict:
+		return "conflict: " + conflictText(r.Err)
+	case Unknown:
+		return fmt.Sprintf("unknown: %v", r.Err)
+	}
+	return fmt.Sprintf("not applied: %v", r.Err)
+}
+
+func appliedText(result *Result) string {
+	text := fmt.Sprintf("applied at version %d", result.Version)
+	if result.Latest > result.Version {
+		text += fmt.Sprintf(", overwritten since by version %d", result.Latest)
+	}
+	return text
+}
+
+func conflictText(err error) string {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return err.Error()
+	}
+	if conflict.Current.Deleted {
+		return fmt.Sprintf("deleted at version %d by %q with command %q", conflict.Current.Version,
+			conflict.Current.Annotations.Author, conflict.Current.Annotations.CommandID)
+	}
+	return conflict.Error()
+}
+
+// failure is the result for an error of a read or a write.
+func failure(name catalog.ServiceName, err error) Result {
+	result := Result{Service: name, Status: NotApplied, Err: err}
+	switch fault.Of(err) {
+	case fault.Conflict:
+		result.Status = Conflict
+	case fault.Unknown:
+		result.Status = Unknown
+	}
+	return result
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,210 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Defaults of Options.
+const (
+	DefaultTimeout       = 5 * time.Second
+	DefaultMaximumAnswer = 16 << 20 // bytes
+)
+
+// Options bound what one request may take. Zero values mean the defaults.
+type Options struct {
+	Timeout       time.Duration // per request; a watch may take its wait on top
+	MaximumAnswer int64         // bytes of one answer's body; larger answers are refused
+}
+
+// Client talks to one platform. It is safe for concurrent use.
+type Client struct {
+	baseURL       string
+	timeout       time.Duration
+	maximumAnswer int64
+	http          *http.Client
+}
+
+// NewClient returns a client of the API at baseURL, such as http://127.0.0.1:8080.
+// It opens no connection.
+func NewClient(baseURL string, options Options) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.MaximumAnswer <= 0 {
+		options.MaximumAnswer = DefaultMaximumAnswer
+	}
+	return &Client{
+		baseURL:       strings.TrimSuffix(baseURL, "/"),
+		timeout:       options.Timeout,
+		maximumAnswer: options.MaximumAnswer,
+		http: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+			// A redirect is an answer the API does not have; it must not repeat a write elsewhere.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// exchange is one request and what to call it in errors.
+type exchange struct {
+	operation operation
+	method    string
+	path      string
+	query     url.Values
+	header    http.Header
+	body      []byte
+	timeout   time.Duration
+}
+
+func (e *exchange) String() string { return e.method + " " + e.path }
+
+// reply is one answer, read to its end.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// do runs the exchange and returns any whole answer, whatever its status.
+func (c *Client) do(ctx context.Context, exchange exchange) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchange.timeout)
+	defer cancel()
+	var reached atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), exchange)
+	if err != nil {
+		return reply{}, fault.Wrap(fault.Invalid, err, "%s", &exchange)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply{}, exchange.operation.transportError(ctx, err, reached.Load(), exchange.String())
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.maximumAnswer+1))
+	if err != nil {
+		return reply{}, exchange.operation.transportError(ctx, err, true, exchange.String())
+	}
+	if int64(len(body)) > c.maximumAnswer {
+		tooLarge := fmt.Errorf("answer exceeds %d bytes", c.maximumAnswer)
+		return reply{}, exchange.operation.answerError(tooLarge, exchange.String())
+	}
+	return reply{status: response.StatusCode, body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, exchange exchange) (*http.Request, error) {
+	target := c.baseURL + exchange.path
+	if len(exchange.query) > 0 {
+		target += "?" + exchange.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, exchange.method, target, bytes.NewReader(exchange.body))
+	if err != nil {
+		return nil, err
+	}
+	if exchange.header != nil {
+		request.Header = exchange.header
+	}
+	return request, nil
+}
+
+// get reads path into answer.
+func (c *Client) get(ctx context.Context, path string, query url.Values, timeout time.Duration, answer any) error {
+	exchange := exchange{operation: reading, method: http.MethodGet, path: path, query: query, timeout: timeout}
+	reply, err := c.do(ctx, exchange)
+	if err != nil {
+		return err
+	}
+	if reply.status != http.StatusOK {
+		return reading.statusError(reply.status, reply.body, exchange.String())
+	}
+	if err := json.Unmarshal(reply.body, answer); err != nil {
+		return reading.answerError(err, exchange.String())
+	}
+	return nil
+}
+
+// Changes is what happened in the store after a revision.
+type Changes struct {
+	// Revision is the store's version. It is below the revision asked for only
+	// when the store was restored to an older state.
+	Revision catalog.Revision
+	Objects  []catalog.Object // oldest first, deletions included
+}
+
+// Changes returns every configuration object changed after the revision. Errors
+// are of kind Unavailable, Deadline, Canceled or Invalid.
+func (c *Client) Changes(ctx context.Context, after catalog.Revision) (Changes, error) {
+	query := url.Values{QueryAfter: {fmt.Sprint(after)}}
+	return c.changes(ctx, PathObjects, query, c.timeout)
+}
+
+// Watch is like Changes, but waits up to wait for a change of a configuration
+// object. With none it returns no objects and the store's version at the end.
+func (c *Client) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (Changes, error) {
+	end := time.Now().Add(wait)
+	for {
+		left := max(time.Until(end), 0).Round(time.Millisecond)
+		query := url.Values{QueryAfter: {fmt.Sprint(after)}, QueryWait: {left.String()}}
+		changes, err := c.changes(ctx, PathWatch, query, left+c.timeout)
+		if err != nil || len(changes.Objects) > 0 || changes.Revision <= after || left == 0 {
+			return changes, err
+		}
+		after = changes.Revision // only internal objects changed
+	}
+}
+
+func (c *Client) changes(ctx context.Context, path string, query url.Values, timeout time.Duration) (Changes, error) {
+	var list ChangeList
+	if err := c.get(ctx, path, query, timeout, &list); err != nil {
+		return Changes{}, err
+	}
+	changes := Changes{Revision: list.Version}
+	for _, object := range list.Objects {
+		if strings.HasPrefix(string(object.Name), InternalPrefix) {
+			continue
+		}
+		changes.Objects = append(changes.Objects, catalog.Object{
+			Name:     object.Name,
+			Revision: object.Version,
+			Deleted:  object.Deleted,
+			Body:     object.Body,
+		})
+	}
+	return changes, nil
+}
+
+// Machines returns the platform's machine list, which lags behind reality. Entries
+// that cannot be read are left out and reported in an error of kind Invalid, with
+// which the other entries are returned all the same.
+func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
+	var list MachineList
+	if err := c.get(ctx, PathMachines, nil, c.timeout, &list); err != nil {
+		return nil, err
+	}
+	var machines []Machine
+	var problems []error
+	for _, encoded := range list.Machines {
+		var machine Machine
+		if err := json.Unmarshal(encoded, &machine); err != nil {
+			problems = append(problems, fault.Wrap(fault.Invalid, err, "machine list entry %.200s", encoded))
+			continue
+		}
+		machines = append(machines, machine)
+	}
+	return machines, errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,169 @@
+// Package platform is the client of the platform's object API: JSON over HTTP
+// with object versions, conditional writes and long-poll watches, and a machine
+// list that lags behind reality. It turns every failure into the kind of package
+// fault that says what the caller may assume, above all whether a write whose
+// reply is missing may have been applied.
+package platform
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Paths, headers and query parameters of the API. Client and stand-in share them.
+const (
+	PathObjects  = "/v1/objects"
+	PathWatch    = "/v1/watch"
+	PathMachines = "/v1/machines"
+
+	HeaderCommandID = "Burlmill-Command-Id" // on writes: CommandID
+	HeaderAuthor    = "Burlmill-Author"     // on writes: who gave the command
+	HeaderIfMatch   = "If-Match"            // on writes: EntityTag of the version to replace
+	HeaderETag      = "ETag"                // on answers: EntityTag of the object
+
+	QueryAfter = "after" // a catalog.Revision
+	QueryWait  = "wait"  // a Go duration, e.g. 30s
+)
+
+// InternalPrefix begins the names of objects that burlmill keeps for itself,
+// such as leases. They are read by name and left out of Changes and Watch, which
+// carry configuration only.
+const InternalPrefix = "burlmill-"
+
+// HistoryLimit is the number of latest writes of each object whose annotations
+// the platform keeps.
+const HistoryLimit = 16
+
+// MaximumAnnotation is the longest command id or author, in bytes.
+const MaximumAnnotation = 64
+
+// CommandID names one command of one writer. It is kept with the object that
+// the command wrote, so that a writer can tell its own write from another's.
+type CommandID string
+
+// NewCommandID returns a random id that no other command has.
+func NewCommandID() CommandID { return CommandID(rand.Text()) }
+
+// Annotations say which command made a version of an object, and who gave it.
+type Annotations struct {
+	CommandID CommandID `json:"command_id"`
+	Author    string    `json:"author"`
+}
+
+// HistoryEntry is one earlier write of an object.
+type HistoryEntry struct {
+	Version     catalog.Revision `json:"version"`
+	Annotations Annotations      `json:"annotations"`
+}
+
+// Object is one version of one object as the platform returns it.
+type Object struct {
+	Name        catalog.ServiceName `json:"name"`
+	Version     catalog.Revision    `json:"version"`
+	Deleted     bool                `json:"deleted"`
+	Body        json.RawMessage     `json:"body,omitempty"`
+	Annotations Annotations         `json:"annotations"`
+
+	// History holds the writes before this version, latest first, at most
+	// HistoryLimit-1 of them. Lists and watches leave it out.
+	History []HistoryEntry `json:"history,omitempty"`
+}
+
+// VersionOf returns the version that the command wrote, if the object's history
+// still holds it.
+func (o *Object) VersionOf(command CommandID) (catalog.Revision, bool) {
+	if o.Annotations.CommandID == command && o.Version > 0 {
+		return o.Version, true
+	}
+	for _, entry := range o.History {
+		if entry.Annotations.CommandID == command {
+			return entry.Version, true
+		}
+	}
+	return 0, false
+}
+
+// reachesBack says whether the history holds every write after the version.
+func (o *Object) reachesBack(version catalog.Revision) bool {
+	if len(o.History) < HistoryLimit-1 {
+		return true
+	}
+	oldest := o.History[len(o.History)-1].Version
+	return oldest <= version
+}
+
+// Written is the answer to an accepted write.
+type Written struct {
+	Name    catalog.ServiceName `json:"name"`
+	Version catalog.Revision    `json:"version"`
+}
+
+// ChangeList is the answer to a list or a watch: the store's version and the
+// objects changed after the version asked for, oldest first.
+type ChangeList struct {
+	Version catalog.Revision `json:"version"`
+	Objects []Object         `json:"objects"`
+}
+
+// Problem is the body of an error answer to anything but a conflict.
+type Problem struct {
+	Error string `json:"error"`
+
+	// Applied is false when the platform vouches that a write was not applied
+	// and will not be; absent when it cannot tell.
+	Applied *bool `json:"applied,omitempty"`
+}
+
+// Machine is one entry of the machine list.
+type Machine struct {
+	ID      string           `json:"id"`
+	Role    string           `json:"role"`
+	Region  string           `json:"region"`
+	Zone    catalog.ZoneName `json:"zone"`
+	Control netip.AddrPort   `json:"control"` // TCP address for other burlmill processes
+	Data    netip.AddrPort   `json:"data"`    // UDP address for datagrams
+	Leaving bool             `json:"leaving"`
+}
+
+// MachineList is the answer with the whole machine list.
+type MachineList struct {
+	Machines []json.RawMessage `json:"machines"` // each a Machine
+}
+
+// FormatEntityTag returns the entity tag of a version.
+func FormatEntityTag(version catalog.Revision) string { return fmt.Sprintf("%q", fmt.Sprint(version)) }
+
+// ParseEntityTag reads an entity tag. Errors are of kind fault.Invalid.
+func ParseEntityTag(tag string) (catalog.Revision, error) {
+	var version catalog.Revision
+	if _, err := fmt.Sscanf(tag, `"%d"`, &version); err != nil || FormatEntityTag(version) != tag {
+		return 0, fault.InvalidField(HeaderIfMatch, tag, "must be a quoted version")
+	}
+	return version, nil
+}
+
+// Validate checks that both annotations can travel in headers. Errors are of
+// kind fault.Invalid.
+func (a Annotations) Validate() error {
+	if a.CommandID == "" {
+		return fault.InvalidField(HeaderCommandID, a.CommandID, "must not be empty")
+	}
+	if err := validateAnnotation(HeaderCommandID, string(a.CommandID)); err != nil {
+		return err
+	}
+	return validateAnnotation(HeaderAuthor, a.Author)
+}
+
+func validateAnnotation(field, value string) error {
+	notPrintable := func(r rune) bool { return r <= ' ' || r > '~' }
+	if len(value) > MaximumAnnotation || strings.ContainsFunc(value, notPrintable) {
+		return fault.InvalidField(field, value, fmt.Sprintf("must be at most %d printable ASCII characters", MaximumAnnotation))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"time"
+)
+
+// What a value of each type must look like.
+var (
+	errNotText     = errors.New("must be a text; put it in quotes")
+	errNotInteger  = errors.New("must be a whole number")
+	errNotDuration = errors.New("must be a duration with a unit, such as 90s or 5m")
+	errNotSingle   = errors.New("must be a single value")
+	errNotList     = errors.New("must be a list")
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// decode sets target from a value of a YAML file or a flag. Nothing is
+// converted silently: a number is no text, and a fraction is no whole number.
+func decode(target reflect.Value, raw any) error {
+	if target.Kind() == reflect.Slice {
+		return decodeList(target, raw)
+	}
+	switch value := raw.(type) {
+	case string:
+		return decodeText(target, value)
+	case int:
+		if target.Kind() != reflect.Int {
+			return wrongForm(target)
+		}
+		target.SetInt(int64(value))
+		return nil
+	case nil:
+		return errors.New("must be given or left out")
+	default:
+		return wrongForm(target)
+	}
+}
+
+func decodeList(target reflect.Value, raw any) error {
+	if text, ok := raw.(string); ok {
+		raw = []string{text}
+	}
+	items := reflect.ValueOf(raw)
+	if items.Kind() != reflect.Slice {
+		return errNotList
+	}
+	list := reflect.MakeSlice(target.Type(), items.Len(), items.Len())
+	for i := range items.Len() {
+		if err := decode(list.Index(i), items.Index(i).Interface()); err != nil {
+			return fmt.Errorf("entry %d %w", i+1, err)
+		}
+	}
+	target.Set(list)
+	return nil
+}
+
+func decodeText(target reflect.Value, text string) error {
+	if unmarshaler, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := unmarshaler.UnmarshalText([]byte(text)); err != nil {
+			return wrongForm(target)
+		}
+		return nil
+	}
+	switch {
+	case target.Type() == durationType:
+		return decodeDuration(target, text)
+	case target.Kind() == reflect.Int:
+		return decodeInteger(target, text)
+	case target.Kind() == reflect.String:
+		target.SetString(text)
+		return nil
+	default:
+		return fmt.Errorf("has a type that settings cannot hold: %s", target.Type())
+	}
+}
+
+func decodeDuration(target reflect.Value, text string) error {
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		return errNotDuration
+	}
+	target.SetInt(int64(duration))
+	return nil
+}
+
+func decodeInteger(target reflect.Value, text string) error {
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return errNotInteger
+	}
+	target.SetInt(int64(number))
+	return nil
+}
+
+// wrongForm says what a value of the target's type must look like.
+func wrongForm(target reflect.Value) error {
+	switch {
+	case target.Type() == addressType:
+		return errors.New("must be " + addressForm)
+	case target.Type() == durationType:
+		return errNotDuration
+	case target.Kind() == reflect.Int:
+		return errNotInteger
+	case target.Kind() == reflect.String:
+		return errNotText
+	default:
+		return errNotSingle
+	}
+}
--- /dev/null
+++ b/internal/settings/field.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// Names of the struct tags that describe a field.
+const (
+	keyTag  = "koanf"
+	ruleTag = "validate"
+	helpTag = "help"
+)
+
+// keyDelimiter stands between the parts of a key, in the file and in flags.
+const keyDelimiter = "."
+
+// field is one setting, bound to its place in a Settings value.
+type field struct {
+	key   string        // full key, such as "node.id"
+	rule  string        // text of the validate tag
+	help  string        // meaning, in one or two sentences
+	value reflect.Value // settable
+}
+
+// isList says whether the field may be given several times.
+func (f *field) isList() bool { return f.value.Kind() == reflect.Slice }
+
+// fieldsOf lists the fields of the settings in the order of the struct.
+func fieldsOf(settings *Settings) []field {
+	var fields []field
+	sections := reflect.ValueOf(settings).Elem()
+	for i := range sections.NumField() {
+		prefix := sections.Type().Field(i).Tag.Get(keyTag) + keyDelimiter
+		fields = append(fields, fieldsOfSection(prefix, sections.Field(i))...)
+	}
+	return fields
+}
+
+func fieldsOfSection(prefix string, section reflect.Value) []field {
+	var fields []field
+	for i := range section.NumField() {
+		tag := section.Type().Field(i).Tag
+		fields = append(fields, field{
+			key:   prefix + tag.Get(keyTag),
+			rule:  tag.Get(ruleTag),
+			help:  tag.Get(helpTag),
+			value: section.Field(i),
+		})
+	}
+	return fields
+}
+
+// sectionOf returns the part of a key before its first delimiter.
+func sectionOf(key string) string {
+	section, _, _ := strings.Cut(key, keyDelimiter)
+	return section
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,67 @@
+// Package settings owns the static settings of a burlmill process: what is read
+// once at start from a YAML file and flags, and never changes while it runs.
+// What changes while it runs is configuration and lives in package catalog.
+//
+// The structs below are the only description of the settings. Their tags give
+// the key in the file (koanf), the rule (validate) and the meaning (help); the
+// flags, the checks and docs/SETTINGS.md are derived from them, and Default
+// holds every default value.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Node names this process and its place, and lists its sockets.
+type Node struct {
+	ID             string           `koanf:"id" validate:"required,name" help:"Name of this process, unique among all burlmill processes."`
+	Region         string           `koanf:"region" validate:"required,name" help:"Region the process runs in."`
+	Zone           catalog.ZoneName `koanf:"zone" validate:"required,name" help:"Failure zone the process runs in."`
+	DataAddress    netip.AddrPort   `koanf:"data-address" validate:"required,address" help:"UDP socket for callers' datagrams."`
+	ControlAddress netip.AddrPort   `koanf:"control-address" validate:"required,address" help:"TCP socket for other burlmill processes and operators."`
+	MetricsAddress netip.AddrPort   `koanf:"metrics-address" validate:"omitempty,address,loopback,distinct=control-address" help:"TCP socket for metrics and health. Empty: none."`
+}
+
+// Platform says where the platform's service is.
+type Platform struct {
+	URL     string `koanf:"url" validate:"omitempty,http_url" help:"Base URL of the platform's object API. Empty: this node learns everything from its peers."`
+	Readers int    `koanf:"readers" validate:"min=1,max=16" help:"Nodes of each region that watch the platform's store."`
+}
+
+// Peers says how a node finds others at start.
+type Peers struct {
+	Seeds []netip.AddrPort `koanf:"seeds" validate:"unique,dive,address" help:"Control addresses that are tried at start, besides those in the platform's machine list. May be given several times."`
+}
+
+// Flows bounds what one process remembers about flows.
+type Flows struct {
+	IdleTimeout time.Duration `koanf:"idle-timeout" validate:"min=1s,max=24h" help:"A flow without a datagram for this long is over."`
+	CacheSize   int           `koanf:"cache-size" validate:"min=1024,max=10000000" help:"Entries of the balancer's header cache."`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `koanf:"level" validate:"oneof=debug info warn error" help:"Least severe level that is logged."`
+}
+
+// Settings is everything a process reads at start.
+type Settings struct {
+	Node     Node     `koanf:"node"`
+	Platform Platform `koanf:"platform"`
+	Peers    Peers    `koanf:"peers"`
+	Flows    Flows    `koanf:"flows"`
+	Log      Log      `koanf:"log"`
+}
+
+// Default returns the settings that hold where neither the file nor a flag says
+// otherwise. Fields left empty here have no default.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Readers: 3},
+		Flows:    Flows{IdleTimeout: 2 * time.Minute, CacheSize: 65536},
+		Log:      Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/internal/wire/envelope.go
@@ -0,0 +1,142 @@
+// Package wire puts flow keys and routes on the network: it reads and writes
+// the PROXY protocol version 2 header that begins every datagram between
+// fabrics, balancers and agents, and owns the UDP sockets that carry them.
+package wire
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+
+	"github.com/pires/go-proxyproto"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+)
+
+// Sizes of the parts of a datagram, in bytes.
+const (
+	MaximumDatagram = 65507 // largest UDP payload over IPv4
+	MaximumHeader   = 512   // longest PROXY header that is accepted
+
+	fixedPartLength = 16 // signature, version, command, family and length
+	lengthOffset    = 14 // where the fixed part holds the length of the rest
+)
+
+const headerVersion = 2
+
+// Envelope is what the header of a datagram says about its payload.
+type Envelope struct {
+	Key      flow.Key
+	Route    flow.Route // meaningful only if HasRoute
+	HasRoute bool       // false between fabrics and burlmill, true inside burlmill
+}
+
+// ParseEnvelope reads the header at the beginning of a datagram and returns its
+// length in bytes; the payload follows it. Every error is of kind
+// fault.Invalid. The datagram is neither kept nor changed.
+func ParseEnvelope(datagram []byte) (envelope Envelope, headerLength int, err error) {
+	header, err := HeaderOf(datagram)
+	if err != nil {
+		return Envelope{}, 0, err
+	}
+	envelope, err = parseHeader(header)
+	if err != nil {
+		return Envelope{}, 0, err
+	}
+	return envelope, len(header), nil
+}
+
+// HeaderOf returns the bytes at the beginning of the datagram that the header
+// claims to take. It looks at nothing but the length: equal bytes are equal
+// headers, which makes them a key for a Cache. Errors are of kind fault.Invalid.
+func HeaderOf(datagram []byte) ([]byte, error) {
+	if len(datagram) > MaximumDatagram {
+		return nil, fault.New(fault.Invalid, "datagram of %d bytes exceeds %d bytes", len(datagram), MaximumDatagram)
+	}
+	if len(datagram) < fixedPartLength {
+		return nil, fault.New(fault.Invalid, "datagram of %d bytes is too short for a PROXY header", len(datagram))
+	}
+	length := fixedPartLength + int(binary.BigEndian.Uint16(datagram[lengthOffset:fixedPartLength]))
+	if length > MaximumHeader {
+		return nil, fault.New(fault.Invalid, "PROXY header of %d bytes exceeds %d bytes", length, MaximumHeader)
+	}
+	if length > len(datagram) {
+		return nil, fault.New(fault.Invalid, "PROXY header of %d bytes in a datagram of %d bytes", length, len(datagram))
+	}
+	return datagram[:length], nil
+}
+
+// parseHeader reads a header that fills the whole slice.
+func parseHeader(encoded []byte) (Envelope, error) {
+	header, err := readHeader(encoded)
+	if err != nil {
+		return Envelope{}, fault.Wrap(fault.Invalid, err, "PROXY header")
+	}
+	if header.Version != headerVersion || header.Command != proxyproto.PROXY || !header.TransportProtocol.IsDatagram() {
+		return Envelope{}, fault.New(fault.Invalid, "PROXY header: version %d, command %d, transport %d: must be version 2, PROXY, UDP", header.Version, header.Command, header.TransportProtocol)
+	}
+	source, destination, ok := header.UDPAddrs()
+	if !ok {
+		return Envelope{}, fault.New(fault.Invalid, "PROXY header: transport %d: must be UDP", header.TransportProtocol)
+	}
+	envelope := Envelope{Key: flow.Key{Caller: canonical(source.AddrPort()), Service: canonical(destination.AddrPort())}}
+	if err := checkKey(envelope.Key); err != nil {
+		return Envelope{}, err
+	}
+	tlvs, err := header.TLVs()
+	if err != nil {
+		return Envelope{}, fault.Wrap(fault.Invalid, err, "PROXY header")
+	}
+	envelope.Route, envelope.HasRoute, err = parseRoute(tlvs)
+	if err != nil {
+		return Envelope{}, err
+	}
+	return envelope, nil
+}
+
+// FormatEnvelope returns the header bytes for the envelope; a datagram is these
+// bytes followed by the payload. Errors are of kind fault.Invalid: the key's
+// addresses are of two families, or a field of the route is out of its range.
+func FormatEnvelope(envelope Envelope) ([]byte, error) {
+	if err := checkKey(envelope.Key); err != nil {
+		return nil, err
+	}
+	source := net.UDPAddrFromAddrPort(envelope.Key.Caller)
+	destination := net.UDPAddrFromAddrPort(envelope.Key.Service)
+	header := proxyproto.HeaderProxyFromAddrs(headerVersion, source, destination)
+	if envelope.HasRoute {
+		tlv, err := formatRoute(envelope.Route)
+		if err != nil {
+			return nil, err
+		}
+		if err := header.SetTLVs([]proxyproto.TLV{tlv}); err != nil {
+			return nil, fault.Wrap(fault.Invalid, err, "route")
+		}
+	}
+	encoded, err := header.Format()
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "PROXY header")
+	}
+	return encoded, nil
+}
+
+// checkKey refuses what a PROXY header cannot carry.
+func checkKey(key flow.Key) error {
+	caller, service := key.Caller.Addr(), key.Service.Addr()
+	switch {
+	case !caller.IsValid() || !service.IsValid():
+		return fault.New(fault.Invalid, "flow %v to %v: both addresses must be IP addresses", key.Caller, key.Service)
+	case caller.Is4() != service.Is4():
+		return fault.New(fault.Invalid, "flow %v to %v: addresses of two families", key.Caller, key.Service)
+	case caller.Is4In6() || service.Is4In6() || caller.Zone() != "" || service.Zone() != "":
+		return fault.New(fault.Invalid, "flow %v to %v: addresses must be unmapped and without a zone", key.Caller, key.Service)
+	}
+	return nil
+}
+
+// canonical returns the address in the one form that keys use: IPv4 addresses
+// mapped to IPv6 become IPv4 addresses.
+func canonical(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
--- /dev/null
+++ b/internal/wire/envelope_test.go
@@ -0,0 +1,191 @@
+package wire
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pires/go-proxyproto"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+)
+
+var addressPairs = rapid.Custom(func(t *rapid.T) [2]netip.AddrPort {
+	length := rapid.SampledFrom([]int{4, 16}).Draw(t, "address length")
+	return [2]netip.AddrPort{drawAddress(t, length), drawAddress(t, length)}
+})
+
+// drawAddress returns an address of length bytes in the form that keys use.
+func drawAddress(t *rapid.T, length int) netip.AddrPort {
+	for {
+		bytes := rapid.SliceOfN(rapid.Byte(), length, length).Draw(t, "address")
+		address, _ := netip.AddrFromSlice(bytes)
+		if !address.Is4In6() {
+			return netip.AddrPortFrom(address, rapid.Uint16Min(1).Draw(t, "port"))
+		}
+	}
+}
+
+var envelopes = rapid.Custom(func(t *rapid.T) Envelope {
+	pair := addressPairs.Draw(t, "key")
+	envelope := Envelope{Key: flow.Key{Caller: pair[0], Service: pair[1]}}
+	if envelope.HasRoute = rapid.Bool().Draw(t, "has route"); envelope.HasRoute {
+		envelope.Route = flow.Route{
+			Revision: catalog.Revision(rapid.Uint64().Draw(t, "revision")),
+			Step:     flow.Step(rapid.Uint8Max(uint8(flow.StepAdmit)).Draw(t, "step")),
+			Hops:     rapid.Uint8().Draw(t, "hops"),
+			Visited:  flow.BackendSet(rapid.Uint64().Draw(t, "visited")),
+			Refused:  flow.BackendSet(rapid.Uint64().Draw(t, "refused")),
+			Chosen:   rapid.IntRange(flow.NoBackend, catalog.MaximumBackends-1).Draw(t, "chosen"),
+			Return:   addressPairs.Draw(t, "return")[0],
+		}
+	}
+	return envelope
+})
+
+func TestEnvelopeRoundTrip(t *testing.T) {
+	decoder := NewDecoder(3)
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		envelope := envelopes.Draw(t, "envelope")
+		payload := rapid.SliceOfN(rapid.Byte(), 0, 100).Draw(t, "payload")
+		header, err := FormatEnvelope(envelope)
+		is.NoErr(err)
+		datagram := append(header, payload...)
+		for _, decode := range []func([]byte) (Envelope, int, error){ParseEnvelope, decoder.Decode, decoder.Decode} {
+			parsed, length, err := decode(datagram)
+			is.NoErr(err)
+			is.Equal(parsed, envelope)
+			is.Equal(length, len(header))
+		}
+		is.True(decoder.headers.Len() <= 6)
+	})
+}
+
+// TestDamagedEnvelope changes one byte or the length of a valid header: what
+// still parses must be a value that can be written again.
+func TestDamagedEnvelope(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		header, err := FormatEnvelope(envelopes.Draw(t, "envelope"))
+		is.New(t).NoErr(err)
+		header[rapid.IntRange(0, len(header)-1).Draw(t, "index")] = rapid.Byte().Draw(t, "byte")
+		checkParse(t, header[:rapid.IntRange(0, len(header)).Draw(t, "length")])
+	})
+}
+
+// checkParse fails the test unless the datagram is refused as invalid or gives
+// an envelope that survives being written and read.
+func checkParse(t interface{ Fatalf(string, ...any) }, datagram []byte) {
+	envelope, length, err := ParseEnvelope(datagram)
+	if err != nil {
+		if fault.Of(err) != fault.Invalid {
+			t.Fatalf("%x: error of kind %v: %v", datagram, fault.Of(err), err)
+		}
+		return
+	}
+	if length < fixedPartLength || length > len(datagram) {
+		t.Fatalf("%x: header length %d", datagram, length)
+	}
+	header, err := FormatEnvelope(envelope)
+	if err != nil {
+		t.Fatalf("%x: parsed as %+v, which cannot be written: %v", datagram, envelope, err)
+	}
+	again, _, err := ParseEnvelope(header)
+	if err != nil || again != envelope {
+		t.Fatalf("%+v is read back as %+v, %v", envelope, again, err)
+	}
+}
+
+var (
+	caller  = netip.MustParseAddrPort("192.0.2.1:1000")
+	service = netip.MustParseAddrPort("198.51.100.1:443")
+	route   = flow.Route{Chosen: flow.NoBackend, Return: netip.MustParseAddrPort("127.0.0.1:7000")}
+)
+
+const familyOffset = 13 // where a header names its address family
+
+// header returns a header with the TLVs for a flow over IPv4, changed by change.
+func header(t testing.TB, change func(*proxyproto.Header), tlvs ...proxyproto.TLV) []byte {
+	t.Helper()
+	is := is.New(t)
+	header := proxyproto.HeaderProxyFromAddrs(headerVersion, net.UDPAddrFromAddrPort(caller), net.UDPAddrFromAddrPort(service))
+	change(header)
+	is.NoErr(header.SetTLVs(tlvs))
+	encoded, err := header.Format()
+	is.NoErr(err)
+	return encoded
+}
+
+func TestParseEnvelopeRefuses(t *testing.T) {
+	keep := func(*proxyproto.Header) {}
+	routeTLV, err := formatRoute(route)
+	is.New(t).NoErr(err)
+	cutRoute := proxyproto.TLV{Type: routeType, Value: routeTLV.Value[:len(routeTLV.Value)-1]}
+	noOperation := proxyproto.TLV{Type: proxyproto.PP2_TYPE_NOOP}
+	long := proxyproto.TLV{Type: routeType, Value: make([]byte, MaximumHeader)}
+	stream := header(t, keep)
+	stream[familyOffset] = byte(proxyproto.TCPv4)
+	unix := append(header(t, keep), make([]byte, 1000)...)
+	unix[familyOffset] = byte(proxyproto.UnixDatagram)
+	cases := map[string][]byte{
+		"empty":             {},
+		"no header":         []byte("GET / HTTP/1.1\r\nHost: example.org\r\n\r\n"),
+		"version 1":         []byte("PROXY TCP4 192.0.2.1 198.51.100.1 1000 443\r\n"),
+		"stream":            stream,
+		"unix":              unix,
+		"local":             header(t, func(h *proxyproto.Header) { h.Command = proxyproto.LOCAL }),
+		"local without any": header(t, func(h *proxyproto.Header) { h.Command, h.TransportProtocol = proxyproto.LOCAL, proxyproto.UNSPEC }),
+		"route twice":       header(t, keep, routeTLV, routeTLV),
+		"after the route":   header(t, keep, routeTLV, noOperation),
+		"before the route":  header(t, keep, noOperation, routeTLV),
+		"other TLV":         header(t, keep, noOperation),
+		"broken route":      header(t, keep, cutRoute),
+		"empty route":       header(t, keep, proxyproto.TLV{Type: routeType}),
+		"long header":       header(t, keep, long),
+		"long datagram":     append(header(t, keep), make([]byte, MaximumDatagram)...),
+		"cut header":        header(t, keep, routeTLV)[:30],
+	}
+	for name, datagram := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := ParseEnvelope(datagram)
+			is.True(err != nil)
+			is.Equal(fault.Of(err), fault.Invalid)
+			_, _, err = NewDecoder(1).Decode(datagram)
+			is.Equal(fault.Of(err), fault.Invalid)
+		})
+	}
+}
+
+func TestFormatEnvelopeRefuses(t *testing.T) {
+	invalidRoutes := map[string]flow.Route{
+		"no return":      {Chosen: flow.NoBackend},
+		"unknown step":   {Step: flow.StepAdmit + 1, Return: caller},
+		"chosen too big": {Chosen: catalog.MaximumBackends, Return: caller},
+	}
+	cases := map[string]Envelope{
+		"no key":       {},
+		"two families": {Key: flow.Key{Caller: caller, Service: netip.MustParseAddrPort("[::1]:443")}},
+		"mapped":       {Key: flow.Key{Caller: netip.MustParseAddrPort("[::ffff:1.2.3.4]:1"), Service: netip.MustParseAddrPort("[::1]:443")}},
+	}
+	for name, route := range invalidRoutes {
+		cases[name] = Envelope{Key: flow.Key{Caller: caller, Service: service}, Route: route, HasRoute: true}
+	}
+	for name, envelope := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := FormatEnvelope(envelope)
+			is := is.New(t)
+			is.True(err != nil)
+			is.Equal(fault.Of(err), fault.Invalid)
+		})
+	}
+}
+
+func FuzzParseEnvelope(f *testing.F) {
+	f.Add(header(f, func(*proxyproto.Header) {}))
+	f.Fuzz(func(t *testing.T, datagram []byte) { checkParse(t, datagram) })
+}
--- /dev/null
+++ b/internal/wire/socket_test.go
@@ -0,0 +1,117 @@
+package wire
+
+import (
+	"bytes"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burlmill/burlmill/fault"
+)
+
+func TestMain(m *testing.M) {
+	logging.SetLevel(logging.LevelNone)
+	goleak.VerifyTestMain(m)
+}
+
+// received is one datagram as a receiver saw it.
+type received struct {
+	datagram []byte
+	from     netip.AddrPort
+}
+
+// listen opens a socket that puts what it receives into the channel.
+func listen(t testing.TB, address string) (*Socket, chan received) {
+	t.Helper()
+	channel := make(chan received, 1000)
+	socket, err := Listen(netip.MustParseAddrPort(address), func(datagram []byte, from netip.AddrPort) {
+		channel <- received{bytes.Clone(datagram), from}
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket, channel
+}
+
+func next(t testing.TB, channel chan received) received {
+	t.Helper()
+	select {
+	case value := <-channel:
+		return value
+	case <-time.After(10 * time.Second):
+		t.Fatal("no datagram")
+		return received{}
+	}
+}
+
+func TestSocketsExchangeDatagrams(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:0", "[::1]:0"} {
+		t.Run(address, func(t *testing.T) {
+			is := is.New(t)
+			one, _ := listen(t, address)
+			two, arrived := listen(t, address)
+			for _, size := range []int{0, 1, 1500, MaximumDatagram} {
+				sent := bytes.Repeat([]byte{byte(size)}, size)
+				is.NoErr(one.Send(sent, two.LocalAddress()))
+				got := next(t, arrived)
+				is.True(bytes.Equal(got.datagram, sent))
+				is.Equal(got.from, one.LocalAddress())
+			}
+		})
+	}
+}
+
+func TestSendFaults(t *testing.T) {
+	is := is.New(t)
+	socket, _ := listen(t, "127.0.0.1:0")
+	to := socket.LocalAddress()
+	is.Equal(fault.Of(socket.Send(make([]byte, MaximumDatagram+1), to)), fault.Invalid)
+	is.Equal(fault.Of(socket.Send(nil, netip.MustParseAddrPort("[::1]:9"))), fault.Invalid)
+	_, err := Listen(to, nil)
+	is.Equal(fault.Of(err), fault.Unavailable)
+	is.NoErr(socket.Close())
+	is.NoErr(socket.Close())
+	is.Equal(fault.Of(socket.Send(nil, to)), fault.Unavailable)
+}
+
+// TestSocketsComeAndGo opens and closes sockets while others exchange datagrams:
+// the shared engine and reused descriptors must not mix sockets up.
+func TestSocketsComeAndGo(t *testing.T) {
+	var group sync.WaitGroup
+	for worker := range byte(8) {
+		group.Go(func() {
+			for round := range byte(30) {
+				exchangeOnce(t, []byte{worker, round})
+			}
+		})
+	}
+	group.Wait()
+}
+
+func exchangeOnce(t *testing.T, sent []byte) {
+	arrived := make(chan received, 10)
+	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(datagram []byte, from netip.AddrPort) {
+		arrived <- received{bytes.Clone(datagram), from}
+	})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer socket.Close()
+	if err := socket.Send(sent, socket.LocalAddress()); err != nil {
+		t.Error(err)
+		return
+	}
+	select {
+	case got := <-arrived:
+		if !bytes.Equal(got.datagram, sent) {
+			t.Errorf("sent %v, received %v", sent, got.datagram)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("no datagram")
+	}
+}
