Drain limits become settings; a leaving agent refuses in the decider

Cause: the demo's stop took 30 s: agents waited a fixed 30 s for UDP flows that end only by the 2 min idle timeout, and a lesson longer than 30 s would have been cut off by a planned stop. The agent also undid admissions after the decider had made them, a second place for one rule. Now: flows.drain-limit (1 h) and flows.drain-idle-timeout (10 s, not for HTTP, whose connections tell when they are over); flow.Decider.Leave refuses new flows, and the refusal goes to the arbiter like any other (TestLeavingAgentRefusesNewFlows).

--- a/catalog/parse.go
+++ b/catalog/parse.go
@@ -128,8 +128,14 @@
 	v.found = append(v.found, fault.InvalidField(field, value, rule))
 }
 
+// ValidName says whether the text is a name: 1 to MaximumName lower-case letters,
+// digits, dots or hyphens, with a letter or digit at both ends.
+func ValidName(text string) bool {
+	return len(text) <= MaximumName && namePattern.MatchString(text)
+}
+
 func (v *violations) checkName(field, name string) {
-	if len(name) > MaximumName || !namePattern.MatchString(name) {
+	if !ValidName(name) {
 		v.add(field, name, fmt.Sprintf("must be 1 to %d lower-case letters, digits, dots or hyphens", MaximumName))
 	}
 }
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -66,6 +66,9 @@
 type Options struct {
 	// IdleTimeout is how long a flow lives without a datagram.
 	IdleTimeout time.Duration
+	// DrainIdleTimeout is the same once the agent is leaving, but not for flows
+	// of HTTP services, whose connections tell when they are over; 0: no change.
+	DrainIdleTimeout time.Duration
 	// DecisionLifetime is how long an arbiter keeps a choice, and a back end a
 	// refusal. It must exceed the time that a datagram can be under way.
 	DecisionLifetime time.Duration
@@ -97,6 +100,7 @@
 	counts    map[backendIdentity]int // open flows of each back end
 	decisions expiringMap[Key, backendIdentity]
 	refusals  expiringMap[refusal, struct{}]
+	leaving   bool
 }
 
 // backendIdentity names one host for as long as it exists; another host under
@@ -144,6 +148,10 @@
 	}
 }
 
+// Leave makes the agent refuse every new flow from now on. It keeps the flows it
+// has and still searches and arbitrates for others.
+func (d *Decider) Leave() { d.leaving = true }
+
 // Flows returns the number of open flows.
 func (d *Decider) Flows() int { return len(d.flows) }
 
@@ -170,7 +178,7 @@
 func (d *Decider) Expire(now time.Time) []Key {
 	var idle []Key
 	for key, record := range d.flows {
-		if now.Sub(record.lastSeen) >= d.options.IdleTimeout {
+		if now.Sub(record.lastSeen) >= d.idleTimeout(record) {
 			idle = append(idle, key)
 			d.End(key)
 		}
@@ -180,6 +188,13 @@
 	return idle
 }
 
+func (d *Decider) idleTimeout(record *flowRecord) time.Duration {
+	if !d.leaving || d.options.DrainIdleTimeout == 0 || record.service.Protocol == catalog.ProtocolHTTP {
+		return d.options.IdleTimeout
+	}
+	return min(d.options.IdleTimeout, d.options.DrainIdleTimeout)
+}
+
 // SetSnapshot takes in a newer configuration and ignores an older one. It
 // returns the keys of flows that had to end because their service's or their
 // back end's address has passed to another holder: whatever they still carry
@@ -268,7 +283,8 @@
 // mayAdmit says whether a back end of this agent takes one more flow.
 func (d *Decider) mayAdmit(now time.Time, service *catalog.Service, index int) bool {
 	backend := &service.Backends[index]
-	return d.options.Confirmed(now) &&
+	return !d.leaving &&
+		d.options.Confirmed(now) &&
 		backend.State == catalog.BackendActive &&
 		d.FlowsOf(service, backend) < int(backend.Connections)
 }
--- a/flow/row_test.go
+++ b/flow/row_test.go
@@ -93,3 +93,25 @@
 		})
 	}
 }
+
+// TestLeavingAgentRefusesNewFlows checks that an agent that leaves keeps its
+// flows, passes new ones on, and drops a new flow that no other back end takes.
+func TestLeavingAgentRefusesNewFlows(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{IdleTimeout: time.Minute})
+	decider.SetSnapshot(snapshot)
+	now := time.Unix(0, 0)
+	admit := func(caller int) Action {
+		key := Key{Caller: address("198.51.100.7:%d", caller), Service: service.Address}
+		return decider.Handle(now, Packet{Key: key, Route: Route{Revision: 1, Step: StepAdmit, Chosen: 0}})
+	}
+	is.Equal(admit(1).Kind, Deliver)
+	decider.Leave()
+	is.Equal(admit(1).Kind, Deliver)
+	action := admit(2)
+	is.Equal(action.Kind, Forward)
+	is.Equal(action.Hop.To, address("10.0.0.2:7000"))
+}
--- a/internal/lab/process/group.go
+++ b/internal/lab/process/group.go
@@ -125,30 +125,32 @@
 	return child, nil
 }
 
-// StopAll sends every running child SIGTERM and waits until all have ended. The
-// error joins those of Process.Stop. Children that ended before are left out:
-// whoever killed them knows why.
-func (g *Group) StopAll(limit time.Duration) error {
-	children := g.stillRunning()
-	problems := make([]error, len(children))
+// StopAll stops every running child of the group, as the function StopAll does.
+func (g *Group) StopAll(limit time.Duration) error { return StopAll(g.list(), limit) }
+
+// StopAll sends every running one of the children SIGTERM and waits until all
+// have ended. The error joins those of Process.Stop. Children that ended before
+// are left out: whoever killed them knows why.
+func StopAll(children []*Process, limit time.Duration) error {
+	running := slices.DeleteFunc(slices.Clone(children), (*Process).hasEnded)
+	problems := make([]error, len(running))
 	var stopping sync.WaitGroup
-	for number, child := range children {
+	for number, child := range running {
 		stopping.Go(func() { problems[number] = child.Stop(limit) })
 	}
 	stopping.Wait()
 	return errors.Join(problems...)
 }
 
-// stillRunning returns the children that have not ended.
-func (g *Group) stillRunning() []*Process {
-	return slices.DeleteFunc(g.list(), func(child *Process) bool {
-		select {
-		case <-child.ended:
-			return true
-		default:
-			return false
+// Running returns the names of the children that have not ended.
+func (g *Group) Running() []string {
+	var names []string
+	for _, child := range g.list() {
+		if !child.hasEnded() {
+			names = append(names, child.name)
 		}
-	})
+	}
+	return names
 }
 
 // Close kills every child, waits until all are gone and removes the binaries.
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -41,6 +41,15 @@
 	close(p.ended)
 }
 
+func (p *Process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // ID returns the process id.
 func (p *Process) ID() int { return p.command.Process.Pid }
 
@@ -52,12 +61,10 @@
 
 // ExitCode returns the child's exit code: -1 while it runs or when a signal ended it.
 func (p *Process) ExitCode() int {
-	select {
-	case <-p.ended:
-		return p.command.ProcessState.ExitCode()
-	default:
+	if !p.hasEnded() {
 		return -1
 	}
+	return p.command.ProcessState.ExitCode()
 }
 
 // AwaitLine waits until a line of the log contains the text and returns that
@@ -121,9 +128,7 @@
 // signal reaches the child's process group, unless the child is gone: its id
 // could belong to another process by then.
 func (p *Process) signal(signal syscall.Signal) {
-	select {
-	case <-p.ended:
-	default:
+	if !p.hasEnded() {
 		_ = syscall.Kill(-p.ID(), signal)
 	}
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"regexp"
 	"slices"
 	"strings"
 
@@ -45,7 +44,6 @@
 
 var (
 	addressType = reflect.TypeFor[netip.AddrPort]()
-	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
 	checker     = newChecker()
 )
 
@@ -77,8 +75,7 @@
 }
 
 func isName(level validator.FieldLevel) bool {
-	name := level.Field().String()
-	return len(name) <= catalog.MaximumName && namePattern.MatchString(name)
+	return catalog.ValidName(level.Field().String())
 }
 
 func isAddress(level validator.FieldLevel) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,8 +38,10 @@
 
 // Flows bounds what one process remembers about flows.
 type Flows struct {
-	IdleTimeout time.Duration `koanf:"idle-timeout" validate:"min=1s,max=24h" help:"A flow without a datagram for this long is over."`
-	CacheSize   int           `koanf:"cache-size" validate:"min=1024,max=10000000" help:"Entries of the balancer's header cache."`
+	IdleTimeout      time.Duration `koanf:"idle-timeout" validate:"min=1s,max=24h" help:"A flow without a datagram for this long is over."`
+	DrainIdleTimeout time.Duration `koanf:"drain-idle-timeout" validate:"min=1s,max=24h" help:"The same once the process is stopping, so that flows that have ended in silence do not hold it up."`
+	DrainLimit       time.Duration `koanf:"drain-limit" validate:"min=1s,max=24h" help:"A stopping process waits this long for its requests and flows; then it cuts off what is left."`
+	CacheSize        int           `koanf:"cache-size" validate:"min=1024,max=10000000" help:"Entries of the balancer's header cache."`
 }
 
 // Log says what is logged.
@@ -61,7 +63,12 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{Readers: 3},
-		Flows:    Flows{IdleTimeout: 2 * time.Minute, CacheSize: 65536},
-		Log:      Log{Level: "info"},
+		Flows: Flows{
+			IdleTimeout:      2 * time.Minute,
+			DrainIdleTimeout: 10 * time.Second,
+			DrainLimit:       time.Hour,
+			CacheSize:        65536,
+		},
+		Log: Log{Level: "info"},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,7 +47,9 @@
 	is.Equal(loaded.Node.ID, "balancer-2")
 	is.Equal(string(loaded.Node.Zone), "zone-a")
 	is.Equal(loaded.Node.MetricsAddress, netip.MustParseAddrPort("127.0.0.1:7001"))
-	is.Equal(loaded.Flows, settings.Flows{IdleTimeout: 90 * time.Second, CacheSize: 4096})
+	flows := settings.Default().Flows
+	flows.IdleTimeout, flows.CacheSize = 90*time.Second, 4096
+	is.Equal(loaded.Flows, flows)
 	is.Equal(len(loaded.Peers.Seeds), 2)
 	is.Equal(loaded.Platform.Readers, settings.Default().Platform.Readers)
 	is.Equal(loaded.Log.Level, "info")
