--- a/cmd/burlmill/processes.go
+++ b/cmd/burlmill/processes.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/burlmill/burlmill/internal/agent"
 	"github.com/burlmill/burlmill/internal/balancer"
+	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
 )
 
@@ -29,6 +31,8 @@
 			if err != nil {
 				return err
 			}
+			// nbio's log belongs to the whole process, so it is routed only here.
+			logging.RouteNbio(logging.New(os.Stdout, loaded.Log.Level))
 			return run(ctx, loaded)
 		}
 	}
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -11,6 +11,7 @@
 	"github.com/lesismal/nbio"
 
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/polling"
 )
 
 const (
@@ -79,8 +80,9 @@
 		_ = watched.Close()
 		return err
 	}
-	s.engine, err = startEngine(readSocket)
-	if err != nil {
+	s.engine = nbio.NewEngine(nbio.Config{Name: "wire", NPoller: 1})
+	s.engine.OnRead(readSocket)
+	if err := polling.Start(s.engine); err != nil {
 		_ = s.readiness.Close()
 		return err
 	}
