Disputed addresses: the same holder everywhere

The digest covered name and revision only, so bodies that differ at one revision (restored store) went unnoticed. Weighed: the lowest revision wins (a holder would lose its address at its next change), the lowest name wins (a later claim could take it at once), reservation objects in the store (writers only). Chosen: an object carries the revision since which its service has held the address; the earliest claim wins, and what is in force is a pure function of the objects held.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -83,6 +83,12 @@
 	Revision Revision // store revision of the write that made this version
 	Deleted  bool     // the object was removed; Body is empty
 	Body     []byte   // JSON of a Service
+
+	// ClaimedAt is the revision since which the service has held its address
+	// without a break. Of two services that claim one address the one that has
+	// held it for longer keeps it. The store does not know it: 0 means that
+	// Snapshot.With works it out from the version it holds.
+	ClaimedAt Revision
 }
 
 // Limits on what an object may contain.
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -28,11 +28,15 @@
 
 // Snapshot is one immutable state of the whole configuration. All methods are
 // safe for concurrent use; nothing it returns may be changed.
+//
+// Which services are in force is a pure function of the objects held, so that
+// processes that received the same objects in different orders agree.
 type Snapshot struct {
 	revision  Revision
 	digest    uint64
 	objects   map[ServiceName]Object
-	services  map[ServiceName]*Service
+	claimants map[ServiceName]*Service // every valid service, in force or not
+	services  map[ServiceName]*Service // those in force
 	byAddress map[netip.AddrPort]*Service
 }
 
@@ -40,6 +44,7 @@
 func Empty() *Snapshot {
 	return &Snapshot{
 		objects:   map[ServiceName]Object{},
+		claimants: map[ServiceName]*Service{},
 		services:  map[ServiceName]*Service{},
 		byAddress: map[netip.AddrPort]*Service{},
 	}
@@ -48,17 +53,17 @@
 // Revision returns the highest revision whose changes the snapshot holds.
 func (s *Snapshot) Revision() Revision { return s.revision }
 
-// Digest returns a hash over the name and revision of every object held. Two
-// snapshots at the same revision with different digests hold different objects.
+// Digest returns a hash over all objects held. Two snapshots at the same
+// revision with different digests hold different objects.
 func (s *Snapshot) Digest() uint64 { return s.digest }
 
-// Service returns the service of that name, nil if there is none.
+// Service returns the service of that name, nil if there is none in force.
 func (s *Snapshot) Service(name ServiceName) *Service { return s.services[name] }
 
 // ServiceAt returns the service at a caller-facing address, nil if there is none.
 func (s *Snapshot) ServiceAt(address netip.AddrPort) *Service { return s.byAddress[address] }
 
-// Services returns all services in order of name.
+// Services returns all services in force in order of name.
 func (s *Snapshot) Services() []*Service {
 	names := slices.Sorted(maps.Keys(s.services))
 	services := make([]*Service, 0, len(names))
@@ -95,8 +100,7 @@
 		revision:  revision,
 		digest:    s.digest,
 		objects:   maps.Clone(s.objects),
-		services:  maps.Clone(s.services),
-		byAddress: maps.Clone(s.byAddress),
+		claimants: maps.Clone(s.claimants),
 	}
 	ordered := slices.Clone(objects)
 	slices.SortFunc(ordered, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -106,60 +110,121 @@
 			problems = append(problems, err)
 		}
 	}
+	next.settleClaims()
+	for _, object := range ordered {
+		if err := next.checkClaim(object.Name); err != nil {
+			problems = append(problems, err)
+		}
+	}
 	return next, errors.Join(problems...)
 }
 
-// put takes one object in. An object that is refused leaves no trace, so that the
-// last good version stays in force here and is what peers receive.
+// put takes one object in. An invalid object leaves no trace, so that the last
+// good version stays in force here and is what peers receive.
 func (s *Snapshot) put(object Object) error {
-	if held, ok := s.objects[object.Name]; ok && held.Revision >= object.Revision {
+	held, ok := s.objects[object.Name]
+	if ok && held.Revision > object.Revision {
 		return nil
 	}
-	if object.Deleted {
-		s.remove(object.Name)
-		s.record(object)
+	var service *Service
+	if !object.Deleted {
+		parsed, err := ParseService(object.Name, object.Body)
+		if err != nil {
+			return err
+		}
+		parsed.Revision = object.Revision
+		service = &parsed
+	}
+	object.ClaimedAt = s.claimedAt(object, service)
+	if ok && held.Revision == object.Revision && !object.supersedes(&held) {
 		return nil
 	}
-	service, err := ParseService(object.Name, object.Body)
-	if err != nil {
-		return err
+	s.record(object, service)
+	return nil
+}
+
+// claimedAt returns since when the object's service has held its address, as far
+// as the object itself and the version held here tell.
+func (s *Snapshot) claimedAt(object Object, service *Service) Revision {
+	if service == nil {
+		return 0
 	}
-	if holder := s.byAddress[service.Address]; holder != nil && holder.Name != service.Name {
-		return fault.InvalidField("address", service.Address, "is already held by service "+string(holder.Name))
+	earliest := object.ClaimedAt
+	if earliest == 0 {
+		earliest = object.Revision
 	}
-	service.Revision = object.Revision
-	s.remove(object.Name)
-	s.record(object)
-	s.services[service.Name] = &service
-	s.byAddress[service.Address] = &service
-	return nil
+	if former := s.claimants[object.Name]; former != nil && former.Address == service.Address {
+		earliest = min(earliest, s.objects[object.Name].ClaimedAt)
+	}
+	return earliest
+}
+
+// supersedes decides between two objects of one name and revision, the same way
+// everywhere. Bodies differ only if a restored store used a revision again.
+func (o *Object) supersedes(held *Object) bool {
+	if mine, theirs := xxhash.Sum64(o.Body), xxhash.Sum64(held.Body); mine != theirs {
+		return mine > theirs
+	}
+	return o.ClaimedAt < held.ClaimedAt
 }
 
-// record stores the object and keeps the digest in step.
-func (s *Snapshot) record(object Object) {
+// record stores the object and its service, nil for a deletion, and keeps the
+// digest in step.
+func (s *Snapshot) record(object Object, service *Service) {
 	if held, ok := s.objects[object.Name]; ok {
-		s.digest ^= held.hash()
+		s.digest ^= held.Hash()
 	}
-	s.digest ^= object.hash()
+	s.digest ^= object.Hash()
 	s.objects[object.Name] = object
+	if service == nil {
+		delete(s.claimants, object.Name)
+		return
+	}
+	s.claimants[object.Name] = service
 }
 
-// hash identifies one version of one object.
-func (o *Object) hash() uint64 {
+// settleClaims gives each address to the service that has claimed it for longest.
+func (s *Snapshot) settleClaims() {
+	s.services = make(map[ServiceName]*Service, len(s.claimants))
+	s.byAddress = make(map[netip.AddrPort]*Service, len(s.claimants))
+	for _, service := range s.claimants {
+		holder := s.byAddress[service.Address]
+		if holder == nil || s.claimsBefore(service, holder) {
+			s.byAddress[service.Address] = service
+		}
+	}
+	for _, holder := range s.byAddress {
+		s.services[holder.Name] = holder
+	}
+}
+
+func (s *Snapshot) claimsBefore(service, holder *Service) bool {
+	return cmp.Or(
+		cmp.Compare(s.objects[service.Name].ClaimedAt, s.objects[holder.Name].ClaimedAt),
+		cmp.Compare(service.Name, holder.Name),
+	) < 0
+}
+
+// checkClaim returns an error if the service of that name is held but not in force.
+func (s *Snapshot) checkClaim(name ServiceName) error {
+	service := s.claimants[name]
+	if service == nil || s.services[name] == service {
+		return nil
+	}
+	holder := s.byAddress[service.Address]
+	return fault.InvalidField("address", service.Address, "is already held by service "+string(holder.Name))
+}
+
+// Hash identifies one version of one object with everything that decides what is
+// in force.
+func (o *Object) Hash() uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(string(o.Name))
-	var revision [8]byte
-	binary.BigEndian.PutUint64(revision[:], uint64(o.Revision))
-	_, _ = digest.Write(revision[:])
+	var numbers [16]byte
+	binary.BigEndian.PutUint64(numbers[:8], uint64(o.Revision))
+	binary.BigEndian.PutUint64(numbers[8:], uint64(o.ClaimedAt))
+	_, _ = digest.Write(numbers[:])
+	_, _ = digest.Write(o.Body)
 	return digest.Sum64()
 }
-
-func (s *Snapshot) remove(name ServiceName) {
-	service := s.services[name]
-	if service == nil {
-		return
-	}
-	delete(s.byAddress, service.Address)
-	delete(s.services, name)
-}
--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -96,10 +96,8 @@
 	}
 	a.promised[message.Replica] = true
 	a.found.merge(&message.Claim)
-	taken := a.found.blocks() && a.found.Attempt() != a.id
 	switch {
-	case taken && a.found.Outcome.Final():
-		c.settle(now, a, c.verdictOn(a)) // a fact, whoever tells it
+	case c.settleKnown(now, a):
 	case a.view.isQuorum(a.promised):
 		c.judge(now, a)
 	default:
@@ -107,6 +105,16 @@
 	}
 }
 
+// settleKnown answers the attempt if a replica has told what became of another one
+// with the key. That is a fact, whatever the others hold.
+func (c *Coordinator) settleKnown(now time.Time, a *attempt) bool {
+	if !a.found.blocks() || a.found.Attempt() == a.id || !a.found.Outcome.Final() {
+		return false
+	}
+	c.settle(now, a, c.verdictOn(a))
+	return true
+}
+
 // judge goes on after a quorum has told what it holds.
 func (c *Coordinator) judge(now time.Time, a *attempt) {
 	if a.found.blocks() && a.found.Attempt() != a.id {
@@ -173,6 +181,10 @@
 	if !a.isOpen() {
 		return
 	}
+	a.found.merge(&message.Claim)
+	if c.settleKnown(now, a) {
+		return
+	}
 	a.met = max(a.met, message.Promised.Round)
 	a.service.round = max(a.service.round, message.Promised.Round)
 	a.rejected[message.Replica] = true
--- a/claim/contact.go
+++ b/claim/contact.go
@@ -39,6 +39,14 @@
 	})
 }
 
+// forgetGrants drops what agents vouched for, because it was for another chain.
+func (g *group) forgetGrants() {
+	g.contact.number++ // answers under way are for the other chain, too
+	for _, heard := range g.contact.heard {
+		heard.granted = time.Time{}
+	}
+}
+
 // hearsView says whether a quorum of the latest view's members has answered lately.
 func (g *group) hearsView(now time.Time) bool {
 	return isQuorum(g.latest.Members, func(member Instance) bool {
@@ -131,8 +139,11 @@
 	return Presence{Service: g.service, From: g.self, Latest: g.latest.ID, Viewless: g.viewless(now)}
 }
 
-// viewless returns for how long no view in force has been heard of.
-func (g *group) viewless(now time.Time) time.Duration { return now.Sub(g.contact.viewHeardAt) }
+// viewless returns for how long neither a view in force nor a new founding has been
+// heard of.
+func (g *group) viewless(now time.Time) time.Duration {
+	return min(now.Sub(g.contact.viewHeardAt), now.Sub(g.founding.learntAt))
+}
 
 // notice takes in which view is in force.
 func (g *group) notice(now time.Time, message Notice) {
--- a/claim/founding.go
+++ b/claim/founding.go
@@ -10,19 +10,29 @@
 type foundingState struct {
 	read        bool             // the store was read since the start
 	epoch       catalog.Revision // latest founding known
+	learntAt    time.Time        // when it was read from the store
 	established catalog.Revision // epoch in which this instance was in contact
 	granted     catalog.Revision // epoch that this instance vouched for last
 	grantedAt   time.Time        // when it did so last; zero: not since the start
 	nextAt      time.Time        // earliest next action
 }
 
-// foundingRetries is how many retry intervals pass between actions on the store.
-const foundingRetries = 20
+// Times in retry intervals.
+const (
+	foundingRetries = 20 // between actions on the store
+	foundingPause   = 4  // between the read and a proposal, so that others are heard
+)
 
 // founded takes in what the store holds.
 func (g *group) founded(now time.Time, event Founded) {
-	g.founding.read = true
-	g.founding.epoch = max(g.founding.epoch, event.Epoch)
+	if !g.founding.read {
+		g.founding.read = true
+		g.delayFounding(now, foundingPause)
+	}
+	if event.Epoch > g.founding.epoch {
+		g.founding.epoch = event.Epoch
+		g.founding.learntAt = now
+	}
 	if event.Epoch > 0 {
 		g.adopt(now, event.Founding.view(event.Epoch))
 	}
@@ -63,19 +73,19 @@
 		return
 	}
 	if !g.founding.read {
-		g.delayFounding(now)
+		g.delayFounding(now, foundingRetries)
 		g.out.add(ReadFounding{Service: g.service})
 		return
 	}
 	if members := g.founders(now); len(members) > 0 {
-		g.delayFounding(now)
+		g.delayFounding(now, foundingRetries)
 		founding := Founding{Replaces: g.founding.epoch, Members: members}
 		g.out.add(ProposeFounding{Service: g.service, Founding: founding})
 	}
 }
 
-func (g *group) delayFounding(now time.Time) {
-	g.founding.nextAt = now.Add(foundingRetries * g.options.RetryInterval)
+func (g *group) delayFounding(now time.Time, retries time.Duration) {
+	g.founding.nextAt = now.Add(retries * g.options.RetryInterval)
 }
 
 // founders returns the members of a new chain's first view, none if it is not for
--- a/claim/group.go
+++ b/claim/group.go
@@ -65,6 +65,9 @@
 	if view.ID.Compare(g.latest.ID) <= 0 {
 		return
 	}
+	if view.ID.Epoch != g.latest.ID.Epoch {
+		g.forgetGrants()
+	}
 	g.latest = view
 	g.acceptor = changeAcceptor{}
 	g.proposal = nil
--- a/claim/message.go
+++ b/claim/message.go
@@ -63,6 +63,7 @@
 type Rejected struct {
 	Vote
 	Promised Ballot
+	Claim    Claim // zero if the replica holds none
 }
 
 // Full declines a message under a key that the replica holds nothing about,
--- a/claim/options.go
+++ b/claim/options.go
@@ -24,7 +24,8 @@
 	// AnswerLimit is the longest answer that is stored whole, in bytes. Of longer
 	// ones the length and the digest are stored.
 	AnswerLimit int
-	// Attempts bounds the attempts that a coordinator has open at once.
+	// Attempts bounds the attempts that a coordinator has open at once, each of
+	// which may hold an answer of AnswerLimit until the replicas have confirmed it.
 	Attempts int
 }
 
@@ -37,7 +38,7 @@
 		RetryAfter:    2 * time.Second,
 		Memory:        8 << 20,
 		AnswerLimit:   16 << 10,
-		Attempts:      4096,
+		Attempts:      512,
 	}
 }
 
--- a/claim/record.go
+++ b/claim/record.go
@@ -93,7 +93,7 @@
 	Remaining time.Duration // until the record expires
 }
 
-// Fixed cost of a record and of an attempt in memory, in bytes.
+// recordOverhead is the fixed cost of a record in memory, in bytes.
 const recordOverhead = 512
 
 // size returns the bytes that the record takes.
--- a/claim/registers.go
+++ b/claim/registers.go
@@ -13,7 +13,7 @@
 		return
 	}
 	if message.Ballot.Compare(record.Promised) < 0 {
-		g.reply(message.Ballot, Rejected{g.vote(message.Ballot), record.Promised})
+		g.reply(message.Ballot, Rejected{g.vote(message.Ballot), record.Promised, record.Claim})
 		return
 	}
 	g.records.promise(now, record, message.Ballot)
@@ -31,7 +31,7 @@
 		return
 	}
 	if message.Ballot.Compare(record.Promised) < 0 {
-		g.reply(message.Ballot, Rejected{g.vote(message.Ballot), record.Promised})
+		g.reply(message.Ballot, Rejected{g.vote(message.Ballot), record.Promised, record.Claim})
 		return
 	}
 	g.records.promise(now, record, message.Ballot)
--- a/dissemination/compare.go
+++ b/dissemination/compare.go
@@ -15,6 +15,17 @@
 type Version struct {
 	Name     catalog.ServiceName
 	Revision catalog.Revision
+	Hash     uint64 // catalog.Object.Hash
+}
+
+// lacks says whether the holder of the version can learn from the object.
+func (v Version) lacks(object *catalog.Object) bool {
+	return object.Revision > v.Revision || object.Revision == v.Revision && object.Hash() != v.Hash
+}
+
+// adds says whether the holder of the object can learn from the version.
+func (v Version) adds(object *catalog.Object) bool {
+	return v.Revision > object.Revision || v.Revision == object.Revision && object.Hash() != v.Hash
 }
 
 // Difference is what one process must send to and ask from another so that both
@@ -50,8 +61,7 @@
 func (m *Machine) Buckets() []uint32 {
 	hashes := make([]uint32, BucketCount)
 	for _, object := range m.snapshot.Since(0) {
-		one := catalog.Object{Name: object.Name, Revision: object.Revision}
-		hashes[bucketOf(object.Name)] ^= versionHash(one)
+		hashes[bucketOf(object.Name)] ^= uint32(object.Hash())
 	}
 	return hashes
 }
@@ -60,11 +70,6 @@
 	return int(xxhash.Sum64String(string(name)) % BucketCount)
 }
 
-func versionHash(object catalog.Object) uint32 {
-	value := xxhash.Sum64String(string(object.Name)) ^ uint64(object.Revision)*0x9e3779b97f4a7c15
-	return uint32(value>>32) ^ uint32(value*0xbf58476d1ce4e5b9>>29)
-}
-
 // Versions returns the differing buckets and the versions held in them.
 func (m *Machine) Versions(peer []uint32) (differing []int, versions []Version) {
 	if len(peer) != BucketCount {
@@ -79,7 +84,7 @@
 	}
 	for _, object := range m.snapshot.Since(0) {
 		if different[bucketOf(object.Name)] {
-			versions = append(versions, Version{object.Name, object.Revision})
+			versions = append(versions, Version{object.Name, object.Revision, object.Hash()})
 		}
 	}
 	return differing, versions
@@ -87,9 +92,9 @@
 
 // Compare finds what differs from a peer's versions in the buckets named.
 func (m *Machine) Compare(differing []int, versions []Version) Difference {
-	theirs := map[catalog.ServiceName]catalog.Revision{}
+	theirs := map[catalog.ServiceName]Version{}
 	for _, version := range versions {
-		theirs[version.Name] = version.Revision
+		theirs[version.Name] = version
 	}
 	inBucket := [BucketCount]bool{}
 	for _, bucket := range differing {
@@ -99,15 +104,16 @@
 	}
 	var difference Difference
 	for _, object := range m.snapshot.Since(0) {
-		if inBucket[bucketOf(object.Name)] && object.Revision > theirs[object.Name] {
+		version := theirs[object.Name]
+		if inBucket[bucketOf(object.Name)] && version.lacks(&object) {
 			difference.Send = append(difference.Send, object)
 		}
-		if object.Revision >= theirs[object.Name] {
+		if !version.adds(&object) {
 			delete(theirs, object.Name)
 		}
 	}
 	for _, version := range versions {
-		if theirs[version.Name] != 0 {
+		if _, missing := theirs[version.Name]; missing {
 			difference.Ask = append(difference.Ask, version.Name)
 		}
 	}
--- a/internal/coordination/exchange/answer.go
+++ b/internal/coordination/exchange/answer.go
@@ -105,7 +105,7 @@
 		d.takePage(now, *meaning.pull, response.GetPage())
 	}
 	if meaning.joins {
-		d.joinAnswered(now, meaning, response)
+		d.joinAnswered(now, response)
 	}
 	if meaning.asked {
 		d.takeMembers(now, meaning, response.GetMembers())
--- a/internal/coordination/exchange/codec.go
+++ b/internal/coordination/exchange/codec.go
@@ -108,10 +108,11 @@
 	encoded := &burlmillv1.CatalogObjects{}
 	for _, object := range objects {
 		encoded.Objects = append(encoded.Objects, &burlmillv1.CatalogObject{
-			Name:     string(object.Name),
-			Revision: uint64(object.Revision),
-			Deleted:  object.Deleted,
-			Body:     object.Body,
+			Name:      string(object.Name),
+			Revision:  uint64(object.Revision),
+			Deleted:   object.Deleted,
+			Body:      object.Body,
+			ClaimedAt: uint64(object.ClaimedAt),
 		})
 	}
 	return compress(encoded)
@@ -125,10 +126,11 @@
 	objects := make([]catalog.Object, 0, len(encoded.GetObjects()))
 	for _, object := range encoded.GetObjects() {
 		objects = append(objects, catalog.Object{
-			Name:     catalog.ServiceName(object.GetName()),
-			Revision: catalog.Revision(object.GetRevision()),
-			Deleted:  object.GetDeleted(),
-			Body:     object.GetBody(),
+			Name:      catalog.ServiceName(object.GetName()),
+			Revision:  catalog.Revision(object.GetRevision()),
+			Deleted:   object.GetDeleted(),
+			Body:      object.GetBody(),
+			ClaimedAt: catalog.Revision(object.GetClaimedAt()),
 		})
 	}
 	return objects, nil
@@ -156,7 +158,11 @@
 func encodeVersions(versions []dissemination.Version) []*burlmillv1.ObjectVersion {
 	encoded := make([]*burlmillv1.ObjectVersion, 0, len(versions))
 	for _, version := range versions {
-		encoded = append(encoded, &burlmillv1.ObjectVersion{Name: string(version.Name), Revision: uint64(version.Revision)})
+		encoded = append(encoded, &burlmillv1.ObjectVersion{
+			Name:     string(version.Name),
+			Revision: uint64(version.Revision),
+			Hash:     version.Hash,
+		})
 	}
 	return encoded
 }
@@ -167,6 +173,7 @@
 		versions = append(versions, dissemination.Version{
 			Name:     catalog.ServiceName(version.GetName()),
 			Revision: catalog.Revision(version.GetRevision()),
+			Hash:     version.GetHash(),
 		})
 	}
 	return versions
--- a/internal/coordination/exchange/decider.go
+++ b/internal/coordination/exchange/decider.go
@@ -78,13 +78,12 @@
 
 // pending is an exchange that waits for its answer.
 type pending struct {
-	peer   string
-	link   *link
-	told   membership.Cursor
-	pull   *dissemination.Pull
-	joins  bool
-	asked  bool // the peer is asked for members of differing buckets
-	failed bool
+	peer  string
+	link  *link
+	told  membership.Cursor
+	pull  *dissemination.Pull
+	joins bool
+	asked bool // the peer is asked for members of differing buckets
 }
 
 // New returns the decider of a process that knows only itself. The random
--- a/internal/coordination/exchange/join.go
+++ b/internal/coordination/exchange/join.go
@@ -74,7 +74,7 @@
 	})
 }
 
-func (d *Decider) joinAnswered(now time.Time, meaning pending, response *burlmillv1.ExchangeResponse) {
+func (d *Decider) joinAnswered(now time.Time, response *burlmillv1.ExchangeResponse) {
 	d.join.open--
 	page := response.GetMembers()
 	if page.GetBusy() {
--- a/internal/lab/cluster/backends.go
+++ b/internal/lab/cluster/backends.go
@@ -8,6 +8,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/lab/backend"
+	"github.com/burlmill/burlmill/internal/lab/faultproxy"
 	"github.com/burlmill/burlmill/internal/lab/process"
 )
 
@@ -19,6 +20,7 @@
 	Address     netip.AddrPort
 	Incarnation uint64
 	Agent       *Node
+	Proxy       *faultproxy.TCP // between the agent and the back end; nil without one
 
 	process *process.Process // nil: it runs in this process
 	server  *backend.Backend // nil: it runs as a process of its own
@@ -55,6 +57,9 @@
 	if err := c.serve(member); err != nil {
 		return nil, err
 	}
+	if err := c.startProxy(member); err != nil {
+		return nil, err
+	}
 	agent, err := c.startNode(ctx, roleAgent)
 	if err != nil {
 		return nil, err
@@ -97,6 +102,34 @@
 	return err
 }
 
+// startProxy puts a fault proxy in front of the back end if the plan says so.
+func (c *Cluster) startProxy(member *Backend) (err error) {
+	if !c.plan.service(member.Service).Proxied {
+		return nil
+	}
+	member.Proxy, err = faultproxy.StartTCP(faultproxy.Options{
+		Listen: netip.AddrPortFrom(member.Address.Addr(), proxyPort),
+		Target: member.Address,
+		Seed:   uint64(c.numbered),
+	})
+	return err
+}
+
+// reached returns the address at which the agent reaches the back end.
+func (b *Backend) reached() netip.AddrPort {
+	if b.Proxy != nil {
+		return b.Proxy.Address()
+	}
+	return b.Address
+}
+
+// KillBackend ends a back end at once, cutting what runs there. Its agent runs
+// on. It needs back ends that run in this process.
+func (c *Cluster) KillBackend(member *Backend) error { return member.closeServer() }
+
+// RerunBackend starts a back end that has been killed, at its old address.
+func (c *Cluster) RerunBackend(member *Backend) error { return c.serve(member) }
+
 // entry returns the back end's entry in the service object.
 func (c *Cluster) entry(member *Backend) catalog.Backend {
 	plan := c.plan.service(member.Service)
@@ -106,7 +139,7 @@
 	}
 	return catalog.Backend{
 		ID: member.ID, Site: member.Site, Zone: member.Agent.Zone,
-		Agent: member.Agent.Data(), Address: member.Address,
+		Agent: member.Agent.Data(), Address: member.reached(),
 		Weight: 1, Slots: plan.Slots, Connections: connections,
 		State: catalog.BackendActive, Incarnation: member.Incarnation,
 	}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -203,6 +203,9 @@
 	}
 	for _, member := range c.Backends {
 		problems = append(problems, member.closeServer())
+		if member.Proxy != nil {
+			problems = append(problems, member.Proxy.Close())
+		}
 	}
 	if c.plan.Group == nil {
 		problems = append(problems, c.group.Close())
--- a/internal/lab/cluster/plan.go
+++ b/internal/lab/cluster/plan.go
@@ -29,6 +29,8 @@
 	Slots       uint32 // requests that each back end runs at once
 	Connections uint32 // flows that each back end holds at once; 0: defaultConnections
 	Sites       []SitePlan
+	// Proxied puts a fault proxy between each back end's TCP port and its agent.
+	Proxied bool
 }
 
 // defaultConnections is the limit on flows of a back end whose plan has none.
@@ -68,6 +70,7 @@
 	controlPort = 7100
 	metricsPort = 7200
 	backendPort = 8000
+	proxyPort   = 8100 // of the fault proxy in front of a back end
 )
 
 // region is the region of every process of a cluster.
--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -7,6 +7,7 @@
 package faultproxy
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -33,6 +34,8 @@
 	Duplicate float64       // UDP only: datagrams sent twice
 	Reorder   float64       // UDP only: datagrams held back by ReorderDelay
 	Freeze    bool          // nothing passes until it is lifted; what waits is kept
+	CutWithin int64         // TCP only: a new stream is cut after a number of bytes below this, drawn for each; 0: not
+	CutClean  bool          // a cut looks like the regular end of the stream to whoever reads it, not like a reset
 }
 
 // ReorderDelay is how long a reordered datagram is held back beyond its delay.
@@ -51,12 +54,26 @@
 	random  *rand.Rand
 	faults  [directionCount]Faults
 	changed chan struct{} // closed and replaced at each change
+	spoiled uint64        // streams that were refused or did not pass whole
 }
 
 func newControls(seed uint64) *controls {
 	return &controls{random: rand.New(rand.NewPCG(seed, 0)), changed: make(chan struct{})}
 }
 
+// Spoiled returns how many streams were refused, reset or cut by the proxy so far.
+func (c *controls) Spoiled() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.spoiled
+}
+
+func (c *controls) spoil() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.spoiled++
+}
+
 // Set puts the faults of one direction in force, also for what waits already.
 func (c *controls) Set(direction Direction, faults Faults) {
 	c.mutex.Lock()
@@ -106,3 +123,23 @@
 	}
 	return decided
 }
+
+// cut is where one direction of a stream is cut.
+type cut struct {
+	after int64 // bytes; noCut for nowhere
+	clean bool
+}
+
+// noCut is the place of a cut that no stream reaches.
+const noCut = math.MaxInt64
+
+// decideCut draws where a new stream is cut.
+func (c *controls) decideCut(direction Direction) cut {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	faults := c.faults[direction]
+	if faults.CutWithin <= 0 {
+		return cut{after: noCut}
+	}
+	return cut{after: c.random.Int64N(faults.CutWithin), clean: faults.CutClean}
+}
--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -220,3 +220,19 @@
 	_, err := dial(t, proxy).Read(make([]byte, 1))
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+func TestStreamIsCutWithinBytes(t *testing.T) {
+	const within = 1000
+	for _, clean := range []bool{false, true} {
+		is := is.New(t)
+		proxy := startTCP(t)
+		proxy.Set(faultproxy.ToClient, faultproxy.Faults{CutWithin: within, CutClean: clean})
+		connection := dial(t, proxy)
+		_, err := connection.Write(make([]byte, within))
+		is.NoErr(err)
+		received, err := io.ReadAll(connection)
+		is.True(len(received) < within)
+		is.Equal(err == nil, clean)
+		is.Equal(proxy.Spoiled(), uint64(1))
+	}
+}
--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -7,9 +7,10 @@
 
 // stream is one TCP connection through the proxy.
 type stream struct {
-	client net.Conn
-	server net.Conn
-	lines  [directionCount]*line
+	controls *controls
+	client   net.Conn
+	server   net.Conn
+	lines    [directionCount]*line
 
 	mutex    sync.Mutex
 	ended    bool
@@ -17,7 +18,7 @@
 }
 
 func newStream(controls *controls, client, server net.Conn) *stream {
-	created := &stream{client: client, server: server}
+	created := &stream{controls: controls, client: client, server: server}
 	for direction := range directionCount {
 		created.lines[direction] = newLine(controls, direction)
 	}
@@ -32,19 +33,38 @@
 	over := s.finished == int(directionCount)
 	s.mutex.Unlock()
 	if over {
-		s.end(func(connection net.Conn) { _ = connection.Close() })
+		s.end(false, func(connection net.Conn) { _ = connection.Close() })
 	}
 }
 
 // reset ends the stream at once with a TCP reset on both sides.
-func (s *stream) reset() { s.end(resetConnection) }
+func (s *stream) reset() { s.end(false, resetConnection) }
 
-func (s *stream) end(closeConnection func(net.Conn)) {
+// spoil resets a stream on purpose, unless it is over.
+func (s *stream) spoil() { s.end(true, resetConnection) }
+
+// cut ends a stream on purpose before its end. A clean cut resets only the side
+// that was read from; the sink's side sees a regular end.
+func (s *stream) cut(sink net.Conn, clean bool) {
+	s.end(true, func(connection net.Conn) {
+		if clean && connection == sink {
+			_ = connection.Close()
+			return
+		}
+		resetConnection(connection)
+	})
+}
+
+// end ends the stream once. spoiled says whether the proxy does so on purpose.
+func (s *stream) end(spoiled bool, closeConnection func(net.Conn)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.ended {
 		return
 	}
+	if spoiled {
+		s.controls.spoil()
+	}
 	s.ended = true
 	closeConnection(s.client)
 	closeConnection(s.server)
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -85,6 +85,7 @@
 		d.t.Logf("%s: %s: %d begun after the command, %d of them later than %s", name, member.ID, len(d.begunAt(member, given)), len(late), drainLimit)
 		if len(late) > 0 {
 			d.t.Errorf("%s: %s took new work up to %s after the command", name, member.ID, late[len(late)-1].Sub(given))
+			d.logRuns(member, given)
 		}
 	}
 	for _, service := range []catalog.ServiceName{media, lessons} {
@@ -111,6 +112,16 @@
 	return begun
 }
 
+// logRuns logs the requests that began at the back end after a time.
+func (d *deployment) logRuns(member *cluster.Backend, after time.Time) {
+	d.t.Helper()
+	for _, run := range d.journal.Runs() {
+		if run.Backend == member.ID && run.Begin.After(after) {
+			d.t.Logf("%s %s began at %s, %s after the command, and was %s", run.Path, run.RequestID, run.Begin.Format(time.TimeOnly), run.Begin.Sub(after), run.End)
+		}
+	}
+}
+
 // begunElsewhere counts the flows and requests of a service that began after a time.
 func (d *deployment) begunElsewhere(service catalog.ServiceName, after time.Time) int {
 	count := 0
--- /dev/null
+++ b/test/rolling_restart_test.go
@@ -0,0 +1,85 @@
+package test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/internal/lab/backend"
+	"github.com/burlmill/burlmill/internal/lab/caller"
+	"github.com/burlmill/burlmill/internal/lab/cluster"
+)
+
+// TestRollingRestartCutsNoRequest proves that the planned stop of a process cuts
+// no request in progress: every balancer and every agent is stopped with SIGTERM
+// and started again, one after another, while callers keep it busy with slow
+// requests, uploads and downloads. Each request must get its whole answer, or a
+// refusal as not run with which the journal agrees.
+func TestRollingRestartCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	d := start(t, cluster.Plan{
+		Balancers: 3,
+		Services:  []cluster.ServicePlan{{Name: lessons, Protocol: catalog.ProtocolHTTP, Slots: slots, Sites: one(3)}},
+	})
+	load := d.requestLoad(lessons, 12)
+	load.RequestsPerConnection = 3
+	load.Next = longRequest
+	run := d.startRequestLoad(load)
+	for _, balancer := range slices.Clone(d.Balancers) {
+		d.awaitBusy(d.Backends...)
+		d.is.NoErr(d.RestartBalancer(balancer))
+	}
+	for _, member := range d.Backends {
+		d.awaitBusy(member)
+		d.is.NoErr(member.Agent.Process.Stop(waitLimit))
+		d.is.NoErr(d.Rerun(member.Agent))
+	}
+	d.awaitBusy(d.Backends...)
+	d.judgeRequests(run.Stop())
+	for _, operation := range []caller.Operation{caller.OperationSlow, caller.OperationUpload, caller.OperationDownload} {
+		d.is.True(d.completeRuns(operation) > 0)
+	}
+}
+
+// longRequest is a request that takes about a second, or longer for the upload.
+func longRequest(callerNumber, number int) caller.Request {
+	request := caller.Request{
+		ID:        requestID(lessons, callerNumber, number),
+		Operation: caller.OperationSlow,
+		Duration:  time.Second,
+	}
+	switch (callerNumber + number) % 3 {
+	case 1:
+		request.Operation = caller.OperationUpload
+		request.Bytes = 256 << 10
+		request.Duration = 1500 * time.Millisecond
+	case 2:
+		request.Operation = caller.OperationDownload
+		request.Bytes = 512 << 10
+	}
+	return request
+}
+
+// awaitBusy waits until each of the back ends runs a request.
+func (d *deployment) awaitBusy(members ...*cluster.Backend) {
+	d.t.Helper()
+	for _, member := range members {
+		d.await(string(member.ID)+" runs a request", func() bool {
+			counts, err := member.Counts(d.t.Context())
+			d.is.NoErr(err)
+			return counts.Busy > 0
+		})
+	}
+}
+
+// completeRuns counts the runs of an operation that the back ends completed.
+func (d *deployment) completeRuns(operation caller.Operation) int {
+	count := 0
+	for _, run := range d.journal.Runs() {
+		if run.Path == string(operation) && run.End == backend.RunComplete {
+			count++
+		}
+	}
+	return count
+}
