--- /dev/null
+++ b/flow/example_test.go
@@ -0,0 +1,56 @@
+package flow_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+)
+
+// everyone holds every agent for alive.
+type everyone struct{}
+
+func (everyone) Alive(netip.AddrPort) bool { return true }
+
+// Example takes one new flow from a balancer to the back end that admits it,
+// and shows that its next datagram stays there after the back end was drained.
+func Example() {
+	body := func(state string) []byte {
+		return fmt.Appendf(nil, `{"name":"media","protocol":"udp","address":"192.0.2.1:5000",
+			"shares":[{"site":"old","percent":100}],
+			"backends":[{"id":"host-1","site":"old","zone":"z1","agent":"10.0.0.1:7000","address":"10.0.0.1:8000",
+				"weight":1,"slots":7,"connections":2000,"state":%q}]}`, state)
+	}
+	before, err := catalog.Empty().With([]catalog.Object{{Name: "media", Revision: 1, Body: body("active")}}, 1)
+	if err != nil {
+		panic(err)
+	}
+	agent := netip.MustParseAddrPort("10.0.0.1:7000")
+	decider := flow.NewDecider(agent, everyone{}, flow.Options{IdleTimeout: time.Minute})
+	decider.SetSnapshot(before)
+
+	key := flow.Key{
+		Caller:  netip.MustParseAddrPort("198.51.100.7:40000"),
+		Service: netip.MustParseAddrPort("192.0.2.1:5000"),
+	}
+	hop, err := flow.FirstHop(before, everyone{}, key, nil)
+	if err != nil {
+		panic(err)
+	}
+	now := time.Unix(0, 0)
+	action := decider.Handle(now, flow.Packet{Key: key, Route: hop.Route})
+	fmt.Println(hop.To, action.Kind == flow.Deliver, action.New, action.Backend.ID)
+
+	after, err := before.With([]catalog.Object{{Name: "media", Revision: 2, Body: body("leaving")}}, 2)
+	if err != nil {
+		panic(err)
+	}
+	decider.SetSnapshot(after)
+	action = decider.Handle(now, flow.Packet{Key: key, Route: hop.Route})
+	fmt.Println(hop.To, action.Kind == flow.Deliver, action.New, action.Backend.ID)
+	// Output:
+	// 10.0.0.1:7000 true true host-1
+	// 10.0.0.1:7000 true false host-1
+}
