--- a/claim/contact.go
+++ b/claim/contact.go
@@ -139,11 +139,8 @@
 	return Presence{Service: g.service, From: g.self, Latest: g.latest.ID, Viewless: g.viewless(now)}
 }
 
-// viewless returns for how long neither a view in force nor a new founding has been
-// heard of.
-func (g *group) viewless(now time.Time) time.Duration {
-	return min(now.Sub(g.contact.viewHeardAt), now.Sub(g.founding.learntAt))
-}
+// viewless returns for how long no view in force has been heard of.
+func (g *group) viewless(now time.Time) time.Duration { return now.Sub(g.contact.viewHeardAt) }
 
 // notice takes in which view is in force.
 func (g *group) notice(now time.Time, message Notice) {
--- a/claim/founding.go
+++ b/claim/founding.go
@@ -10,7 +10,7 @@
 type foundingState struct {
 	read        bool             // the store was read since the start
 	epoch       catalog.Revision // latest founding known
-	learntAt    time.Time        // when it was read from the store
+	learntAt    time.Time        // when the epoch became known
 	established catalog.Revision // epoch in which this instance was in contact
 	granted     catalog.Revision // epoch that this instance vouched for last
 	grantedAt   time.Time        // when it did so last; zero: not since the start
@@ -29,22 +29,25 @@
 		g.founding.read = true
 		g.delayFounding(now, foundingPause)
 	}
-	if event.Epoch > g.founding.epoch {
-		g.founding.epoch = event.Epoch
-		g.founding.learntAt = now
-	}
 	if event.Epoch > 0 {
 		g.adopt(now, event.Founding.view(event.Epoch))
 	}
 }
 
+// learnEpoch notes the latest founding known.
+func (g *group) learnEpoch(now time.Time, epoch catalog.Revision) {
+	if epoch > g.founding.epoch {
+		g.founding.epoch = epoch
+		g.founding.learntAt = now
+	}
+}
+
 // grant says whether this instance vouches for the chain of the view, which it
 // does for one chain at a time. A chain that replaced another one may begin only
 // when all that the other can have held has expired: each agent of a quorum must
 // not have vouched for another chain in that time.
 func (g *group) grant(now time.Time, notice Notice) bool {
 	epoch := notice.View.ID.Epoch
-	g.founding.epoch = max(g.founding.epoch, epoch)
 	if !g.founding.read || epoch < g.founding.epoch {
 		return false // an earlier run of this process may have vouched for a later chain
 	}
@@ -77,6 +80,9 @@
 		g.out.add(ReadFounding{Service: g.service})
 		return
 	}
+	if now.Before(g.founding.learntAt.Add(g.options.contactLease())) {
+		return // the members of a new chain have time to tell of it
+	}
 	if members := g.founders(now); len(members) > 0 {
 		g.delayFounding(now, foundingRetries)
 		founding := Founding{Replaces: g.founding.epoch, Members: members}
--- a/claim/group.go
+++ b/claim/group.go
@@ -67,6 +67,7 @@
 	}
 	if view.ID.Epoch != g.latest.ID.Epoch {
 		g.forgetGrants()
+		g.learnEpoch(now, view.ID.Epoch)
 	}
 	g.latest = view
 	g.acceptor = changeAcceptor{}
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -84,6 +84,7 @@
 type flowRecord struct {
 	service  *catalog.Service // as of the admission
 	backend  *catalog.Backend // as of the admission
+	opened   time.Time
 	lastSeen time.Time
 }
 
@@ -298,7 +299,7 @@
 func (d *Decider) open(now time.Time, key Key, service *catalog.Service, index int) Action {
 	d.End(key)
 	backend := &service.Backends[index]
-	d.flows[key] = &flowRecord{service: service, backend: backend, lastSeen: now}
+	d.flows[key] = &flowRecord{service: service, backend: backend, opened: now, lastSeen: now}
 	d.counts[identityOf(service, backend)]++
 	return Action{Kind: Deliver, Service: service, Backend: backend, New: true}
 }
--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -42,9 +42,6 @@
 	switch action.Kind {
 	case flow.Deliver:
 		datagram.Bytes = packet.Payload
-		if action.New {
-			o.inspection.opened(now, packet.Key, action)
-		}
 		o.deliver(action, packet, datagram)
 		o.hint(action.Hint, packet.Key)
 	case flow.Forward:
--- a/internal/agent/inspection.go
+++ b/internal/agent/inspection.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"iter"
-	"maps"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
@@ -27,7 +25,6 @@
 	metrics   *metrics
 	questions chan func() // answered by the owner between two datagrams
 	ended     chan struct{}
-	open      map[flow.Key]status.Flow // open flows; belongs to the owner
 }
 
 func newInspection(metrics *metrics) *inspection {
@@ -35,23 +32,9 @@
 		metrics:   metrics,
 		questions: make(chan func()),
 		ended:     make(chan struct{}),
-		open:      map[flow.Key]status.Flow{},
 	}
 }
 
-// opened notes a flow that was just admitted.
-func (i *inspection) opened(now time.Time, key flow.Key, action flow.Action) {
-	i.open[key] = status.Flow{
-		Service: action.Service.Name,
-		Backend: action.Backend.ID,
-		Caller:  key.Caller,
-		Opened:  now,
-	}
-}
-
-// closed notes that a flow is over.
-func (i *inspection) closed(key flow.Key) { delete(i.open, key) }
-
 // ask has the owner run the question and waits until it has. Errors: see status.Work.
 func (i *inspection) ask(ctx context.Context, question func()) error {
 	answered := make(chan struct{})
@@ -108,10 +91,10 @@
 
 // Flows implements status.Work. The owner goes on with its work after every
 // flowsPerQuestion flows.
-func (i *inspection) Flows(ctx context.Context, take func(status.Flow)) error {
-	next, stop := iter.Pull(maps.Values(i.open))
+func (i *inspection) Flows(ctx context.Context, take func(flow.OpenFlow)) error {
+	next, stop := iter.Pull(i.owner.decider.All())
 	defer stop()
-	page := make([]status.Flow, 0, flowsPerQuestion)
+	page := make([]flow.OpenFlow, 0, flowsPerQuestion)
 	for more := true; more; {
 		page = page[:0]
 		err := i.ask(ctx, func() { page, more = fill(page, next) })
@@ -126,7 +109,7 @@
 }
 
 // fill appends flows up to the page's capacity and says whether there may be more.
-func fill(page []status.Flow, next func() (status.Flow, bool)) (filled []status.Flow, more bool) {
+func fill(page []flow.OpenFlow, next func() (flow.OpenFlow, bool)) (filled []flow.OpenFlow, more bool) {
 	for len(page) < cap(page) {
 		open, ok := next()
 		if !ok {
--- a/internal/agent/inspection_test.go
+++ b/internal/agent/inspection_test.go
@@ -62,13 +62,13 @@
 	eventually(t, func() bool { return len(callersOf(t, work)) == 0 })
 	stop()
 	agent.waitStopped(t)
-	is.Equal(fault.Of(work.Flows(t.Context(), func(status.Flow) {})), fault.Unavailable)
+	is.Equal(fault.Of(work.Flows(t.Context(), func(flow.OpenFlow) {})), fault.Unavailable)
 }
 
 func callersOf(t *testing.T, work status.Work) []netip.AddrPort {
 	t.Helper()
 	var callers []netip.AddrPort
-	err := work.Flows(t.Context(), func(open status.Flow) { callers = append(callers, open.Caller) })
+	err := work.Flows(t.Context(), func(open flow.OpenFlow) { callers = append(callers, open.Key.Caller) })
 	is.New(t).NoErr(err)
 	return sorted(callers...)
 }
@@ -82,18 +82,21 @@
 // each while others open and end between two pages.
 func TestListingGoesOnWhileFlowsChange(t *testing.T) {
 	is := is.New(t)
+	decider := deciderOfOne(t)
+	admit := func(number int) {
+		key := flow.Key{Caller: callerAt(number), Service: serviceAddress}
+		is.Equal(decider.Handle(time.Now(), flow.Packet{Key: key, Route: admitRoute}).Kind, flow.Deliver)
+	}
 	looked := newInspection(newMetrics())
-	stopped := make(chan struct{})
+	looked.owner = &owner{decider: decider}
 	staying := map[netip.AddrPort]int{}
-	callerAt := func(number int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.MustParseAddr("192.0.2.9"), uint16(number))
-	}
 	for number := range 5 * flowsPerQuestion {
-		looked.open[flow.Key{Caller: callerAt(number)}] = status.Flow{Caller: callerAt(number)}
+		admit(number)
 		if number%2 == 0 {
 			staying[callerAt(number)] = 0
 		}
 	}
+	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		for page := 0; ; page++ {
@@ -103,15 +106,13 @@
 			case <-looked.ended:
 				return
 			}
-			changing := callerAt(2*page + 1)
-			looked.closed(flow.Key{Caller: changing})
-			added := flow.Key{Caller: callerAt(10_000 + page)}
-			looked.open[added] = status.Flow{Caller: added.Caller}
+			decider.End(flow.Key{Caller: callerAt(2*page + 1), Service: serviceAddress})
+			admit(10_000 + page)
 		}
 	}()
-	err := looked.Flows(t.Context(), func(open status.Flow) {
-		if _, stays := staying[open.Caller]; stays {
-			staying[open.Caller]++
+	err := looked.Flows(t.Context(), func(open flow.OpenFlow) {
+		if _, stays := staying[open.Key.Caller]; stays {
+			staying[open.Key.Caller]++
 		}
 	})
 	is.NoErr(err)
@@ -121,3 +122,28 @@
 	close(looked.ended)
 	<-stopped
 }
+
+var (
+	serviceAddress = netip.MustParseAddrPort("192.0.2.1:443")
+	admitRoute     = flow.Route{Revision: 1, Step: flow.StepAdmit, Hops: 1, Chosen: 0}
+)
+
+func callerAt(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("192.0.2.9"), uint16(number))
+}
+
+// deciderOfOne returns the decider of an agent whose back end is the only one.
+func deciderOfOne(t *testing.T) *flow.Decider {
+	t.Helper()
+	self := netip.MustParseAddrPort("127.0.0.1:7000")
+	backend := testBackend("b1", self, netip.MustParseAddrPort("127.0.0.1:8000"))
+	backend.Connections = 10_000
+	coordination := &fakeCoordination{snapshot: catalog.Empty()}
+	coordination.put(t, catalog.Service{
+		Name: "lesson", Protocol: catalog.ProtocolUDP, Address: serviceAddress,
+		Shares: []catalog.SiteShare{{Site: "old", Percent: 100}}, Backends: []catalog.Backend{backend},
+	})
+	decider := flow.NewDecider(self, coordination, flow.Options{IdleTimeout: time.Hour})
+	decider.SetSnapshot(coordination.Snapshot())
+	return decider
+}
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -141,7 +141,6 @@
 func (o *owner) endAll(keys []flow.Key) {
 	for _, key := range keys {
 		o.decider.End(key)
-		o.inspection.closed(key)
 		o.udp.End(key)
 		o.http.end(key)
 	}
--- a/internal/operator/fanout/fanout_test.go
+++ b/internal/operator/fanout/fanout_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/internal/coordination"
 	"github.com/burlmill/burlmill/internal/lab/store"
 	"github.com/burlmill/burlmill/internal/logging"
@@ -42,10 +43,11 @@
 	return status.BackendLoad{Flows: w.flows, Busy: 2, Refusals: 3}, nil
 }
 
-func (w fakeWork) Flows(_ context.Context, take func(status.Flow)) error {
+func (w fakeWork) Flows(_ context.Context, take func(flow.OpenFlow)) error {
 	for number := range w.flows {
 		caller := netip.AddrPortFrom(netip.MustParseAddr("192.0.2.9"), uint16(1000+number))
-		take(status.Flow{Service: "lessons", Backend: "b", Caller: caller, Opened: time.Now().Add(-time.Duration(number) * time.Minute)})
+		opened := time.Now().Add(-time.Duration(number) * time.Minute)
+		take(flow.OpenFlow{Key: flow.Key{Caller: caller}, Service: "lessons", Backend: "b", Opened: opened, LastSeen: time.Now()})
 	}
 	return nil
 }
@@ -151,7 +153,7 @@
 		is.True(strings.HasPrefix(problems, missing))
 		is.True(strings.HasSuffix(problems, "partial result: 1 of 3 answers are missing\n"))
 
-		rows, problems = ask(t, client, "flows where age > 10m and caller != 192.0.2.9:1029 order by age desc limit 2")
+		rows, problems = ask(t, client, "flows where age > 10m and idle < 5m and caller != 192.0.2.9:1029 order by age desc limit 2")
 		is.Equal(callers(rows), "192.0.2.9:1028 192.0.2.9:1027")
 		is.True(strings.HasPrefix(problems, missing))
 		rows, problems = ask(t, client, `nodes where role = agent and id != "agent-1"`)
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -10,6 +10,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/internal/version"
 	"github.com/burlmill/burlmill/membership"
 	"github.com/burlmill/burlmill/query"
@@ -35,14 +36,6 @@
 	Refusals uint64 // requests answered not-run since the agent started
 }
 
-// Flow is one open flow.
-type Flow struct {
-	Service catalog.ServiceName
-	Backend catalog.BackendID
-	Caller  netip.AddrPort
-	Opened  time.Time
-}
-
 // Work is what is asked of an agent. All methods are safe for concurrent use.
 // Errors are of kind fault.Unavailable if the agent is stopping, or
 // fault.Deadline if the context ends.
@@ -50,7 +43,7 @@
 	// Load returns what a back end behind this agent does.
 	Load(ctx context.Context, service catalog.ServiceName, backend catalog.BackendID) (BackendLoad, error)
 	// Flows calls take for each open flow. Flows that open or end meanwhile may be missing.
-	Flows(ctx context.Context, take func(Flow)) error
+	Flows(ctx context.Context, take func(flow.OpenFlow)) error
 }
 
 // source makes the rows of the tables of one process.
@@ -185,13 +178,14 @@
 		return nil
 	}
 	now := time.Now()
-	return s.work.Flows(ctx, func(flow Flow) {
+	return s.work.Flows(ctx, func(open flow.OpenFlow) {
 		into.Add(query.Row{
 			query.TextValue(s.id),
-			query.TextValue(string(flow.Service)),
-			query.TextValue(string(flow.Backend)),
-			query.AddressValue(flow.Caller),
-			query.DurationValue(now.Sub(flow.Opened)),
+			query.TextValue(string(open.Service)),
+			query.TextValue(string(open.Backend)),
+			query.AddressValue(open.Key.Caller),
+			query.DurationValue(now.Sub(open.Opened)),
+			query.DurationValue(now.Sub(open.LastSeen)),
 		})
 	})
 }
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
 	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/membership"
@@ -85,7 +86,7 @@
 	return BackendLoad{}, nil
 }
 
-func (b blockedWork) Flows(ctx context.Context, _ func(Flow)) error {
+func (b blockedWork) Flows(ctx context.Context, _ func(flow.OpenFlow)) error {
 	b.asked <- struct{}{}
 	<-ctx.Done()
 	return fault.Wrap(fault.Deadline, ctx.Err(), "ask the agent")
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -94,6 +94,7 @@
 		{Name: ColumnBackend, Type: query.Text, Help: "id of the back end"},
 		{Name: "caller", Type: query.Address, Help: "address of the caller"},
 		{Name: "age", Type: query.Duration, Help: "time since the flow was admitted"},
+		{Name: "idle", Type: query.Duration, Help: "time since its latest datagram"},
 	}}, Agents},
 	{query.Table{Name: TableVersions, Help: "the configuration in force at each process", Columns: []query.Column{
 		{Name: ColumnNode, Type: query.Text, Help: "id of the process"},
