--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -86,6 +86,9 @@
 	if c.plan.IdleTimeout > 0 {
 		arguments = append(arguments, "--flows.idle-timeout", c.plan.IdleTimeout.String())
 	}
+	if c.plan.DrainIdleTimeout > 0 {
+		arguments = append(arguments, "--flows.drain-idle-timeout", c.plan.DrainIdleTimeout.String())
+	}
 	node.Process, err = c.startProcess(process.Command{Name: node.ID, Path: c.burlmill, Arguments: arguments})
 	return err
 }
--- a/internal/lab/cluster/plan.go
+++ b/internal/lab/cluster/plan.go
@@ -42,6 +42,8 @@
 	Balancers   int
 	Services    []ServicePlan
 	IdleTimeout time.Duration // of flows; 0: the default of package settings
+	// DrainIdleTimeout is that of a stopping agent's flows; 0: the default.
+	DrainIdleTimeout time.Duration
 
 	// Journal, if set, makes the back ends run in the starting process and write
 	// to it, so that what they recorded outlives them.
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -47,6 +47,8 @@
 	return cluster.Plan{
 		Zones:     []catalog.ZoneName{"zone-1", "zone-2", "zone-3"},
 		Balancers: 3,
+		// The callers have ended when the processes are stopped.
+		DrainIdleTimeout: time.Second,
 		Services: []cluster.ServicePlan{
 			{Name: Lessons, Protocol: catalog.ProtocolHTTP, Slots: 7, Sites: oldSite},
 			{Name: Media, Protocol: catalog.ProtocolUDP, Slots: 7, Sites: oldSite},
