A back end that returns takes flows at once, and on its new server

A back end that had refused a caller while leaving refused it for 10 s more after it was active again: refusals were kept by flow and back end, whatever the revision. They now hold for one revision; at a later one the arbiter chooses anew, after every agent has seen it, so the argument against double admission stands. First try, kept for its own sake: connection ids carry the generation of the server that made them, so that a new connection never reaches an old server of the same back end that still holds the caller's address.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -34,9 +34,10 @@
 			continue
 		}
 		id := w.begin(node, key)
-		w.run(2, clear)
-		w.finishAll()
-		w.run(4, clear)
+		for range 6 {
+			w.run(1, clear)
+			w.finishAll()
+		}
 		attempt := w.attempts[id]
 		if attempt.replied == want || round == 0 && attempt.completed {
 			continue
@@ -45,6 +46,31 @@
 	}
 }
 
+// heal ends all faults and all requests.
+func (w *world) heal() {
+	w.outage, w.network = false, nil
+	for _, node := range w.nodes {
+		node.cut = false
+		if !node.up {
+			w.start(node)
+		}
+	}
+	w.finishAll()
+	w.changed()
+	w.run(30, clear)
+}
+
+func (w *world) finishAll() {
+	for _, id := range w.order {
+		if w.attempts[id].pending != nil {
+			w.execute(id, true)
+		}
+		if w.attempts[id].running {
+			w.complete(id, true)
+		}
+	}
+}
+
 // draws holds the generators of the state machine.
 type draws struct{ w *world }
 
--- a/flow/connection_id.go
+++ b/flow/connection_id.go
@@ -44,17 +44,37 @@
 // datagram. It is not ok if the id was not made by NewConnectionID: the first
 // datagrams of a connection carry an id that the caller made up.
 func ServerIDOf(payload []byte) (serverID uint32, ok bool) {
+	id := connectionIDOf(payload)
+	if id == nil {
+		return 0, false
+	}
+	return binary.BigEndian.Uint32(id[1:]), true
+}
+
+// NonceOf returns the nonce of the connection id that ServerIDOf reads, nil if
+// there is none. It lies in the payload.
+func NonceOf(payload []byte) []byte {
+	id := connectionIDOf(payload)
+	if id == nil {
+		return nil
+	}
+	return id[1+ServerIDLength : ConnectionIDLength]
+}
+
+// connectionIDOf returns the destination connection id, nil if NewConnectionID did
+// not make it.
+func connectionIDOf(payload []byte) []byte {
 	offset := shortIDOffset
 	if isLongHeader(payload) {
 		if len(payload) < shortestLongPayload || payload[longIDLengthOffset] != ConnectionIDLength {
-			return 0, false
+			return nil
 		}
 		offset = longIDOffset
 	}
 	if len(payload) < offset+ConnectionIDLength || payload[offset] != connectionIDFormat {
-		return 0, false
+		return nil
 	}
-	return binary.BigEndian.Uint32(payload[offset+1:]), true
+	return payload[offset : offset+ConnectionIDLength]
 }
 
 // isLongHeader says whether a QUIC datagram belongs to a handshake.
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -74,10 +74,12 @@
 	return backendIdentity{service.Name, backend.ID, backend.Incarnation}
 }
 
-// refusal names a flow and a back end that would not admit it.
+// refusal names a flow and a back end that would not admit it. It holds for one
+// revision: at a later one the arbiter chooses anew, after every agent has seen it.
 type refusal struct {
-	key     Key
-	backend backendIdentity
+	key      Key
+	backend  backendIdentity
+	revision catalog.Revision
 }
 
 // flowRecord is one open flow.
--- a/flow/row_test.go
+++ b/flow/row_test.go
@@ -237,3 +237,27 @@
 	handshake := append([]byte{0xe0, 0, 0, 0, 1, ConnectionIDLength}, id[:]...)
 	is.Equal(handle(search, append(handshake, make([]byte, 20)...)).Kind, Deliver)
 }
+
+// TestRefusalEndsWithItsRevision checks that a back end which refused a flow
+// while it was leaving admits it once it is active again. It used to refuse for
+// 10 s more.
+func TestRefusalEndsWithItsRevision(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"))
+	service.Backends[0].State = catalog.BackendLeaving
+	first, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	service.Backends[0].State = catalog.BackendActive
+	second, err := first.With([]catalog.Object{object(service, 2)}, 2)
+	is.NoErr(err)
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{IdleTimeout: time.Minute})
+	admit := func(revision catalog.Revision) ActionKind {
+		key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+		route := Route{Revision: revision, Step: StepAdmit, Chosen: 0}
+		return decider.Handle(time.Unix(0, 0), Packet{Key: key, Route: route}).Kind
+	}
+	decider.SetSnapshot(first)
+	is.Equal(admit(1), Drop)
+	decider.SetSnapshot(second)
+	is.Equal(admit(2), Deliver)
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -131,7 +131,7 @@
 	if !s.decider.options.Confirmed(s.now) {
 		return Action{Kind: Hold}
 	}
-	_, refused := s.decider.refusals.get(s.now, refusal{s.key, identity})
+	_, refused := s.decider.refusals.get(s.now, refusal{s.key, identity, s.service.Revision})
 	if refused || !s.decider.mayAdmit(s.service, chosen) {
 		return s.refuse(chosen, identity)
 	}
@@ -139,7 +139,7 @@
 }
 
 func (s *search) refuse(chosen int, identity backendIdentity) Action {
-	s.decider.refusals.put(s.now, refusal{s.key, identity}, struct{}{})
+	s.decider.refusals.put(s.now, refusal{s.key, identity, s.service.Revision}, struct{}{})
 	s.route.Refused = s.route.Refused.With(chosen)
 	s.route.Chosen = NoBackend
 	return s.arbitrate()
--- a/internal/agent/http_backends.go
+++ b/internal/agent/http_backends.go
@@ -52,6 +52,7 @@
 	gateway  *gateway.Gateway
 	current  *quicserver.Server // nil until it gets its first flow and while it leaves
 	draining []*quicserver.Server
+	started  uint8 // servers started so far, modulo 256
 	leaving  bool
 	detach   func() // takes it back from handover; nil: it was not given
 }
@@ -66,7 +67,7 @@
 // deliver hands a datagram over, and with it its buffer.
 func (h *httpBackends) deliver(action flow.Action, key flow.Key, from netip.AddrPort, payload *buffer.Buffer) error {
 	held := h.backend(action.Service, action.Backend)
-	server, err := h.serverFor(held, action, key)
+	server, err := h.serverFor(held, action, key, payload.Bytes)
 	if err != nil {
 		payload.Release()
 		return err
@@ -94,22 +95,20 @@
 	return created
 }
 
-// serverFor returns the server that holds the flow, else the one for new flows.
-func (h *httpBackends) serverFor(held *httpBackend, action flow.Action, key flow.Key) (*quicserver.Server, error) {
-	for _, server := range held.draining {
-		if server.Holds(key) {
-			return server, nil
-		}
+// serverFor returns the server that a datagram is for: the one that made its
+// connection id; for one that begins a connection the server for new flows, or,
+// when the back end takes no new work, one that still holds the caller's flow and
+// refuses.
+func (h *httpBackends) serverFor(held *httpBackend, action flow.Action, key flow.Key, payload []byte) (*quicserver.Server, error) {
+	if generation, ok := quicserver.GenerationOf(payload); ok {
+		return held.ofGeneration(generation, action)
+	}
+	if held.leaving || h.stopping {
+		return held.holderOf(key, action)
 	}
 	if held.current != nil {
 		return held.current, nil
 	}
-	if count := len(held.draining); count > 0 && !action.New {
-		return held.draining[count-1], nil
-	}
-	if held.leaving || h.stopping {
-		return nil, fault.New(fault.Unavailable, "back end %s takes no new flow", action.Backend.ID)
-	}
 	server, err := h.start(held, action)
 	if err != nil {
 		return nil, err
@@ -118,8 +117,29 @@
 	return server, nil
 }
 
+func (h *httpBackend) ofGeneration(generation uint8, action flow.Action) (*quicserver.Server, error) {
+	for _, server := range h.servers() {
+		if server.Generation() == generation {
+			return server, nil
+		}
+	}
+	return nil, fault.New(fault.Unavailable, "back end %s has ended the connection", action.Backend.ID)
+}
+
+// holderOf returns the latest server that holds the flow.
+func (h *httpBackend) holderOf(key flow.Key, action flow.Action) (*quicserver.Server, error) {
+	for _, server := range slices.Backward(h.servers()) {
+		if server.Holds(key) {
+			return server, nil
+		}
+	}
+	return nil, fault.New(fault.Unavailable, "back end %s takes no new flow", action.Backend.ID)
+}
+
 func (h *httpBackends) start(held *httpBackend, action flow.Action) (*quicserver.Server, error) {
+	held.started++
 	return quicserver.Start(quicserver.Options{
+		Generation:  held.started,
 		Service:     action.Service.Address,
 		ServerID:    action.Backend.ServerID(),
 		Sender:      h.sender,
--- a/internal/agent/quicserver/connection_id.go
+++ b/internal/agent/quicserver/connection_id.go
@@ -8,9 +8,25 @@
 	"github.com/burlmill/burlmill/flow"
 )
 
+// generationOffset is the place of a server's generation in the nonce of its ids.
+const generationOffset = 0
+
+// GenerationOf returns the generation of the server that made the connection id
+// of a datagram. It is not ok for a datagram that begins a connection.
+func GenerationOf(payload []byte) (generation uint8, ok bool) {
+	nonce := flow.NonceOf(payload)
+	if nonce == nil {
+		return 0, false
+	}
+	return nonce[generationOffset], true
+}
+
 // connectionIDs generates the connection ids of one back end. They name it, so
 // that datagrams find it after the caller's address has changed.
-type connectionIDs struct{ serverID uint32 }
+type connectionIDs struct {
+	serverID   uint32
+	generation uint8
+}
 
 var _ quic.ConnectionIDGenerator = connectionIDs{}
 
@@ -19,6 +35,7 @@
 	var nonce [flow.NonceLength]byte
 	// Read never fails: it ends the process if the system has no randomness.
 	_, _ = rand.Read(nonce[:])
+	nonce[generationOffset] = c.generation
 	id := flow.NewConnectionID(c.serverID, nonce)
 	return quic.ConnectionIDFromBytes(id[:]), nil
 }
--- a/internal/agent/quicserver/server.go
+++ b/internal/agent/quicserver/server.go
@@ -37,6 +37,7 @@
 type Options struct {
 	Service     netip.AddrPort // address that callers use
 	ServerID    uint32         // id that connection ids name the back end by
+	Generation  uint8          // tells servers of one back end apart that run at the same time
 	Sender      returnpath.Sender
 	Handler     http.Handler
 	Refusal     http.Handler // answers requests of new connections during Shutdown
@@ -46,6 +47,7 @@
 
 // Server is the HTTP/3 server of one back end.
 type Server struct {
+	generation uint8
 	paths      *callerPaths
 	connection *packetConn
 	transport  *quic.Transport
@@ -61,11 +63,12 @@
 	paths := &callerPaths{byCaller: map[netip.AddrPort]*callerPath{}}
 	connection := newPacketConn(options.Service, options.Sender, paths)
 	started := &Server{
+		generation: options.Generation,
 		paths:      paths,
 		connection: connection,
 		transport: &quic.Transport{
 			Conn:                  connection,
-			ConnectionIDGenerator: connectionIDs{options.ServerID},
+			ConnectionIDGenerator: connectionIDs{options.ServerID, options.Generation},
 			ConnContext:           paths.follow,
 		},
 		requests: &requestCounter{next: options.Handler},
@@ -134,6 +137,9 @@
 	return nil
 }
 
+// Generation returns the generation that the server was started with.
+func (s *Server) Generation() uint8 { return s.generation }
+
 // End forgets the way back to the caller of a flow that is over.
 func (s *Server) End(key flow.Key) { s.paths.forget(key) }
 
