Data and control address must differ

Cause: since TCP services came in, a node listens on its data address for streams too; a node with one address for both passed the check and failed at its start. The check now says so (case 'control on data' fails before). The tests' valid file used one address for both and was changed with it; its cases keep their assertions.

--- a/cmd/burlmill/main_test.go
+++ b/cmd/burlmill/main_test.go
@@ -16,7 +16,7 @@
 )
 
 const validSettings = `
-node: {id: agent-1, region: saigon, zone: zone-a, data-address: "192.0.2.1:7000", control-address: "192.0.2.1:7000"}
+node: {id: agent-1, region: saigon, zone: zone-a, data-address: "192.0.2.1:7000", control-address: "192.0.2.1:7100"}
 platform: {url: "http://192.0.2.9:8080"}
 `
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,9 +20,9 @@
 	ID             string           `koanf:"id" validate:"required,name" help:"Name of this process, unique among all burlmill processes."`
 	Region         string           `koanf:"region" validate:"required,name" help:"Region the process runs in."`
 	Zone           catalog.ZoneName `koanf:"zone" validate:"required,name" help:"Failure zone the process runs in."`
-	DataAddress    netip.AddrPort   `koanf:"data-address" validate:"required,address" help:"UDP socket for callers' datagrams."`
-	ControlAddress netip.AddrPort   `koanf:"control-address" validate:"required,address" help:"TCP socket for other burlmill processes and operators."`
-	MetricsAddress netip.AddrPort   `koanf:"metrics-address" validate:"omitempty,address,loopback,distinct=control-address" help:"TCP socket for metrics and health. Empty: none."`
+	DataAddress    netip.AddrPort   `koanf:"data-address" validate:"required,address" help:"UDP socket for callers' datagrams and TCP socket for callers' streams."`
+	ControlAddress netip.AddrPort   `koanf:"control-address" validate:"required,address,distinct=data-address" help:"TCP socket for other burlmill processes and operators."`
+	MetricsAddress netip.AddrPort   `koanf:"metrics-address" validate:"omitempty,address,loopback,distinct=control-address,distinct=data-address" help:"TCP socket for metrics and health. Empty: none."`
 }
 
 // Platform says where the platform's service is.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,7 +21,7 @@
   region: saigon
   zone: zone-a
   data-address: 192.0.2.1:7000
-  control-address: 192.0.2.1:7000
+  control-address: 192.0.2.1:7100
   metrics-address: 127.0.0.1:7001
 platform:
   url: http://192.0.2.9:8080
@@ -70,13 +70,15 @@
 		{"names", replacement{"id: balancer-1\n  region: saigon", "id: Balancer\n  region: -x"}, []string{
 			`node.id = "Balancer": must be 1 to 63`, `node.region = "-x": must be 1 to 63`}},
 		{"number for a name", replacement{"zone-a", "010"}, []string{`node.zone = "8": must be a text`}},
-		{"addresses", replacement{"7000\n  control-address: 192.0.2.1:7000", "0\n  control-address: 0.0.0.0:1"}, []string{
+		{"addresses", replacement{"7000\n  control-address: 192.0.2.1:7100", "0\n  control-address: 0.0.0.0:1"}, []string{
 			`node.data-address = "192.0.2.1:0"`, `node.control-address = "0.0.0.0:1"`}},
 		{"host name", replacement{"data-address: 192.0.2.1:7000", "data-address: localhost:7000"}, []string{
 			`node.data-address = "localhost:7000": must be an IP address and a port`}},
 		{"metrics not loopback", replacement{"127.0.0.1:7001", "192.0.2.1:7001"}, []string{`must be a loopback address`}},
-		{"metrics on control", replacement{"192.0.2.1:7000\n  metrics-address: 127.0.0.1:7001", "127.0.0.1:1\n  metrics-address: 127.0.0.1:1"}, []string{
+		{"metrics on control", replacement{"192.0.2.1:7100\n  metrics-address: 127.0.0.1:7001", "127.0.0.1:1\n  metrics-address: 127.0.0.1:1"}, []string{
 			`node.metrics-address = "127.0.0.1:1": must differ from control-address`}},
+		{"control on data", replacement{"192.0.2.1:7100", "192.0.2.1:7000"}, []string{
+			`node.control-address = "192.0.2.1:7000": must differ from data-address`}},
 		{"ranges", replacement{"platform:", "flows: {idle-timeout: 25h, cache-size: 1023}\nplatform:\n  readers: 17"}, []string{
 			`flows.idle-timeout = "25h0m0s": must be at most 24h`, `flows.cache-size = "1023": must be at least 1024`, `platform.readers = "17": must be at most 16`}},
 		{"wrong types", replacement{"platform:", "flows: {idle-timeout: 60, cache-size: many}\nplatform:\n  readers: 2.5"}, []string{
