A late datagram leaves no flow behind at a stopping agent

Cause: TestRollingRestartCutsNoRequest failed in the race run of a fresh clone: an agent did not stop within 60 s, with 8 flows open. A late datagram of an ended connection names its back end, so the decider opened the flow again; no server held it, and for HTTP only a server ends flows before the idle timeout (2 min). Ruled out: requests still running (the servers were gone, the log shows only drops of 'has ended the connection'). Now such a flow is ended with the drop. No unit test of its own yet.

--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -75,6 +75,7 @@
 		payload.Release()
 	case catalog.ProtocolHTTP:
 		err = o.http.deliver(action, packet.Key, packet.Route.Return, payload)
+		o.forgetUnserved(packet.Key, err)
 	default:
 		payload.Release()
 		o.drop(dropProtocol, nil)
@@ -87,6 +88,14 @@
 	o.metrics.delivered.Inc()
 }
 
+// forgetUnserved ends a flow that a late datagram of an ended connection has
+// opened again: no server holds it, so none would ever report its end.
+func (o *owner) forgetUnserved(key flow.Key, err error) {
+	if err != nil && fault.Of(err) == fault.Unavailable && !o.http.holds(key) {
+		o.decider.End(key)
+	}
+}
+
 // forward passes the datagram on to another agent.
 func (o *owner) forward(hop flow.Hop, packet flow.Packet) {
 	header, err := wire.FormatEnvelope(wire.Envelope{Key: packet.Key, Route: hop.Route, HasRoute: true})
--- a/internal/agent/http_backends.go
+++ b/internal/agent/http_backends.go
@@ -150,6 +150,18 @@
 	})
 }
 
+// holds says whether some server has a connection of the flow.
+func (h *httpBackends) holds(key flow.Key) bool {
+	for _, held := range h.byKey {
+		for _, server := range held.servers() {
+			if server.Holds(key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // end forgets a flow that is over.
 func (h *httpBackends) end(key flow.Key) {
 	for _, held := range h.byKey {
