--- a/cmd/burlmill/operate.go
+++ b/cmd/burlmill/operate.go
@@ -11,8 +11,8 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/operator"
-	"github.com/burlmill/burlmill/internal/platform"
 	"github.com/burlmill/burlmill/internal/settings"
 )
 
@@ -53,9 +53,9 @@
 	if err := settings.CheckPlatformURL(f.url); err != nil {
 		return err
 	}
-	client := platform.NewClient(f.url, platform.Options{})
+	client := objects.NewClient(f.url, objects.Options{})
 	defer client.Close()
-	commander, err := operator.New(client, operator.Options{Command: platform.CommandID(f.command), Author: f.author})
+	commander, err := operator.New(client, operator.Options{Command: objects.CommandID(f.command), Author: f.author})
 	if err != nil {
 		return err
 	}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -17,7 +17,7 @@
 	"github.com/burlmill/burlmill/internal/coordination"
 	"github.com/burlmill/burlmill/internal/lab/store"
 	"github.com/burlmill/burlmill/internal/logging"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/internal/wire"
 	"github.com/burlmill/burlmill/membership"
@@ -43,9 +43,9 @@
 	service := serviceOf("media", catalog.ProtocolUDP, udpAddress, 1, func(int) netip.AddrPort { return agent.LocalAddress() })
 	body, err := json.Marshal(service)
 	is.NoErr(err)
-	client := platform.NewClient(objects.URL(), platform.Options{})
+	client := objects.NewClient(objects.URL(), objects.Options{})
 	defer client.Close()
-	_, err = client.Put(t.Context(), platform.Write{Name: service.Name, Body: body, Command: platform.NewCommandID(), Author: "test"})
+	_, err = client.Put(t.Context(), objects.Write{Name: service.Name, Body: body, Command: objects.NewCommandID(), Author: "test"})
 	is.NoErr(err)
 	node := startAgentNode(t, objects.URL(), agent.LocalAddress())
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -19,7 +19,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/coordination/exchange"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/membership"
 )
@@ -65,7 +65,7 @@
 // Errors are of kind fault.Unavailable when the address cannot be used.
 func Start(options Options) (*Node, error) {
 	if options.Store == nil && options.Platform.URL != "" {
-		options.Store = platform.NewClient(options.Platform.URL, platform.Options{})
+		options.Store = objects.NewClient(options.Platform.URL, objects.Options{})
 	}
 	listener, err := listen(options.Node.ControlAddress)
 	if err != nil {
--- a/internal/coordination/node_test.go
+++ b/internal/coordination/node_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/membership"
 )
@@ -53,15 +53,15 @@
 	clear(s.objects)
 }
 
-func (s *memoryStore) Watch(ctx context.Context, after catalog.Revision, _ time.Duration) (platform.Changes, error) {
+func (s *memoryStore) Watch(ctx context.Context, after catalog.Revision, _ time.Duration) (objects.Changes, error) {
 	sleep(ctx, 20*time.Millisecond)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
-		return platform.Changes{}, fault.New(fault.Unavailable, "store is down")
+		return objects.Changes{}, fault.New(fault.Unavailable, "store is down")
 	}
 	s.watched++
-	changes := platform.Changes{Revision: s.revision}
+	changes := objects.Changes{Revision: s.revision}
 	for _, object := range s.objects {
 		if object.Revision > after {
 			changes.Objects = append(changes.Objects, object)
@@ -76,7 +76,7 @@
 	return s.watched
 }
 
-func (s *memoryStore) Machines(context.Context) ([]platform.Machine, error) { return nil, nil }
+func (s *memoryStore) Machines(context.Context) ([]objects.Machine, error) { return nil, nil }
 
 func startNode(t testing.TB, id string, role membership.Role, store Store, seeds ...netip.AddrPort) *Node {
 	t.Helper()
--- a/internal/coordination/reader.go
+++ b/internal/coordination/reader.go
@@ -11,7 +11,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/coordination/exchange"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Times of reading from the platform.
@@ -27,8 +27,8 @@
 
 // Store is what a node needs of the platform's client.
 type Store interface {
-	Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (platform.Changes, error)
-	Machines(ctx context.Context) ([]platform.Machine, error)
+	Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (objects.Changes, error)
+	Machines(ctx context.Context) ([]objects.Machine, error)
 }
 
 // reader watches the store while this node is one of its region's readers. Its
@@ -101,7 +101,7 @@
 }
 
 // take hands changes to the decider and waits until they are in force.
-func (r *reader) take(ctx context.Context, changes platform.Changes, after catalog.Revision) {
+func (r *reader) take(ctx context.Context, changes objects.Changes, after catalog.Revision) {
 	if changes.Revision < after {
 		r.node.options.Log.WithField("node", r.node.options.Node.ID).
 			WithField("store", changes.Revision).WithField("held", after).
@@ -127,7 +127,7 @@
 
 // storeChanged runs in the goroutine of Node.run. The configuration's revision
 // is that of its latest object, so that all readers agree on it.
-func (n *Node) storeChanged(now time.Time, changes platform.Changes) {
+func (n *Node) storeChanged(now time.Time, changes objects.Changes) {
 	revision := changes.Objects[len(changes.Objects)-1].Revision
 	output, err := n.decider.StoreChanged(now, changes.Objects, revision)
 	n.apply(output)
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -10,7 +10,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/internal/lab/fabric"
 	"github.com/burlmill/burlmill/internal/lab/process"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Import paths of the binaries.
@@ -28,7 +28,7 @@
 // Cluster is a running deployment. It is used by one goroutine.
 type Cluster struct {
 	Fabric    *fabric.Fabric
-	Platform  *platform.Client
+	Platform  *objects.Client
 	StoreURL  string
 	Store     *process.Process
 	Balancers []*Node
@@ -98,7 +98,7 @@
 	labAddress := netip.AddrPortFrom(host, labPort).String()
 	c.StoreURL = "http://" + address
 	c.labURL = "http://" + labAddress
-	c.Platform = platform.NewClient(c.StoreURL, platform.Options{})
+	c.Platform = objects.NewClient(c.StoreURL, objects.Options{})
 	c.Store, err = c.startProcess(process.Command{
 		Name: "store", Path: c.lab, Arguments: []string{"store", "--address", address, "--lab-address", labAddress},
 	})
--- a/internal/lab/cluster/configuration.go
+++ b/internal/lab/cluster/configuration.go
@@ -7,7 +7,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // author is the author of the cluster's own writes to the store.
@@ -38,8 +38,8 @@
 	if err != nil {
 		return 0, fault.Wrap(fault.Internal, err, "encode service %s", service.Name)
 	}
-	return c.Platform.Put(ctx, platform.Write{
-		Name: service.Name, Expected: expected, Body: body, Command: platform.NewCommandID(), Author: author,
+	return c.Platform.Put(ctx, objects.Write{
+		Name: service.Name, Expected: expected, Body: body, Command: objects.NewCommandID(), Author: author,
 	})
 }
 
--- a/internal/lab/cluster/machines.go
+++ b/internal/lab/cluster/machines.go
@@ -7,12 +7,12 @@
 	"net/http"
 
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // register puts the node on the platform's machine list.
 func (c *Cluster) register(ctx context.Context, node *Node) error {
-	machine := platform.Machine{
+	machine := objects.Machine{
 		ID: node.ID, Role: node.Role, Region: region, Zone: node.Zone,
 		Control: node.Control(), Data: node.Data(),
 	}
@@ -29,7 +29,7 @@
 }
 
 func (c *Cluster) machineRequest(ctx context.Context, method string, node *Node, body []byte) error {
-	url := c.StoreURL + platform.PathMachines + "/" + node.ID
+	url := c.StoreURL + objects.PathMachines + "/" + node.ID
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "machine list request")
--- a/internal/lab/store/api.go
+++ b/internal/lab/store/api.go
@@ -10,7 +10,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // maximumWait bounds how long a watch may wait.
@@ -19,14 +19,14 @@
 // apiHandler serves the published protocol, behind the fault switches.
 func (s *Store) apiHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathObjects+"/{name}", s.getObject)
-	mux.HandleFunc("PUT "+platform.PathObjects+"/{name}", s.writeObject)
-	mux.HandleFunc("DELETE "+platform.PathObjects+"/{name}", s.writeObject)
-	mux.HandleFunc("GET "+platform.PathObjects, s.listObjects)
-	mux.HandleFunc("GET "+platform.PathWatch, s.watchObjects)
-	mux.HandleFunc("GET "+platform.PathMachines, s.listMachines)
-	mux.HandleFunc("PUT "+platform.PathMachines+"/{id}", s.putMachine)
-	mux.HandleFunc("DELETE "+platform.PathMachines+"/{id}", s.deleteMachine)
+	mux.HandleFunc("GET "+objects.PathObjects+"/{name}", s.getObject)
+	mux.HandleFunc("PUT "+objects.PathObjects+"/{name}", s.writeObject)
+	mux.HandleFunc("DELETE "+objects.PathObjects+"/{name}", s.writeObject)
+	mux.HandleFunc("GET "+objects.PathObjects, s.listObjects)
+	mux.HandleFunc("GET "+objects.PathWatch, s.watchObjects)
+	mux.HandleFunc("GET "+objects.PathMachines, s.listMachines)
+	mux.HandleFunc("PUT "+objects.PathMachines+"/{id}", s.putMachine)
+	mux.HandleFunc("DELETE "+objects.PathMachines+"/{id}", s.deleteMachine)
 	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		if !s.hang(request.Context()) {
 			cut(response)
@@ -44,7 +44,7 @@
 
 func (s *Store) getObject(response http.ResponseWriter, request *http.Request) {
 	name := catalog.ServiceName(request.PathValue("name"))
-	object := query(s, func(state *state) platform.Object {
+	object := query(s, func(state *state) objects.Object {
 		state.counters.Reads++
 		return state.table.objects[name]
 	})
@@ -80,13 +80,13 @@
 	case !applied:
 		answerObject(response, http.StatusPreconditionFailed, object)
 	default:
-		response.Header().Set(platform.HeaderETag, platform.FormatEntityTag(object.Version))
-		answer(response, http.StatusOK, platform.Written{Name: object.Name, Version: object.Version})
+		response.Header().Set(objects.HeaderETag, objects.FormatEntityTag(object.Version))
+		answer(response, http.StatusOK, objects.Written{Name: object.Name, Version: object.Version})
 	}
 }
 
 func readChange(request *http.Request) (change, error) {
-	expected, err := platform.ParseEntityTag(request.Header.Get(platform.HeaderIfMatch))
+	expected, err := objects.ParseEntityTag(request.Header.Get(objects.HeaderIfMatch))
 	if err != nil {
 		return change{}, err
 	}
@@ -94,9 +94,9 @@
 		name:     catalog.ServiceName(request.PathValue("name")),
 		expected: expected,
 		deleted:  request.Method == http.MethodDelete,
-		annotations: platform.Annotations{
-			CommandID: platform.CommandID(request.Header.Get(platform.HeaderCommandID)),
-			Author:    request.Header.Get(platform.HeaderAuthor),
+		annotations: objects.Annotations{
+			CommandID: objects.CommandID(request.Header.Get(objects.HeaderCommandID)),
+			Author:    request.Header.Get(objects.HeaderAuthor),
 		},
 	}
 	if err := change.annotations.Validate(); err != nil {
@@ -141,7 +141,7 @@
 	s.do(func(state *state) { state.counters.DelayedWrites-- })
 }
 
-func (s *Store) apply(change change) (object platform.Object, applied bool) {
+func (s *Store) apply(change change) (object objects.Object, applied bool) {
 	s.do(func(state *state) {
 		object, applied = state.table.apply(change)
 		if applied {
@@ -157,7 +157,7 @@
 		answerProblem(response, err)
 		return
 	}
-	list := query(s, func(state *state) platform.ChangeList {
+	list := query(s, func(state *state) objects.ChangeList {
 		state.counters.Reads++
 		return state.table.changes(after)
 	})
@@ -166,10 +166,10 @@
 }
 
 func parseAfter(request *http.Request) (catalog.Revision, error) {
-	text := request.URL.Query().Get(platform.QueryAfter)
+	text := request.URL.Query().Get(objects.QueryAfter)
 	after, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return 0, fault.InvalidField(platform.QueryAfter, text, "must be a version")
+		return 0, fault.InvalidField(objects.QueryAfter, text, "must be a version")
 	}
 	return catalog.Revision(after), nil
 }
@@ -180,10 +180,10 @@
 		answerProblem(response, err)
 		return
 	}
-	text := request.URL.Query().Get(platform.QueryWait)
+	text := request.URL.Query().Get(objects.QueryWait)
 	wait, err := time.ParseDuration(text)
 	if err != nil || wait < 0 || wait > maximumWait {
-		answerProblem(response, fault.InvalidField(platform.QueryWait, text, "must be 0s to "+maximumWait.String()))
+		answerProblem(response, fault.InvalidField(objects.QueryWait, text, "must be 0s to "+maximumWait.String()))
 		return
 	}
 	s.do(func(state *state) {
@@ -202,12 +202,12 @@
 
 // awaitChanges waits until the version is above after, at most for wait. It
 // returns false if the store fails before that.
-func (s *Store) awaitChanges(ctx context.Context, after catalog.Revision, wait time.Duration) (platform.ChangeList, bool) {
+func (s *Store) awaitChanges(ctx context.Context, after catalog.Revision, wait time.Duration) (objects.ChangeList, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	expired := false
 	for {
-		var list platform.ChangeList
+		var list objects.ChangeList
 		var outage Outage
 		var changed <-chan struct{}
 		s.do(func(state *state) {
@@ -233,11 +233,11 @@
 }
 
 func (s *Store) listMachines(response http.ResponseWriter, request *http.Request) {
-	machines := query(s, func(state *state) []platform.Machine {
+	machines := query(s, func(state *state) []objects.Machine {
 		state.counters.Reads++
 		return state.machines.at(time.Now().Add(-state.faults.MachineLag.duration()))
 	})
-	list := platform.MachineList{Machines: []json.RawMessage{}}
+	list := objects.MachineList{Machines: []json.RawMessage{}}
 	for _, machine := range machines {
 		encoded, err := json.Marshal(machine)
 		if err != nil {
@@ -251,7 +251,7 @@
 }
 
 func (s *Store) putMachine(response http.ResponseWriter, request *http.Request) {
-	var machine platform.Machine
+	var machine objects.Machine
 	if err := json.NewDecoder(request.Body).Decode(&machine); err != nil {
 		answerProblem(response, fault.Wrap(fault.Invalid, err, "machine"))
 		return
--- a/internal/lab/store/lab.go
+++ b/internal/lab/store/lab.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Paths of the fault switches under LabURL.
@@ -80,13 +80,13 @@
 	_, _ = response.Write(encoded) // the client is gone if this fails
 }
 
-func answerObject(response http.ResponseWriter, status int, object platform.Object) {
-	response.Header().Set(platform.HeaderETag, platform.FormatEntityTag(object.Version))
+func answerObject(response http.ResponseWriter, status int, object objects.Object) {
+	response.Header().Set(objects.HeaderETag, objects.FormatEntityTag(object.Version))
 	answer(response, status, object)
 }
 
 // answerProblem answers a request that was refused without any effect.
 func answerProblem(response http.ResponseWriter, err error) {
 	applied := false
-	answer(response, fault.Of(err).Answer().HTTPStatus, platform.Problem{Error: err.Error(), Applied: &applied})
+	answer(response, fault.Of(err).Answer().HTTPStatus, objects.Problem{Error: err.Error(), Applied: &applied})
 }
--- a/internal/lab/store/machines.go
+++ b/internal/lab/store/machines.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // maximumMachineLists is how many former machine lists are kept to serve late ones.
@@ -16,12 +16,12 @@
 
 type machineList struct {
 	since    time.Time
-	machines map[string]platform.Machine // by id
+	machines map[string]objects.Machine // by id
 }
 
 // change appends the list that edit makes of the latest one.
-func (l machineLog) change(now time.Time, edit func(machines map[string]platform.Machine)) machineLog {
-	machines := map[string]platform.Machine{}
+func (l machineLog) change(now time.Time, edit func(machines map[string]objects.Machine)) machineLog {
+	machines := map[string]objects.Machine{}
 	if len(l) > 0 {
 		machines = maps.Clone(l[len(l)-1].machines)
 	}
@@ -34,12 +34,12 @@
 }
 
 // at returns the machines listed at the time, in order of id.
-func (l machineLog) at(when time.Time) []platform.Machine {
+func (l machineLog) at(when time.Time) []objects.Machine {
 	for _, list := range slices.Backward(l) {
 		if list.since.After(when) {
 			continue
 		}
-		machines := make([]platform.Machine, 0, len(list.machines))
+		machines := make([]objects.Machine, 0, len(list.machines))
 		for _, id := range slices.Sorted(maps.Keys(list.machines)) {
 			machines = append(machines, list.machines[id])
 		}
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Store is one running stand-in. All methods are safe for concurrent use; after
@@ -165,16 +165,16 @@
 }
 
 // SetMachine adds a machine to the list or replaces the one with its id.
-func (s *Store) SetMachine(machine platform.Machine) {
-	s.changeMachines(func(machines map[string]platform.Machine) { machines[machine.ID] = machine })
+func (s *Store) SetMachine(machine objects.Machine) {
+	s.changeMachines(func(machines map[string]objects.Machine) { machines[machine.ID] = machine })
 }
 
 // RemoveMachine takes the machine off the list.
 func (s *Store) RemoveMachine(id string) {
-	s.changeMachines(func(machines map[string]platform.Machine) { delete(machines, id) })
+	s.changeMachines(func(machines map[string]objects.Machine) { delete(machines, id) })
 }
 
-func (s *Store) changeMachines(edit func(map[string]platform.Machine)) {
+func (s *Store) changeMachines(edit func(map[string]objects.Machine)) {
 	s.do(func(state *state) { state.machines = state.machines.change(time.Now(), edit) })
 }
 
--- a/internal/lab/store/store_test.go
+++ b/internal/lab/store/store_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 const (
@@ -28,7 +28,7 @@
 // fixture is a running store and a client of it.
 type fixture struct {
 	store  *Store
-	client *platform.Client
+	client *objects.Client
 }
 
 func start(t testing.TB, timeout time.Duration) fixture {
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewClient(store.URL(), platform.Options{Timeout: timeout})
+	client := objects.NewClient(store.URL(), objects.Options{Timeout: timeout})
 	t.Cleanup(func() {
 		client.Close()
 		store.Close()
@@ -44,12 +44,12 @@
 	return fixture{store: store, client: client}
 }
 
-func write(name catalog.ServiceName, expected catalog.Revision, body string) platform.Write {
-	return platform.Write{
+func write(name catalog.ServiceName, expected catalog.Revision, body string) objects.Write {
+	return objects.Write{
 		Name:     name,
 		Expected: expected,
 		Body:     json.RawMessage(body),
-		Command:  platform.NewCommandID(),
+		Command:  objects.NewCommandID(),
 		Author:   "operator",
 	}
 }
@@ -70,13 +70,13 @@
 		faults Faults
 		put    fault.Kind
 		get    fault.Kind
-		status platform.Status // of the write, once the faults are over
+		status objects.Status // of the write, once the faults are over
 	}{
-		{"refuse", Faults{Outage: OutageRefuse}, fault.Unavailable, fault.Unavailable, platform.StillUnknown},
-		{"hang", Faults{Outage: OutageHang}, fault.Unknown, fault.Deadline, platform.StillUnknown},
-		{"slow", Faults{Slow: Milliseconds(3 * shortTimeout / 2 / time.Millisecond)}, fault.Unknown, fault.Deadline, platform.Applied},
-		{"lost reply", Faults{LoseReplies: 1}, fault.Unknown, fault.NotFound, platform.Applied},
-		{"delayed write", Faults{DelayWrites: 1, WriteDelay: 50}, fault.Unknown, fault.NotFound, platform.Applied},
+		{"refuse", Faults{Outage: OutageRefuse}, fault.Unavailable, fault.Unavailable, objects.StillUnknown},
+		{"hang", Faults{Outage: OutageHang}, fault.Unknown, fault.Deadline, objects.StillUnknown},
+		{"slow", Faults{Slow: Milliseconds(3 * shortTimeout / 2 / time.Millisecond)}, fault.Unknown, fault.Deadline, objects.Applied},
+		{"lost reply", Faults{LoseReplies: 1}, fault.Unknown, fault.NotFound, objects.Applied},
+		{"delayed write", Faults{DelayWrites: 1, WriteDelay: 50}, fault.Unknown, fault.NotFound, objects.Applied},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -105,11 +105,11 @@
 	is.NoErr(err)
 	second := write("lessons", 0, `{"a":2}`)
 	_, err = f.client.Put(t.Context(), second)
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	is.True(errors.As(err, &conflict))
 	is.Equal(fault.Of(err), fault.Conflict)
 	is.Equal(conflict.Current.Version, version)
-	is.Equal(conflict.Current.Annotations, platform.Annotations{CommandID: first.Command, Author: "operator"})
+	is.Equal(conflict.Current.Annotations, objects.Annotations{CommandID: first.Command, Author: "operator"})
 	again, err := f.client.Put(t.Context(), first) // a repeat is not a conflict
 	is.NoErr(err)
 	is.Equal(again, version)
@@ -133,7 +133,7 @@
 	f := start(t, patience)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	received := make(chan platform.Changes, 1)
+	received := make(chan objects.Changes, 1)
 	go func() {
 		defer close(received)
 		changes, err := f.client.Watch(ctx, 0, patience)
@@ -142,7 +142,7 @@
 		}
 	}()
 	eventually(t, func() bool { return f.store.Counters().OpenWatches == 1 })
-	_, err := f.client.Put(ctx, write(platform.InternalPrefix+"lease", 0, `{}`))
+	_, err := f.client.Put(ctx, write(objects.InternalPrefix+"lease", 0, `{}`))
 	is.NoErr(err)
 	eventually(t, func() bool { return f.store.Counters().Watches == 2 }) // it did not return for that
 	snapshot := f.store.Snapshot()
@@ -150,18 +150,18 @@
 	is.NoErr(err)
 	changes := <-received
 	want := catalog.Object{Name: "lessons", Revision: version, Body: []byte(`{"a":1}`)}
-	is.Equal(changes, platform.Changes{Revision: version, Objects: []catalog.Object{want}})
+	is.Equal(changes, objects.Changes{Revision: version, Objects: []catalog.Object{want}})
 
 	is.NoErr(f.store.Restore(snapshot))
 	changes, err = f.client.Watch(ctx, version, time.Millisecond)
 	is.NoErr(err)
-	is.Equal(changes, platform.Changes{Revision: version - 1})
+	is.Equal(changes, objects.Changes{Revision: version - 1})
 }
 
 func TestMachineListLags(t *testing.T) {
 	is := is.New(t)
 	f := start(t, patience)
-	f.store.SetMachine(platform.Machine{ID: "one", Role: "agent"})
+	f.store.SetMachine(objects.Machine{ID: "one", Role: "agent"})
 	is.NoErr(f.store.SetFaults(Faults{MachineLag: Milliseconds(time.Hour / time.Millisecond)}))
 	machines, err := f.client.Machines(t.Context())
 	is.NoErr(err)
@@ -169,7 +169,7 @@
 	is.NoErr(f.store.SetFaults(Faults{}))
 	machines, err = f.client.Machines(t.Context())
 	is.NoErr(err)
-	is.Equal(machines, []platform.Machine{{ID: "one", Role: "agent"}})
+	is.Equal(machines, []objects.Machine{{ID: "one", Role: "agent"}})
 }
 
 func TestFaultsOverHTTP(t *testing.T) {
@@ -204,8 +204,8 @@
 
 // verdict is what Resolve said of a write at some time.
 type verdict struct {
-	command platform.CommandID
-	outcome platform.Outcome
+	command objects.CommandID
+	outcome objects.Outcome
 }
 
 // TestResolveNeverGuesses writes one object from several hands under faults and
@@ -213,17 +213,17 @@
 func TestResolveNeverGuesses(t *testing.T) {
 	f := start(t, patience)
 	rapid.Check(t, func(t *rapid.T) {
-		name := catalog.ServiceName(platform.NewCommandID())
-		applied := map[platform.CommandID]catalog.Revision{}
+		name := catalog.ServiceName(objects.NewCommandID())
+		applied := map[objects.CommandID]catalog.Revision{}
 		look := func() (current catalog.Revision) { // often enough for the history not to forget
-			object := query(f.store, func(state *state) platform.Object { return state.table.objects[name] })
+			object := query(f.store, func(state *state) objects.Object { return state.table.objects[name] })
 			applied[object.Annotations.CommandID] = object.Version
 			for _, entry := range object.History {
 				applied[entry.Annotations.CommandID] = entry.Version
 			}
 			return object.Version
 		}
-		var sent []platform.Write
+		var sent []objects.Write
 		var verdicts []verdict
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(*rapid.T) { look() },
@@ -237,8 +237,8 @@
 				sent = append(sent, put)
 			},
 			"others": func(t *rapid.T) {
-				for range rapid.IntRange(1, platform.HistoryLimit+2).Draw(t, "writes") {
-					annotations := platform.Annotations{CommandID: platform.NewCommandID()}
+				for range rapid.IntRange(1, objects.HistoryLimit+2).Draw(t, "writes") {
+					annotations := objects.Annotations{CommandID: objects.NewCommandID()}
 					f.store.apply(change{name: name, expected: look(), annotations: annotations})
 				}
 			},
@@ -259,8 +259,8 @@
 		for _, verdict := range verdicts {
 			version, was := applied[verdict.command]
 			outcome := verdict.outcome
-			wrong := outcome.Status == platform.Applied && (!was || version != outcome.Version)
-			if wrong || outcome.Status == platform.NotApplied && was {
+			wrong := outcome.Status == objects.Applied && (!was || version != outcome.Version)
+			if wrong || outcome.Status == objects.NotApplied && was {
 				t.Fatalf("verdict %s version %d, but applied=%t version %d", outcome.Status, outcome.Version, was, version)
 			}
 		}
--- a/internal/lab/store/table.go
+++ b/internal/lab/store/table.go
@@ -7,18 +7,18 @@
 	"slices"
 
 	"github.com/burlmill/burlmill/catalog"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // table holds the objects under one version counter. It has no locks: the
 // store's owner goroutine is its only user.
 type table struct {
 	version catalog.Revision
-	objects map[catalog.ServiceName]platform.Object
+	objects map[catalog.ServiceName]objects.Object
 }
 
 func newTable() *table {
-	return &table{objects: map[catalog.ServiceName]platform.Object{}}
+	return &table{objects: map[catalog.ServiceName]objects.Object{}}
 }
 
 // clone returns an independent copy. Objects are replaced and never changed, so
@@ -33,19 +33,19 @@
 	expected    catalog.Revision
 	deleted     bool
 	body        json.RawMessage
-	annotations platform.Annotations
+	annotations objects.Annotations
 }
 
 // apply carries the write out if the object is at the expected version. It
 // returns the object as it then stands, and whether the write was applied.
-func (t *table) apply(change change) (platform.Object, bool) {
+func (t *table) apply(change change) (objects.Object, bool) {
 	current := t.objects[change.name]
 	current.Name = change.name
 	if current.Version != change.expected {
 		return current, false
 	}
 	t.version++
-	next := platform.Object{
+	next := objects.Object{
 		Name:        change.name,
 		Version:     t.version,
 		Deleted:     change.deleted,
@@ -57,25 +57,25 @@
 	return next, true
 }
 
-func extendHistory(current platform.Object) []platform.HistoryEntry {
+func extendHistory(current objects.Object) []objects.HistoryEntry {
 	if current.Version == 0 {
 		return nil
 	}
-	latest := platform.HistoryEntry{Version: current.Version, Annotations: current.Annotations}
-	history := append([]platform.HistoryEntry{latest}, current.History...)
-	return history[:min(len(history), platform.HistoryLimit-1)]
+	latest := objects.HistoryEntry{Version: current.Version, Annotations: current.Annotations}
+	history := append([]objects.HistoryEntry{latest}, current.History...)
+	return history[:min(len(history), objects.HistoryLimit-1)]
 }
 
 // changes returns the objects written after the version, oldest first and without
 // their histories.
-func (t *table) changes(after catalog.Revision) platform.ChangeList {
-	list := platform.ChangeList{Version: t.version, Objects: []platform.Object{}}
+func (t *table) changes(after catalog.Revision) objects.ChangeList {
+	list := objects.ChangeList{Version: t.version, Objects: []objects.Object{}}
 	for _, object := range t.objects {
 		if object.Version > after {
 			object.History = nil
 			list.Objects = append(list.Objects, object)
 		}
 	}
-	slices.SortFunc(list.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(list.Objects, func(a, b objects.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return list
 }
--- a/internal/platform/client_test.go
+++ b/internal/objects/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"context"
--- a/internal/platform/protocol.go
+++ b/internal/objects/protocol.go
@@ -1,9 +1,9 @@
-// Package platform is the client of the platform's object API: JSON over HTTP
+// Package objects is the client of the platform's object API: JSON over HTTP
 // with object versions, conditional writes and long-poll watches, and a machine
 // list that lags behind reality. It turns every failure into the kind of package
 // fault that says what the caller may assume, above all whether a write whose
 // reply is missing may have been applied.
-package platform
+package objects
 
 import (
 	"crypto/rand"
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -9,7 +9,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Expectation is the version at which an operator last saw a service; 0 means
@@ -54,13 +54,13 @@
 	}
 	for _, expectation := range expectations {
 		if expectation.Service == service.Name && !expectation.isMet(current) {
-			return failure(service.Name, &platform.ConflictError{Current: current})
+			return failure(service.Name, &objects.ConflictError{Current: current})
 		}
 	}
 	return o.replace(ctx, current, service)
 }
 
-func (e *Expectation) isMet(current platform.Object) bool {
+func (e *Expectation) isMet(current objects.Object) bool {
 	if current.Deleted {
 		return e.Version == 0 || e.Version == current.Version
 	}
@@ -83,7 +83,7 @@
 // other, as every node will. Objects in the store that are not valid by
 // themselves count as absent.
 func (o *Operator) checkTogether(ctx context.Context, services []catalog.Service) error {
-	changes, err := retry(ctx, o.options, func() (platform.Changes, error) { return o.store.Changes(ctx, 0) })
+	changes, err := retry(ctx, o.options, func() (objects.Changes, error) { return o.store.Changes(ctx, 0) })
 	if err != nil {
 		return fmt.Errorf("read the store: %w", err)
 	}
--- a/internal/operator/fanout/fanout_test.go
+++ b/internal/operator/fanout/fanout_test.go
@@ -22,10 +22,10 @@
 	"github.com/burlmill/burlmill/internal/coordination"
 	"github.com/burlmill/burlmill/internal/lab/store"
 	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/operator/fanout"
 	"github.com/burlmill/burlmill/internal/operator/output"
 	"github.com/burlmill/burlmill/internal/operator/overview"
-	"github.com/burlmill/burlmill/internal/platform"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/internal/status"
 	"github.com/burlmill/burlmill/membership"
@@ -101,9 +101,9 @@
 	}
 	body, err := json.Marshal(service)
 	is.NoErr(err)
-	client := platform.NewClient(objects.URL(), platform.Options{})
+	client := objects.NewClient(objects.URL(), objects.Options{})
 	defer client.Close()
-	_, err = client.Put(t.Context(), platform.Write{Name: service.Name, Body: body, Command: platform.NewCommandID(), Author: "test"})
+	_, err = client.Put(t.Context(), objects.Write{Name: service.Name, Body: body, Command: objects.NewCommandID(), Author: "test"})
 	is.NoErr(err)
 	return objects.URL()
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,15 +11,15 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
-// Store is the part of platform.Client that commands use.
+// Store is the part of objects.Client that commands use.
 type Store interface {
-	Get(ctx context.Context, name catalog.ServiceName) (platform.Object, error)
-	Put(ctx context.Context, write platform.Write) (catalog.Revision, error)
-	Resolve(ctx context.Context, write platform.Write) (platform.Outcome, error)
-	Changes(ctx context.Context, after catalog.Revision) (platform.Changes, error)
+	Get(ctx context.Context, name catalog.ServiceName) (objects.Object, error)
+	Put(ctx context.Context, write objects.Write) (catalog.Revision, error)
+	Resolve(ctx context.Context, write objects.Write) (objects.Outcome, error)
+	Changes(ctx context.Context, after catalog.Revision) (objects.Changes, error)
 }
 
 // Defaults of Options.
@@ -32,7 +32,7 @@
 type Options struct {
 	// Command identifies the command. An operator who repeats a command whose
 	// result is unknown gives the same one again. Empty: a new one.
-	Command platform.CommandID
+	Command objects.CommandID
 	Author  string // who gives the command
 
 	Patience      time.Duration // time for which a store that fails is tried again; 0: DefaultPatience
@@ -48,7 +48,7 @@
 // New returns an operator for one command. Errors are of kind fault.Invalid.
 func New(store Store, options Options) (*Operator, error) {
 	if options.Command == "" {
-		options.Command = platform.NewCommandID()
+		options.Command = objects.NewCommandID()
 	}
 	if options.Patience <= 0 {
 		options.Patience = DefaultPatience
@@ -56,7 +56,7 @@
 	if options.RetryInterval <= 0 {
 		options.RetryInterval = DefaultRetryInterval
 	}
-	annotations := platform.Annotations{CommandID: options.Command, Author: options.Author}
+	annotations := objects.Annotations{CommandID: options.Command, Author: options.Author}
 	if err := annotations.Validate(); err != nil {
 		return nil, err
 	}
@@ -65,8 +65,8 @@
 
 // read returns the object as it stands. One that doesn't exist has version 0,
 // or is the deletion that removed it.
-func (o *Operator) read(ctx context.Context, name catalog.ServiceName) (platform.Object, error) {
-	return retry(ctx, o.options, func() (platform.Object, error) {
+func (o *Operator) read(ctx context.Context, name catalog.ServiceName) (objects.Object, error) {
+	return retry(ctx, o.options, func() (objects.Object, error) {
 		object, err := o.store.Get(ctx, name)
 		if fault.Of(err) == fault.NotFound {
 			return object, nil
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,8 +13,8 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/lab/store"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/operator"
-	"github.com/burlmill/burlmill/internal/platform"
 )
 
 const lessons = `
@@ -37,14 +37,14 @@
 	Cleanup(func())
 }
 
-func start(t tester) (*store.Store, *platform.Client) {
+func start(t tester) (*store.Store, *objects.Client) {
 	t.Helper()
 	running, err := store.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(running.Close)
-	client := platform.NewClient(running.URL(), platform.Options{Timeout: 2 * time.Second})
+	client := objects.NewClient(running.URL(), objects.Options{Timeout: 2 * time.Second})
 	t.Cleanup(client.Close)
 	return running, client
 }
@@ -52,7 +52,7 @@
 func newOperator(t tester, objects operator.Store, author, command string, patience time.Duration) *operator.Operator {
 	t.Helper()
 	created, err := operator.New(objects, operator.Options{
-		Command:       platform.CommandID(command),
+		Command:       objects.CommandID(command),
 		Author:        author,
 		Patience:      patience,
 		RetryInterval: time.Millisecond,
@@ -172,11 +172,11 @@
 
 // failing is a store that goes down right after the first write reached it.
 type failing struct {
-	*platform.Client
+	*objects.Client
 	running *store.Store
 }
 
-func (f failing) Put(ctx context.Context, write platform.Write) (catalog.Revision, error) {
+func (f failing) Put(ctx context.Context, write objects.Write) (catalog.Revision, error) {
 	version, err := f.Client.Put(ctx, write)
 	if outage := f.running.SetFaults(store.Faults{Outage: store.OutageRefuse}); outage != nil {
 		return 0, outage
@@ -217,7 +217,7 @@
 		file := strings.NewReplacer("lessons", string(name), "192.0.2.1:443", fmt.Sprintf("192.0.2.1:%d", number)).Replace(lessons)
 		is.True(strings.Contains(apply(t, client, "linh", "create", file), ": applied at version"))
 		type report struct {
-			command platform.CommandID
+			command objects.CommandID
 			result  operator.Result
 		}
 		reports := make(chan report, 6)
@@ -228,7 +228,7 @@
 			WriteDelay:  store.Milliseconds(rapid.IntRange(0, 4).Draw(t, "delay")),
 		}))
 		for i, percent := range percents {
-			command := platform.CommandID(fmt.Sprintf("command-%d", i))
+			command := objects.CommandID(fmt.Sprintf("command-%d", i))
 			commander := newOperator(t, client, "sigga", string(command), 5*time.Second)
 			go func() {
 				shares := []catalog.SiteShare{{Site: "old", Percent: percent}, {Site: "new", Percent: 100 - percent}}
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -10,8 +10,8 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/operator/output"
-	"github.com/burlmill/burlmill/internal/platform"
 )
 
 // Plan says what a change of one service would do to the rows by which new
@@ -58,7 +58,7 @@
 }
 
 // serviceOf returns the service of that name that the object describes.
-func serviceOf(name catalog.ServiceName, current platform.Object) (catalog.Service, error) {
+func serviceOf(name catalog.ServiceName, current objects.Object) (catalog.Service, error) {
 	if current.Version == 0 || current.Deleted {
 		return catalog.Service{}, fault.New(fault.NotFound, "service %q does not exist", name)
 	}
--- a/internal/operator/result.go
+++ b/internal/operator/result.go
@@ -6,7 +6,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // Status says what became of one object.
@@ -62,7 +62,7 @@
 }
 
 func conflictText(err error) string {
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
 		return err.Error()
 	}
--- a/internal/operator/write.go
+++ b/internal/operator/write.go
@@ -6,12 +6,12 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // replace writes the service in place of the object that was read, unless it
 // says the same already.
-func (o *Operator) replace(ctx context.Context, current platform.Object, service catalog.Service) Result {
+func (o *Operator) replace(ctx context.Context, current objects.Object, service catalog.Service) Result {
 	body, err := json.Marshal(service)
 	if err != nil {
 		return failure(service.Name, fault.Wrap(fault.Internal, err, "format service"))
@@ -22,7 +22,7 @@
 	if saysSame(current, body) {
 		return Result{Service: service.Name, Status: Unchanged, Version: current.Version, Latest: current.Version}
 	}
-	return o.put(ctx, platform.Write{
+	return o.put(ctx, objects.Write{
 		Name:     service.Name,
 		Expected: current.Version,
 		Body:     body,
@@ -33,7 +33,7 @@
 
 // repeated is the result of a command that an earlier run had carried out at
 // the version. A repeat that asks for something else is refused.
-func repeated(current platform.Object, version catalog.Revision, wanted *catalog.Service) Result {
+func repeated(current objects.Object, version catalog.Revision, wanted *catalog.Service) Result {
 	if wanted != nil && version == current.Version {
 		body, err := json.Marshal(wanted)
 		if err != nil || !saysSame(current, body) {
@@ -45,7 +45,7 @@
 }
 
 // saysSame compares an object with the body that json.Marshal made of a service.
-func saysSame(current platform.Object, body []byte) bool {
+func saysSame(current objects.Object, body []byte) bool {
 	if current.Deleted || len(current.Body) == 0 {
 		return false
 	}
@@ -59,7 +59,7 @@
 
 // put carries the write out. Unless its fate can be told for sure before the
 // patience is used up, the result is Unknown.
-func (o *Operator) put(ctx context.Context, write platform.Write) Result {
+func (o *Operator) put(ctx context.Context, write objects.Write) Result {
 	attempts := &attempts{store: o.store, write: write}
 	version, err := retry(ctx, o.options, func() (catalog.Revision, error) { return attempts.next(ctx) })
 	if err != nil && attempts.uncertain && fault.Of(err) != fault.Conflict {
@@ -76,7 +76,7 @@
 // same version, so at most one of them is ever applied.
 type attempts struct {
 	store     Store
-	write     platform.Write
+	write     objects.Write
 	uncertain bool             // a copy was sent and its fate is not known
 	latest    catalog.Revision // version of the object when it was last read back
 }
@@ -104,10 +104,10 @@
 	}
 	a.latest = outcome.Current.Version
 	switch outcome.Status {
-	case platform.Applied:
+	case objects.Applied:
 		return outcome.Version, nil
-	case platform.NotApplied:
-		return 0, &platform.ConflictError{Current: outcome.Current}
+	case objects.NotApplied:
+		return 0, &objects.ConflictError{Current: outcome.Current}
 	}
 	return 0, fault.Wrap(fault.Unknown, cause, "not applied so far")
 }
--- a/test/operators_test.go
+++ b/test/operators_test.go
@@ -14,7 +14,7 @@
 	"github.com/burlmill/burlmill/internal/lab/cluster"
 	"github.com/burlmill/burlmill/internal/lab/process"
 	"github.com/burlmill/burlmill/internal/lab/store"
-	"github.com/burlmill/burlmill/internal/platform"
+	"github.com/burlmill/burlmill/internal/objects"
 )
 
 // writeDelay is how long after its connection was cut a delayed write takes effect.
@@ -66,7 +66,7 @@
 // command is one operator's command and what came of it.
 type command struct {
 	author    string
-	id        platform.CommandID
+	id        objects.CommandID
 	arguments []string
 	isIn      func(service catalog.Service) bool // its change
 	process   *process.Process
@@ -76,7 +76,7 @@
 	o.given++
 	return &command{
 		author:    fmt.Sprintf("operator-%d", o.given),
-		id:        platform.CommandID(fmt.Sprintf("command-%d", o.given)),
+		id:        objects.CommandID(fmt.Sprintf("command-%d", o.given)),
 		arguments: arguments,
 		isIn:      isIn,
 	}
@@ -103,7 +103,7 @@
 }
 
 // present returns the service as the store has it.
-func (o *operators) present() (catalog.Service, platform.Object) {
+func (o *operators) present() (catalog.Service, objects.Object) {
 	object, err := o.Platform.Get(o.t.Context(), media)
 	o.is.NoErr(err)
 	service, err := catalog.ParseService(media, object.Body)
@@ -131,7 +131,7 @@
 	if object.Annotations.CommandID == second.id {
 		last = second
 	}
-	o.is.Equal(object.Annotations, platform.Annotations{CommandID: last.id, Author: last.author})
+	o.is.Equal(object.Annotations, objects.Annotations{CommandID: last.id, Author: last.author})
 	o.is.True(last.isIn(service))
 	o.inForce(object.Version, nil)
 	return conflicts
@@ -173,7 +173,7 @@
 }
 
 // writesOf counts the versions of an object that a command wrote.
-func (o *operators) writesOf(object platform.Object, id platform.CommandID) int {
+func (o *operators) writesOf(object objects.Object, id objects.CommandID) int {
 	count := 0
 	for _, entry := range object.History {
 		if entry.Annotations.CommandID == id {
