Test variables no longer shadow package objects

Cause: three test files had a variable objects, which hid the renamed package (go vet failed). Renamed the variables; no assertion touched.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -31,9 +31,9 @@
 // after it was told to stop until the fabric is silent.
 func TestRun(t *testing.T) {
 	is := is.New(t)
-	objects, err := store.Start("127.0.0.1:0")
+	running, err := store.Start("127.0.0.1:0")
 	is.NoErr(err)
-	defer objects.Close()
+	defer running.Close()
 	arrived := make(chan wire.Envelope, 100)
 	agent := listenLoopback(t, func(datagram []byte, _ netip.AddrPort) {
 		if envelope, _, err := wire.ParseEnvelope(datagram); err == nil {
@@ -43,14 +43,14 @@
 	service := serviceOf("media", catalog.ProtocolUDP, udpAddress, 1, func(int) netip.AddrPort { return agent.LocalAddress() })
 	body, err := json.Marshal(service)
 	is.NoErr(err)
-	client := objects.NewClient(objects.URL(), objects.Options{})
+	client := objects.NewClient(running.URL(), objects.Options{})
 	defer client.Close()
 	_, err = client.Put(t.Context(), objects.Write{Name: service.Name, Body: body, Command: objects.NewCommandID(), Author: "test"})
 	is.NoErr(err)
-	node := startAgentNode(t, objects.URL(), agent.LocalAddress())
+	node := startAgentNode(t, running.URL(), agent.LocalAddress())
 
 	options := settings.Default()
-	options.Platform.URL = objects.URL()
+	options.Platform.URL = running.URL()
 	options.Peers.Seeds = []netip.AddrPort{node.ControlAddress()}
 	options.Node = settings.Node{
 		ID: "balancer-1", Region: "north", Zone: "a",
--- a/internal/operator/fanout/fanout_test.go
+++ b/internal/operator/fanout/fanout_test.go
@@ -86,9 +86,9 @@
 func startStore(t *testing.T) string {
 	t.Helper()
 	is := is.New(t)
-	objects, err := store.Start("127.0.0.1:0")
+	running, err := store.Start("127.0.0.1:0")
 	is.NoErr(err)
-	t.Cleanup(objects.Close)
+	t.Cleanup(running.Close)
 	service := catalog.Service{
 		Name: "lessons", Protocol: catalog.ProtocolUDP, Address: netip.MustParseAddrPort("192.0.2.1:443"),
 		Shares: []catalog.SiteShare{{Site: "old", Percent: 100}},
@@ -101,11 +101,11 @@
 	}
 	body, err := json.Marshal(service)
 	is.NoErr(err)
-	client := objects.NewClient(objects.URL(), objects.Options{})
+	client := objects.NewClient(running.URL(), objects.Options{})
 	defer client.Close()
 	_, err = client.Put(t.Context(), objects.Write{Name: service.Name, Body: body, Command: objects.NewCommandID(), Author: "test"})
 	is.NoErr(err)
-	return objects.URL()
+	return running.URL()
 }
 
 func newClient(t *testing.T, timeout time.Duration, limit int, entries ...netip.AddrPort) *fanout.Client {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -49,9 +49,9 @@
 	return running, client
 }
 
-func newOperator(t tester, objects operator.Store, author, command string, patience time.Duration) *operator.Operator {
+func newOperator(t tester, store operator.Store, author, command string, patience time.Duration) *operator.Operator {
 	t.Helper()
-	created, err := operator.New(objects, operator.Options{
+	created, err := operator.New(store, operator.Options{
 		Command:       objects.CommandID(command),
 		Author:        author,
 		Patience:      patience,
@@ -64,7 +64,7 @@
 }
 
 // apply runs one apply command and returns its lines, or its error as one line.
-func apply(t tester, objects operator.Store, author, command, file string, expect ...string) string {
+func apply(t tester, store operator.Store, author, command, file string, expect ...string) string {
 	t.Helper()
 	services, err := operator.ParseServices([]byte(file))
 	if err != nil {
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	results, err := newOperator(t, objects, author, command, 5*time.Second).Apply(context.Background(), services, expectations)
+	results, err := newOperator(t, store, author, command, 5*time.Second).Apply(context.Background(), services, expectations)
 	if err != nil {
 		return fmt.Sprintf("%s error: %v", fault.Of(err), err)
 	}
@@ -188,8 +188,8 @@
 	is := is.New(t)
 	running, client := start(t)
 	is.Equal(apply(t, client, "linh", "c1", lessons), "lessons: applied at version 1")
-	drain := func(objects operator.Store, command string) operator.Result {
-		return newOperator(t, objects, "linh", command, 50*time.Millisecond).Drain(context.Background(), "lessons", "a")
+	drain := func(store operator.Store, command string) operator.Result {
+		return newOperator(t, store, "linh", command, 50*time.Millisecond).Drain(context.Background(), "lessons", "a")
 	}
 	is.NoErr(running.SetFaults(store.Faults{LoseReplies: 1}))
 	result := drain(failing{client, running}, "c2")
