--- a/cmd/burlmill/main.go
+++ b/cmd/burlmill/main.go
@@ -33,6 +33,8 @@
 	// Never undone: a signal between the end of the command and the end of the
 	// process must not replace the command's exit code.
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	// By default the signal that says that the settings have changed ends a process.
+	signal.Ignore(syscall.SIGHUP)
 
 	line := newCommandLine(stdout, stderr)
 	selected, err := line.parse(arguments)
--- a/cmd/burlmill/processes.go
+++ b/cmd/burlmill/processes.go
@@ -6,23 +6,29 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/apex/log"
 
 	"github.com/burlmill/burlmill/internal/agent"
 	"github.com/burlmill/burlmill/internal/balancer"
 	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/relay"
 	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/platform"
 )
 
 // process serves until the context is cancelled and then leaves cleanly.
 type process func(context.Context, settings.Settings) error
 
 func (l *commandLine) addProcesses() {
-	l.add("balancer", "Run a balancer.", processAction(balancer.Run))
-	l.add("agent", "Run an agent beside a back end.", processAction(agent.Run))
+	l.add("balancer", "Run a balancer.", processAction(balancer.Run, relay.RunBalancer))
+	l.add("agent", "Run an agent beside a back end.", processAction(agent.Run, relay.RunAgent))
 }
 
+// relayProcess is the same for a process whose flows open with a handshake.
+type relayProcess func(context.Context, settings.Settings, relay.Adapter, log.Interface) error
+
 // processAction configures a command that loads the settings and runs a process.
-func processAction(run process) func(*kingpin.CmdClause) action {
+func processAction(run process, runRelay relayProcess) func(*kingpin.CmdClause) action {
 	return func(clause *kingpin.CmdClause) action {
 		path := clause.Flag("settings", "YAML file with settings. Flags win over it.").PlaceHolder("FILE").String()
 		flags := settings.BindFlags(clause)
@@ -32,7 +38,11 @@
 				return err
 			}
 			// nbio's log belongs to the whole process, so it is routed only here.
-			logging.RouteNbio(logging.New(os.Stdout, loaded.Log.Level))
+			logger := logging.New(os.Stdout, loaded.Log.Level)
+			logging.RouteNbio(logger)
+			if loaded.Flows.Transport == settings.TransportHandshake {
+				return runRelay(ctx, loaded, platform.New(loaded), logger.WithField("node", loaded.Node.ID))
+			}
 			return run(ctx, loaded)
 		}
 	}
--- /dev/null
+++ b/handshake/action.go
@@ -0,0 +1,71 @@
+package handshake
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Action is what a decider asks its process to do.
+type Action interface{ action() }
+
+// Send sends a message to another process.
+type Send struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// Deliver hands a datagram to the agent's back end.
+type Deliver struct{ Bytes []byte }
+
+// Reply sends a back end's datagram on to the caller.
+type Reply struct {
+	Caller netip.AddrPort
+	Bytes  []byte
+}
+
+// ResetCaller tells the caller that its flow has ended or has not opened.
+type ResetCaller struct{ Key flow.Key }
+
+// Decision is something that a decider did to a flow, for the log.
+type Decision struct {
+	Event    Event
+	Key      flow.Key
+	Service  catalog.ServiceName
+	Peer     netip.AddrPort // the process it concerns, if any
+	Reason   string
+	Version  routing.Version // of the configuration that decided it
+	Attempts int             // offers or questions so far
+	Load     Load            // as last heard of the chosen back end
+	Age      time.Duration   // of that load, or of what else decided it
+}
+
+// Event names a decision.
+type Event string
+
+// The decisions.
+const (
+	EventOffered    Event = "flow-offered"    // an opening datagram was sent to an agent
+	EventRefused    Event = "flow-refused"    // an agent refused it
+	EventUnanswered Event = "flow-unanswered" // an agent did not answer an offer in time
+	EventRejected   Event = "flow-rejected"   // no agent takes the flow: the caller was reset
+	EventNoRoute    Event = "flow-no-route"   // no route has the address: the caller was reset
+	EventOpened     Event = "flow-opened"     // the caller confirmed a back end's number
+	EventLocating   Event = "flow-locating"   // agents are asked who holds the flow
+	EventLocated    Event = "flow-located"    // one of them said so
+	EventTried      Event = "flow-tried"      // nobody was sure: a back end is asked itself
+	EventLost       Event = "flow-lost"       // nobody holds the flow
+	EventAdmitted   Event = "flow-admitted"   // an agent passed an opening datagram to its back end
+	EventNotHeld    Event = "flow-not-held"   // an agent gave a datagram back
+	EventEnded      Event = "flow-ended"      // a flow has ended
+	EventRouteGone  Event = "flow-route-gone" // the configuration no longer has the flow's route
+)
+
+func (Send) action()        {}
+func (Deliver) action()     {}
+func (Reply) action()       {}
+func (ResetCaller) action() {}
+func (Decision) action()    {}
--- /dev/null
+++ b/handshake/agent.go
@@ -0,0 +1,393 @@
+package handshake
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
+)
+
+// Times and bounds of an agent's flows.
+const (
+	HalfOpenTime = 3 * time.Second // after which a flow that was not confirmed is forgotten
+	BusyTime     = 5 * time.Second // after which a request without an answer no longer counts as work
+	// UnconfirmedBusyTime is the same for a flow that the caller has not confirmed:
+	// it may have opened at another back end.
+	UnconfirmedBusyTime = 300 * time.Millisecond
+	EndedTime           = 5 * time.Second // for which a flow that has ended is remembered
+	tentativeTTL        = 2 * time.Second // for which a datagram tried at the back end may be answered
+)
+
+// AgentOptions are what an agent's decider is made of.
+type AgentOptions struct {
+	Service catalog.ServiceName // of the back end
+	// FlowLifetime is how long a flow may last. For that time after its start an
+	// agent may stand beside a back end that holds flows the agent does not know.
+	FlowLifetime time.Duration
+	// ReportInterval is the time between two reports of the back end.
+	ReportInterval time.Duration
+}
+
+// Agent decides for the process beside one back end. What it knows of the back
+// end decides whether a new flow reaches it, whatever balancers believe.
+type Agent struct {
+	options   AgentOptions
+	tracker   *instance.Tracker
+	flows     map[flow.Key]*heldFlow
+	busy      uint32 // flows whose back end owes an answer
+	leaving   bool
+	started   time.Time
+	nextSweep time.Time
+	actions   []Action
+}
+
+// flowState says how far a flow has come at one back end.
+type flowState uint8
+
+const (
+	stateOffered   flowState = iota // the back end has the opening datagram
+	stateHalfOpen                   // it has answered
+	stateOpen                       // the caller has confirmed its answer
+	stateTentative                  // a datagram of a flow not known here was tried
+	stateEnded
+)
+
+// heldFlow is what an agent knows about one flow.
+type heldFlow struct {
+	key      flow.Key
+	state    flowState
+	balancer netip.AddrPort // that sent the latest datagram
+	opening  uint32         // number of the opening datagram
+	number   uint32         // of the back end
+	seen     time.Time
+	owes     bool // the back end owes an answer
+	owedAt   time.Time
+	finished uint8 // ends that have finished, as bits
+	instance instance.ID
+}
+
+// Bits of heldFlow.finished.
+const (
+	callerFinished  = 1
+	backendFinished = 2
+	bothFinished    = callerFinished | backendFinished
+)
+
+// NewAgent returns a decider that knows no back end yet.
+func NewAgent(now time.Time, options AgentOptions) *Agent {
+	return &Agent{
+		options: options,
+		tracker: instance.NewTracker(options.ReportInterval),
+		flows:   map[flow.Key]*heldFlow{},
+		started: now,
+	}
+}
+
+// Tracker returns what is known about the back end.
+func (a *Agent) Tracker() *instance.Tracker { return a.tracker }
+
+// Flows returns the number of flows known.
+func (a *Agent) Flows() int { return len(a.flows) }
+
+// Unfinished returns the number of flows that are open.
+func (a *Agent) Unfinished() int {
+	open := 0
+	for _, held := range a.flows {
+		if held.state == stateOpen || held.state == stateHalfOpen {
+			open++
+		}
+	}
+	return open
+}
+
+// Leave makes the agent refuse new flows because it is about to stop.
+func (a *Agent) Leave() { a.leaving = true }
+
+// Load returns how busy the back end is.
+func (a *Agent) Load(now time.Time) Load {
+	return Load{
+		Accepts: a.accepts() == 0,
+		Busy:    a.busy,
+		Slots:   a.tracker.Latest().Slots,
+		Cold:    a.tracker.Cold(now),
+	}
+}
+
+// accepts returns why the back end gets no new flows, 0 if it does.
+func (a *Agent) accepts() RefusalReason {
+	switch {
+	case a.leaving || a.tracker.State() == instance.Leaving:
+		return RefusedLeaving
+	case a.tracker.State() != instance.Ready:
+		return RefusedNoBackend
+	case a.tracker.Latest().Service != a.options.Service:
+		return RefusedWrongService
+	default:
+		return 0
+	}
+}
+
+func (a *Agent) take() []Action {
+	actions := a.actions
+	a.actions = nil
+	return actions
+}
+
+func (a *Agent) act(action Action) { a.actions = append(a.actions, action) }
+
+// Offered handles a balancer's offer of a new flow.
+func (a *Agent) Offered(now time.Time, from netip.AddrPort, offer Offer, datagram *Datagram) []Action {
+	reason := a.accepts()
+	if reason == 0 && offer.Service != a.options.Service {
+		reason = RefusedWrongService
+	}
+	if reason != 0 {
+		a.refuse(now, from, datagram.Key, reason)
+		return a.take()
+	}
+	held := a.flows[datagram.Key]
+	if held != nil && held.opening == datagram.Number && held.state == stateOpen {
+		return a.take() // a late copy
+	}
+	if held == nil || held.opening != datagram.Number || held.state > stateHalfOpen {
+		a.drop(held)
+		held = a.hold(now, datagram.Key, stateOffered)
+		held.opening = datagram.Number
+		a.owe(now, held)
+	}
+	held.balancer = from
+	held.seen = now
+	a.act(Decision{Event: EventAdmitted, Key: held.key, Service: offer.Service, Peer: from, Version: offer.Version, Load: a.Load(now)})
+	a.act(Deliver{Bytes: datagram.Bytes})
+	return a.take()
+}
+
+func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
+	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: a.Load(now)}})
+	a.act(Decision{Event: EventRefused, Key: key, Service: a.options.Service, Peer: to, Reason: reason.String()})
+}
+
+func (a *Agent) hold(now time.Time, key flow.Key, state flowState) *heldFlow {
+	held := &heldFlow{key: key, state: state, seen: now, instance: a.tracker.Latest().ID}
+	a.flows[key] = held
+	return held
+}
+
+func (a *Agent) drop(held *heldFlow) {
+	if held == nil {
+		return
+	}
+	a.settle(held)
+	delete(a.flows, held.key)
+}
+
+// owe notes that the back end owes an answer on the flow.
+func (a *Agent) owe(now time.Time, held *heldFlow) {
+	held.owedAt = now
+	if !held.owes {
+		held.owes = true
+		a.busy++
+	}
+}
+
+// settle notes that the back end owes nothing on the flow.
+func (a *Agent) settle(held *heldFlow) {
+	if held.owes {
+		held.owes = false
+		a.busy--
+	}
+}
+
+// Forwarded handles a datagram that a balancer takes to be of a flow held here.
+func (a *Agent) Forwarded(now time.Time, from netip.AddrPort, try bool, datagram *Datagram) []Action {
+	held := a.flows[datagram.Key]
+	switch {
+	case held == nil || held.state == stateTentative:
+		if !try && held == nil {
+			a.giveBack(from, datagram, false)
+			return a.take()
+		}
+		if held == nil {
+			held = a.hold(now, datagram.Key, stateTentative)
+		}
+	case held.state == stateOffered:
+		a.giveBack(from, datagram, false)
+		return a.take()
+	case held.state == stateHalfOpen && datagram.Confirms != held.number:
+		a.giveBack(from, datagram, false)
+		return a.take()
+	case held.state == stateHalfOpen:
+		held.state = stateOpen
+		a.act(Decision{Event: EventOpened, Key: held.key, Service: a.options.Service, Peer: from, Load: a.Load(now)})
+	}
+	held.balancer = from
+	held.seen = now
+	a.fromCaller(now, held, datagram)
+	a.act(Deliver{Bytes: datagram.Bytes})
+	return a.take()
+}
+
+// fromCaller notes what a caller's datagram does to its flow.
+func (a *Agent) fromCaller(now time.Time, held *heldFlow, datagram *Datagram) {
+	if datagram.Payload > 0 {
+		a.owe(now, held)
+	}
+	if datagram.Finish {
+		a.finish(held, callerFinished)
+	}
+	if datagram.Kind == Reset {
+		a.finish(held, bothFinished)
+	}
+}
+
+func (a *Agent) finish(held *heldFlow, end uint8) {
+	held.finished |= end
+	if held.finished == bothFinished && held.state != stateEnded {
+		held.state = stateEnded
+		a.settle(held)
+	}
+}
+
+func (a *Agent) giveBack(to netip.AddrPort, datagram *Datagram, tried bool) {
+	a.act(Send{To: to, Message: NotHeld{Tried: tried, Bytes: datagram.Bytes}})
+	a.act(Decision{Event: EventNotHeld, Key: datagram.Key, Service: a.options.Service, Peer: to, Reason: returnReason(tried)})
+}
+
+// Asked answers a balancer's question who holds a flow.
+func (a *Agent) Asked(now time.Time, from netip.AddrPort, question Locate) []Action {
+	answer := Located{Key: question.Key, Holding: a.holding(now, question)}
+	a.act(Send{To: from, Message: answer})
+	return a.take()
+}
+
+func (a *Agent) holding(now time.Time, question Locate) Holding {
+	held := a.flows[question.Key]
+	switch {
+	case held == nil || held.state == stateTentative:
+		return a.unknownHolding(now)
+	case held.state == stateOpen || held.state == stateEnded:
+		return Holds
+	case held.state == stateHalfOpen && held.number == question.Confirms:
+		return Holds
+	default:
+		return HoldsNot
+	}
+}
+
+// unknownHolding answers for a flow that the agent does not know: one that has
+// started after its back end may have missed the flow's opening.
+func (a *Agent) unknownHolding(now time.Time) Holding {
+	if now.Sub(a.started) < a.options.FlowLifetime && a.tracker.State() != instance.Absent {
+		return HoldsPerhaps
+	}
+	return HoldsNot
+}
+
+// FromBackend handles a datagram of the back end.
+func (a *Agent) FromBackend(now time.Time, datagram *Datagram) []Action {
+	a.tracker.Alive(now)
+	held := a.flows[datagram.Key]
+	if datagram.Returned {
+		a.returned(now, held, datagram)
+		return a.take()
+	}
+	if held == nil {
+		held = a.hold(now, datagram.Key, stateOpen) // the back end speaks on it, so it holds it
+	}
+	held.seen = now
+	a.fromHolder(now, held, datagram)
+	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
+	return a.take()
+}
+
+// fromHolder notes what a back end's datagram does to its flow.
+func (a *Agent) fromHolder(now time.Time, held *heldFlow, datagram *Datagram) {
+	switch {
+	case datagram.Kind == Accept:
+		a.acceptedBy(now, held, datagram.Number)
+	case held.state == stateTentative:
+		held.state = stateOpen
+		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
+		a.act(Decision{Event: EventLocated, Key: held.key, Service: a.options.Service, Peer: held.balancer})
+	}
+	if datagram.Payload > 0 {
+		a.settle(held)
+	}
+	if datagram.Finish {
+		a.finish(held, backendFinished)
+	}
+	if datagram.Kind == Reset {
+		a.finish(held, bothFinished)
+	}
+}
+
+// acceptedBy notes that the back end has taken a flow.
+func (a *Agent) acceptedBy(now time.Time, held *heldFlow, number uint32) {
+	held.number = number
+	if held.state == stateOffered {
+		held.state = stateHalfOpen
+	}
+	if held.balancer.IsValid() {
+		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: a.Load(now)}})
+	}
+}
+
+// returned handles a datagram that the back end gave back: it does not hold the
+// flow, or cannot take it.
+func (a *Agent) returned(now time.Time, held *heldFlow, datagram *Datagram) {
+	if held == nil {
+		return
+	}
+	balancer := held.balancer
+	if datagram.Kind == Opening {
+		a.drop(held)
+		a.refuse(now, balancer, datagram.Key, RefusedFull)
+		return
+	}
+	tentative := held.state == stateTentative
+	if !tentative && held.instance == a.tracker.Latest().ID && held.state != stateEnded {
+		return // it holds the flow no longer and has told the caller itself
+	}
+	a.drop(held)
+	a.giveBack(balancer, datagram, tentative)
+}
+
+// Tick forgets flows that are over.
+func (a *Agent) Tick(now time.Time) {
+	if now.Before(a.nextSweep) {
+		return
+	}
+	a.nextSweep = now.Add(sweepInterval)
+	for _, held := range a.flows {
+		if held.owes && now.Sub(held.owedAt) > busyTime(held.state) {
+			a.settle(held)
+		}
+		if now.Sub(held.seen) > a.lifetime(held.state) {
+			a.drop(held)
+		}
+	}
+}
+
+// busyTime returns how long a flow counts as work without an answer.
+func busyTime(state flowState) time.Duration {
+	if state == stateOpen {
+		return BusyTime
+	}
+	return UnconfirmedBusyTime
+}
+
+// lifetime returns how long a flow without a datagram is remembered.
+func (a *Agent) lifetime(state flowState) time.Duration {
+	switch state {
+	case stateOffered, stateHalfOpen:
+		return HalfOpenTime
+	case stateTentative:
+		return tentativeTTL
+	case stateEnded:
+		return EndedTime
+	default:
+		return a.options.FlowLifetime
+	}
+}
--- /dev/null
+++ b/handshake/board.go
@@ -0,0 +1,155 @@
+package handshake
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Times by which a balancer judges what it has heard from agents.
+const (
+	FreshTime  = 700 * time.Millisecond // silence after which an agent gets no new flows
+	KnownTime  = 3 * time.Second        // silence after which an agent is not asked for flows
+	ForgetTime = 60 * time.Second       // silence after which an agent is forgotten
+)
+
+// Weights of the load that decides where a new flow goes, in busy shares of a back end.
+const (
+	otherZoneWeight = 0.08 // for an agent in another zone
+	coldWeight      = 0.5  // for a back end that is slow after its start
+	unansweredShare = 1.0  // for each offer sent that has had no answer
+	randomShare     = 0.02 // of chance, so that balancers do not all choose alike
+	unknownSlots    = 3    // assumed where a back end has not told its slots
+)
+
+// agentState is what a balancer knows about one agent.
+type agentState struct {
+	address    netip.AddrPort
+	status     Status
+	load       Load // latest, from a status or an answer
+	heard      time.Time
+	loadHeard  time.Time
+	unanswered int // offers without an answer since load was heard
+	silent     int // offers in a row that ran out without an answer
+}
+
+// Board holds what a balancer knows about agents.
+type Board struct {
+	zone   catalog.ZoneName
+	agents map[netip.AddrPort]*agentState
+	random *rand.Rand
+}
+
+// NewBoard returns an empty board of a balancer in the zone.
+func NewBoard(zone catalog.ZoneName, random *rand.Rand) *Board {
+	return &Board{zone: zone, agents: map[netip.AddrPort]*agentState{}, random: random}
+}
+
+// Take takes in an agent's status.
+func (b *Board) Take(now time.Time, from netip.AddrPort, status Status) {
+	agent := b.agents[from]
+	if agent == nil || agent.status.Incarnation != status.Incarnation {
+		agent = &agentState{address: from}
+		b.agents[from] = agent
+	}
+	agent.status = status
+	agent.heard = now
+	agent.takeLoad(now, status.Load)
+}
+
+func (a *agentState) takeLoad(now time.Time, load Load) {
+	a.load = load
+	a.loadHeard = now
+	a.unanswered = 0
+}
+
+// takeAnswer takes in the load that came with an answer to an offer.
+func (b *Board) takeAnswer(now time.Time, from netip.AddrPort, load Load) {
+	agent := b.agents[from]
+	if agent == nil {
+		return
+	}
+	agent.heard = now
+	agent.silent = 0
+	agent.takeLoad(now, load)
+}
+
+// Forget drops agents that have been silent for long.
+func (b *Board) Forget(now time.Time) {
+	for address, agent := range b.agents {
+		if now.Sub(agent.heard) > ForgetTime {
+			delete(b.agents, address)
+		}
+	}
+}
+
+// Remove drops an agent.
+func (b *Board) Remove(address netip.AddrPort) { delete(b.agents, address) }
+
+// Hears says whether any agent was heard of late.
+func (b *Board) Hears(now time.Time) bool {
+	for _, agent := range b.agents {
+		if now.Sub(agent.heard) <= FreshTime {
+			return true
+		}
+	}
+	return false
+}
+
+// known returns the agents that may be asked for flows, and whether agents are
+// left out that were heard before and may hold some.
+func (b *Board) known(now time.Time) (agents []*agentState, complete bool) {
+	complete = true
+	for _, agent := range b.agents {
+		if now.Sub(agent.heard) <= KnownTime {
+			agents = append(agents, agent)
+		} else {
+			complete = false
+		}
+	}
+	return agents, complete
+}
+
+// choose returns the agent of the service that is to get the next new flow, nil
+// if there is none besides those in except.
+func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) *agentState {
+	var best *agentState
+	bestScore := 0.0
+	for _, agent := range b.agents {
+		if agent.status.Service != service || !agent.usable(now) || slices.Contains(except, agent.address) {
+			continue
+		}
+		score := b.score(agent)
+		if best == nil || cmp.Less(score, bestScore) {
+			best, bestScore = agent, score
+		}
+	}
+	return best
+}
+
+// usable says whether the agent may get new flows.
+func (a *agentState) usable(now time.Time) bool {
+	return a.load.Accepts && !a.status.Leaving && now.Sub(a.heard) <= FreshTime
+}
+
+// score is the load of an agent's back end, in shares of its slots; lower is better.
+func (b *Board) score(agent *agentState) float64 {
+	slots := float64(agent.load.Slots)
+	if slots == 0 {
+		slots = unknownSlots
+	}
+	busy := float64(agent.load.Busy) + unansweredShare*float64(agent.unanswered)
+	score := busy / slots
+	if agent.load.Cold > 0 {
+		score += coldWeight
+	}
+	if agent.status.Zone != b.zone {
+		score += otherZoneWeight
+	}
+	score += float64(agent.silent)
+	return score + randomShare*b.random.Float64()
+}
--- /dev/null
+++ b/handshake/carry.go
@@ -0,0 +1,178 @@
+package handshake
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// carry takes a caller's datagram of a flow that is open, or that it opens, to
+// the agent that holds the flow.
+func (b *Balancer) carry(now time.Time, known *balancedFlow, datagram *Datagram) {
+	if known.agent.IsValid() {
+		b.forward(known.agent, datagram.Bytes)
+		return
+	}
+	if agent, ok := known.confirmed(datagram.Confirms); ok {
+		b.hold(now, known, agent, EventOpened)
+		b.forward(agent, datagram.Bytes)
+		return
+	}
+	if datagram.Kind == Reset && known.opening != nil {
+		b.forget(known) // the caller has given up; half-open flows end by themselves
+		return
+	}
+	b.locate(now, known, datagram)
+}
+
+// confirmed returns the agent whose back end's number the caller confirms.
+func (f *balancedFlow) confirmed(number uint32) (netip.AddrPort, bool) {
+	for _, answer := range f.accepts {
+		if answer.number == number {
+			return answer.agent, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// hold notes that the agent holds the flow.
+func (b *Balancer) hold(now time.Time, known *balancedFlow, agent netip.AddrPort, event Event) {
+	b.settle(known)
+	known.agent = agent
+	known.opened = now
+	known.accepts = nil
+	known.tried = nil
+	b.act(Decision{Event: event, Key: known.key, Service: known.service, Peer: agent, Version: b.table.Version()})
+}
+
+func (b *Balancer) forward(agent netip.AddrPort, datagram []byte) {
+	b.act(Send{To: agent, Message: Forward{Bytes: datagram}})
+}
+
+// locate asks the agents who holds the flow; the datagram waits for the answer.
+func (b *Balancer) locate(now time.Time, known *balancedFlow, datagram *Datagram) {
+	if now.Sub(known.lost) < LostTime {
+		return
+	}
+	if len(known.buffered) >= MaximumBuffered {
+		return
+	}
+	known.buffered = append(known.buffered, bytes.Clone(datagram.Bytes))
+	if len(known.buffered) > 1 {
+		return
+	}
+	known.confirms = datagram.Confirms
+	b.ask(now, known)
+}
+
+// ask asks all agents that may hold the flow.
+func (b *Balancer) ask(now time.Time, known *balancedFlow) {
+	agents, complete := b.board.known(now)
+	known.complete = complete && now.Sub(b.started) >= KnowledgeTime
+	known.asked, known.answers, known.perhaps = nil, 0, nil
+	for _, agent := range agents {
+		known.asked = append(known.asked, agent.address)
+		b.act(Send{To: agent.address, Message: Locate{Key: known.key, Confirms: known.confirms}})
+	}
+	b.await(known, now.Add(LocateTime))
+	b.act(Decision{Event: EventLocating, Key: known.key, Attempts: len(known.asked)})
+}
+
+// located handles an agent's answer.
+func (b *Balancer) located(now time.Time, from netip.AddrPort, message Located) {
+	known := b.flows[message.Key]
+	if known == nil || known.agent.IsValid() || !slices.Contains(known.asked, from) {
+		return
+	}
+	switch message.Holding {
+	case Holds:
+		b.hold(now, known, from, EventLocated)
+		b.release(known)
+		return
+	case HoldsPerhaps:
+		known.perhaps = append(known.perhaps, from)
+	}
+	known.answers++
+	if known.answers == len(known.asked) {
+		b.locateEnded(now, known)
+	}
+}
+
+// release sends on what has waited for the flow's agent.
+func (b *Balancer) release(known *balancedFlow) {
+	for _, datagram := range known.buffered {
+		b.forward(known.agent, datagram)
+	}
+	known.buffered = nil
+}
+
+// locateEnded handles a flow that no agent is sure to hold. Agents that may hold
+// it pass the first datagram to their back ends, which know. Where every agent
+// has answered that it holds no such flow, the caller is told.
+func (b *Balancer) locateEnded(now time.Time, known *balancedFlow) {
+	b.settle(known)
+	if len(known.perhaps) > 0 {
+		b.try(now, known)
+		return
+	}
+	definite := known.complete && known.answers == len(known.asked) && len(known.asked) > 0
+	known.buffered = nil
+	known.asked = nil
+	known.lost = now
+	b.act(Decision{Event: EventLost, Key: known.key, Attempts: known.answers, Reason: lossReason(definite)})
+	if definite {
+		b.act(ResetCaller{Key: known.key})
+	}
+}
+
+// lossReason says why nobody holds a flow.
+func lossReason(definite bool) string {
+	if definite {
+		return "no-agent-holds-it"
+	}
+	return "agents-unheard"
+}
+
+// try passes what has waited to the back ends of the agents that may hold the flow.
+func (b *Balancer) try(now time.Time, known *balancedFlow) {
+	for _, agent := range known.perhaps {
+		b.act(Decision{Event: EventTried, Key: known.key, Peer: agent, Attempts: len(known.perhaps)})
+		for _, datagram := range known.buffered {
+			b.act(Send{To: agent, Message: Forward{Try: true, Bytes: datagram}})
+		}
+	}
+	known.buffered = nil
+	known.asked = nil
+	known.lost = now.Add(TryPause - LostTime)
+}
+
+// TryPause is how long a balancer waits before it asks for a flow again whose
+// datagrams it has tried at back ends.
+const TryPause = 20 * time.Millisecond
+
+// Returned handles a datagram that an agent gave back because it does not hold
+// its flow.
+func (b *Balancer) Returned(now time.Time, from netip.AddrPort, datagram *Datagram, tried bool) []Action {
+	known := b.flows[datagram.Key]
+	if known == nil {
+		known = b.add(now, datagram.Key)
+	}
+	b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: returnReason(tried)})
+	if known.agent == from {
+		known.agent = netip.AddrPort{}
+	}
+	if tried {
+		return b.take() // the caller sends it again
+	}
+	b.carry(now, known, datagram)
+	return b.take()
+}
+
+// returnReason says who has given a datagram back.
+func returnReason(tried bool) string {
+	if tried {
+		return "back-end"
+	}
+	return "agent"
+}
--- /dev/null
+++ b/handshake/message.go
@@ -0,0 +1,164 @@
+package handshake
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Role says what a process does.
+type Role uint8
+
+// The roles.
+const (
+	RoleBalancer Role = iota + 1
+	RoleAgent
+)
+
+// String returns the role's name in logs.
+func (r Role) String() string {
+	switch r {
+	case RoleBalancer:
+		return "balancer"
+	case RoleAgent:
+		return "agent"
+	default:
+		return "unknown"
+	}
+}
+
+// Load says how busy a back end is.
+type Load struct {
+	Accepts bool   // it takes new flows
+	Busy    uint32 // requests it works on, as far as its agent sees
+	Slots   uint32 // requests it can run at once; 0: not known
+	// Cold is how much longer it is slow after its start.
+	Cold time.Duration
+}
+
+// Status is what a process tells others about itself.
+type Status struct {
+	ID          string
+	Role        Role
+	Zone        catalog.ZoneName
+	Incarnation uint64              // differs from start to start
+	Service     catalog.ServiceName // of the back end; agents only
+	Backend     string              // id of the back end, empty if none is known; agents only
+	Load        Load                // agents only
+	Version     routing.Version     // of the configuration held; 0: none
+	Leaving     bool                // about to stop
+	Peers       []netip.AddrPort    // some processes that the sender has heard lately
+}
+
+// Message is what processes say to each other.
+type Message interface{ message() }
+
+// Offer asks an agent to take a new flow. Bytes is the opening datagram.
+type Offer struct {
+	Service catalog.ServiceName // that the flow is for
+	Version routing.Version     // of the configuration that said so
+	Bytes   []byte
+}
+
+// Accepted tells the balancer of an offer that the back end has answered it.
+type Accepted struct {
+	Key    flow.Key
+	Number uint32 // the Accept's
+	Load   Load
+}
+
+// RefusalReason says why an agent did not take a flow.
+type RefusalReason uint8
+
+// The reasons.
+const (
+	RefusedNoBackend    RefusalReason = iota + 1 // no back end is known to be well
+	RefusedLeaving                               // the back end or the agent is leaving
+	RefusedWrongService                          // the back end is of another service
+	RefusedFull                                  // the back end gave the datagram back
+)
+
+// String returns the reason's name in logs and metrics.
+func (r RefusalReason) String() string {
+	switch r {
+	case RefusedNoBackend:
+		return "no-backend"
+	case RefusedLeaving:
+		return "leaving"
+	case RefusedWrongService:
+		return "wrong-service"
+	case RefusedFull:
+		return "full"
+	default:
+		return "unknown"
+	}
+}
+
+// Refused tells the balancer of an offer that the flow did not open here.
+type Refused struct {
+	Key    flow.Key
+	Reason RefusalReason
+	Load   Load
+}
+
+// Forward carries a datagram of a flow that its balancer takes to be held by the
+// agent's back end. With Try the balancer does not know, and no agent does: the
+// back end itself is asked.
+type Forward struct {
+	Try   bool
+	Bytes []byte
+}
+
+// NotHeld gives a forwarded datagram back: the flow is not held here.
+type NotHeld struct {
+	Tried bool // the back end itself has said so
+	Bytes []byte
+}
+
+// Locate asks an agent whether its back end holds a flow.
+type Locate struct {
+	Key      flow.Key
+	Confirms uint32 // of the datagram that is to be delivered
+}
+
+// Holding is an agent's answer to Locate.
+type Holding uint8
+
+// The answers.
+const (
+	HoldsNot Holding = iota + 1
+	HoldsPerhaps
+	Holds
+)
+
+// String returns the answer's name in logs.
+func (h Holding) String() string {
+	switch h {
+	case HoldsNot:
+		return "no"
+	case HoldsPerhaps:
+		return "perhaps"
+	case Holds:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
+
+// Located answers Locate.
+type Located struct {
+	Key     flow.Key
+	Holding Holding
+}
+
+func (Status) message()   {}
+func (Offer) message()    {}
+func (Accepted) message() {}
+func (Refused) message()  {}
+func (Forward) message()  {}
+func (NotHeld) message()  {}
+func (Locate) message()   {}
+func (Located) message()  {}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,193 @@
+// Package instance decides what an agent believes of the back end beside it. A
+// back end announces itself with reports; each start of it is an instance with an
+// id of its own. Reports may come late and in any order, and the agent may have
+// started after the back end: so an instance gets new flows only once it has
+// itself answered a health check since the agent started, and never again after
+// it has said that it leaves. The package is pure: reports, check results and a
+// clock go in, what to believe and what to check comes out.
+package instance
+
+import (
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Times by which an instance is judged.
+const (
+	CheckInterval = 100 * time.Millisecond // between two health checks of an instance that has not answered yet
+	CheckTimeout  = 800 * time.Millisecond // for one health check
+	missedReports = 3                      // reports missed in a row after which the instance is checked
+	rememberLimit = 64                     // ids of instances that are gone
+)
+
+// ID names one start of a back end.
+type ID string
+
+// Report is what a back end says about itself.
+type Report struct {
+	ID       ID
+	Service  catalog.ServiceName
+	Version  string        // of its software
+	Slots    uint32        // requests it can run at once
+	Leaving  bool          // it is about to stop
+	Cold     time.Duration // how much longer it is slow after its start
+	Sequence uint64        // grows with each report of the instance
+}
+
+// State says whether the back end gets new flows.
+type State uint8
+
+// The states.
+const (
+	Absent     State = iota // no instance is known, or it is gone
+	Unverified              // announced, but it has not answered a health check yet
+	Ready
+	Leaving
+)
+
+// String returns the state's name in logs.
+func (s State) String() string {
+	switch s {
+	case Absent:
+		return "absent"
+	case Unverified:
+		return "unverified"
+	case Ready:
+		return "ready"
+	case Leaving:
+		return "leaving"
+	default:
+		return "unknown"
+	}
+}
+
+// Tracker follows the instances of one back end. It is not safe for concurrent use.
+type Tracker struct {
+	interval  time.Duration // between reports
+	latest    Report
+	state     State
+	heard     time.Time // last sign of life
+	coldUntil time.Time
+	gone      map[ID]bool // instances that have left or were replaced
+	goneOrder []ID
+	nextCheck time.Time
+	checking  bool
+}
+
+// NewTracker returns a tracker that knows no instance; reports come once an interval.
+func NewTracker(interval time.Duration) *Tracker {
+	return &Tracker{interval: interval, gone: map[ID]bool{}}
+}
+
+// State returns what is believed of the present instance.
+func (t *Tracker) State() State { return t.state }
+
+// Latest returns the latest report of the present instance.
+func (t *Tracker) Latest() Report { return t.latest }
+
+// Cold returns how much longer the present instance is slow after its start.
+func (t *Tracker) Cold(now time.Time) time.Duration {
+	return max(0, t.coldUntil.Sub(now))
+}
+
+// Heard returns when the present instance last gave a sign of life.
+func (t *Tracker) Heard() time.Time { return t.heard }
+
+// Report takes in a report. It says whether the report was news.
+func (t *Tracker) Report(now time.Time, report Report) bool {
+	if t.gone[report.ID] {
+		return false
+	}
+	if report.ID == t.latest.ID {
+		return t.update(now, report)
+	}
+	t.retire(t.latest.ID)
+	t.latest = report
+	t.state = Unverified
+	t.heard = now
+	t.coldUntil = now.Add(report.Cold)
+	t.nextCheck = now
+	if report.Leaving {
+		t.state = Leaving
+	}
+	return true
+}
+
+// update takes in a further report of the present instance.
+func (t *Tracker) update(now time.Time, report Report) bool {
+	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
+		return false
+	}
+	leaving := t.latest.Leaving || report.Leaving
+	t.latest = report
+	t.latest.Leaving = leaving
+	t.heard = now
+	t.coldUntil = now.Add(report.Cold)
+	if leaving {
+		t.state = Leaving
+	}
+	return true
+}
+
+// Remove takes in that the instance has left for good.
+func (t *Tracker) Remove(id ID) {
+	t.retire(id)
+	if id == t.latest.ID {
+		t.state = Leaving // it may serve on for a while
+	}
+}
+
+// retire remembers that reports of the instance no longer count.
+func (t *Tracker) retire(id ID) {
+	if id == "" || t.gone[id] {
+		return
+	}
+	t.gone[id] = true
+	t.goneOrder = append(t.goneOrder, id)
+	if len(t.goneOrder) > rememberLimit {
+		delete(t.gone, t.goneOrder[0])
+		t.goneOrder = t.goneOrder[1:]
+	}
+}
+
+// Alive notes that the back end gave a sign of life other than a report.
+func (t *Tracker) Alive(now time.Time) { t.heard = now }
+
+// CheckDue says whether a health check is to begin now; the caller then begins
+// one and gives its result to Checked.
+func (t *Tracker) CheckDue(now time.Time) bool {
+	if t.checking || now.Before(t.nextCheck) {
+		return false
+	}
+	silent := t.state == Ready && now.Sub(t.heard) > missedReports*t.interval
+	if t.state != Unverified && !silent {
+		return false
+	}
+	t.checking = true
+	return true
+}
+
+// Check is the result of a health check.
+type Check struct {
+	Well bool // the back end answered that it is well and not leaving
+	ID   ID   // of the instance that answered, "" if it did not say
+}
+
+// Checked takes in the result of a health check. It says whether the state has changed.
+func (t *Tracker) Checked(now time.Time, check Check) bool {
+	t.checking = false
+	t.nextCheck = now.Add(CheckInterval)
+	before := t.state
+	sameInstance := check.ID == "" || check.ID == t.latest.ID
+	switch {
+	case t.state == Unverified && check.Well && sameInstance:
+		t.state = Ready
+		t.heard = now
+	case t.state == Ready && check.Well && sameInstance:
+		t.heard = now
+	case t.state == Ready:
+		t.state = Unverified
+	}
+	return t.state != before
+}
--- /dev/null
+++ b/internal/relay/adapter.go
@@ -0,0 +1,75 @@
+// Package relay runs the deciders of package handshake as processes: a balancer
+// in front of callers and an agent beside a back end. It owns the sockets, the
+// clock, the links between processes and the log; what a platform calls things
+// and how it writes them down is behind Adapter.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Adapter is how a platform is spoken to. It translates and decides nothing.
+type Adapter interface {
+	Transport
+	Store
+	// HostHandler serves the reports of back ends.
+	HostHandler(reports HostReports) http.Handler
+	// ReadyHandler answers the platform's question whether the process can serve.
+	ReadyHandler(ready func() bool) http.Handler
+	// CheckHealth asks the back end at the address whether it is well.
+	CheckHealth(ctx context.Context, address netip.AddrPort, path string) instance.Check
+}
+
+// Transport is the form of the datagrams between callers and back ends. Parsed
+// datagrams refer to the bytes they were parsed from. Errors are of kind
+// fault.Invalid.
+type Transport interface {
+	// ParseCaller reads a datagram that a caller has sent.
+	ParseCaller(datagram []byte) (handshake.Datagram, error)
+	// ParseBackend reads a datagram that comes from a back end: one of its own, or
+	// a caller's that it has given back, whose mark is then taken off.
+	ParseBackend(datagram []byte) (handshake.Datagram, error)
+	// FormatReset returns the datagram that ends a flow towards its caller.
+	FormatReset(key flow.Key) []byte
+	// ReplyAddress returns where datagrams for a caller are sent, given the data
+	// address of this process.
+	ReplyAddress(caller, data netip.AddrPort) netip.AddrPort
+}
+
+// Document is one version of the configuration as its source holds it.
+type Document struct {
+	Revision uint64 // of the source; 0: the source has none
+	Bytes    []byte // nil: there is no newer one
+}
+
+// Store is where the configuration and the addresses of balancers last. Errors
+// carry a kind of package fault.
+type Store interface {
+	// Read returns the configuration; fault.NotFound if there is none.
+	Read(ctx context.Context) (Document, error)
+	// Watch waits until the configuration is newer than the revision, or for the
+	// store's own time limit. fault.Stale says that the revision is too old to be
+	// watched from and Read must begin anew.
+	Watch(ctx context.Context, revision uint64) (Document, error)
+	// ParseConfiguration reads a document. Errors are of kind fault.Invalid.
+	ParseConfiguration(document []byte) (*routing.Table, error)
+	// Publish notes that a balancer is at the address.
+	Publish(ctx context.Context, id string, address netip.AddrPort) error
+	// Balancers returns the addresses that were published, also of balancers that
+	// have ended since.
+	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+}
+
+// HostReports takes in what a back end says of itself. It may be called from
+// any goroutine.
+type HostReports interface {
+	Report(report instance.Report)
+	Remove(id instance.ID)
+}
--- /dev/null
+++ b/internal/relay/agent.go
@@ -0,0 +1,250 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/wire"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Times of an agent that stops.
+const (
+	agentDrainTime = 4 * time.Second       // for its open flows, at most
+	agentDrainLook = 50 * time.Millisecond // between two looks whether they have ended
+)
+
+// agent is a running agent.
+type agent struct {
+	*node
+	flows    *handshake.Agent
+	data     atomic.Pointer[wire.Socket] // towards the back end and callers
+	outbound atomic.Pointer[wire.Socket] // from the back end
+	last     handshake.Load              // as last told
+}
+
+// RunAgent serves until the context ends and then stops cleanly. Errors at the
+// start are of kind fault.Unavailable.
+func RunAgent(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
+	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger)}
+	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
+		Service:        s.Backend.Service,
+		FlowLifetime:   s.Flows.Lifetime,
+		ReportInterval: s.Backend.ReportInterval,
+	})
+	if err := a.openAll(); err != nil {
+		return errors.Join(err, a.close())
+	}
+	a.log.WithFields(log.Fields{"service": s.Backend.Service, "backend": s.Backend.Address, "peer": s.Node.PeerAddress, "incarnation": a.incarnation}).Info("started")
+	<-ctx.Done()
+	a.stop()
+	return a.closeAll()
+}
+
+func (a *agent) openAll() error {
+	if err := a.open(); err != nil {
+		return err
+	}
+	data, err := wire.Listen(a.settings.Node.DataAddress, func([]byte, netip.AddrPort) {})
+	if err != nil {
+		return err
+	}
+	outbound, err := wire.Listen(a.settings.Backend.OutboundAddress, a.receiveBackend)
+	if err != nil {
+		return errors.Join(err, data.Close())
+	}
+	a.data.Store(data)
+	a.start(a)
+	a.outbound.Store(outbound) // from now on the back end's datagrams are handled
+	if err := a.serve(a.settings.Node.ControlAddress, a.adapter.HostHandler(a)); err != nil {
+		return err
+	}
+	if err := a.serve(a.settings.Node.ReadyAddress, a.adapter.ReadyHandler(a.ready)); err != nil {
+		return err
+	}
+	a.spawn(a.directoryLoop)
+	return nil
+}
+
+func (a *agent) ready() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return !a.leaving
+}
+
+// stop refuses new flows and waits for the open ones.
+func (a *agent) stop() {
+	a.mutex.Lock()
+	a.leaving = true
+	a.urgent = true
+	a.flows.Leave()
+	a.log.WithField("flows", a.flows.Unfinished()).Info("leaving")
+	a.mutex.Unlock()
+	deadline := time.Now().Add(agentDrainTime)
+	for time.Now().Before(deadline) && a.unfinished() > 0 {
+		a.sleep(agentDrainLook)
+	}
+}
+
+func (a *agent) unfinished() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.flows.Unfinished()
+}
+
+func (a *agent) closeAll() error {
+	err := errors.Join(a.outbound.Load().Close(), a.data.Load().Close(), a.close())
+	a.log.Info("stopped")
+	return err
+}
+
+// receiveBackend is called by the socket.
+func (a *agent) receiveBackend(bytes []byte, from netip.AddrPort) {
+	if a.outbound.Load() == nil {
+		return
+	}
+	datagram, err := a.adapter.ParseBackend(bytes)
+	if err != nil {
+		a.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.perform(a.flows.FromBackend(time.Now(), &datagram))
+}
+
+// perform does what the decider asks for. The lock is held.
+func (a *agent) perform(actions []handshake.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case handshake.Send:
+			a.send(action.To, action.Message)
+		case handshake.Deliver:
+			a.emit(action.Bytes, a.settings.Backend.Address)
+		case handshake.Reply:
+			a.emit(action.Bytes, a.adapter.ReplyAddress(action.Caller, a.settings.Node.DataAddress))
+		case handshake.Decision:
+			a.logDecision(action)
+		}
+	}
+}
+
+func (a *agent) emit(bytes []byte, to netip.AddrPort) {
+	if err := a.data.Load().Send(bytes, to); err != nil {
+		a.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
+	}
+}
+
+func (a *agent) status(now time.Time) handshake.Status {
+	return handshake.Status{
+		Service: a.settings.Backend.Service,
+		Backend: string(a.flows.Tracker().Latest().ID),
+		Load:    a.flows.Load(now),
+	}
+}
+
+func (a *agent) configured(time.Time, *routing.Table) {}
+
+// tick looks at the clock. The lock is held.
+func (a *agent) tick(now time.Time) {
+	a.flows.Tick(now)
+	a.noteChange(now)
+	if a.flows.Tracker().CheckDue(now) {
+		path := a.healthPath()
+		a.spawn(func() { a.check(path) })
+	}
+}
+
+// noteChange tells balancers at once when the back end begins or ceases to take
+// new flows.
+func (a *agent) noteChange(now time.Time) {
+	load := a.flows.Load(now)
+	if load.Accepts == a.last.Accepts {
+		return
+	}
+	a.last = load
+	a.urgent = true
+	tracker := a.flows.Tracker()
+	a.log.WithFields(log.Fields{"backend": tracker.Latest().ID, "state": tracker.State(), "accepts": load.Accepts,
+		"slots": load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
+}
+
+// defaultHealthPath is asked for while no configuration is known.
+const defaultHealthPath = "/health"
+
+func (a *agent) healthPath() string {
+	service, known := a.table.Service(a.settings.Backend.Service)
+	if !known || service.HealthPath == "" {
+		return defaultHealthPath
+	}
+	return service.HealthPath
+}
+
+// check asks the back end whether it is well.
+func (a *agent) check(path string) {
+	ctx, cancel := context.WithTimeout(a.context, instance.CheckTimeout)
+	defer cancel()
+	begun := time.Now()
+	result := a.adapter.CheckHealth(ctx, a.settings.Backend.Address, path)
+	now := time.Now()
+	a.limited.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Well, "backend": result.ID, "took": now.Sub(begun)})
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.flows.Tracker().Checked(now, result)
+	a.noteChange(now)
+	a.tellStatus(now)
+}
+
+// Report takes in a report of the back end.
+func (a *agent) Report(report instance.Report) {
+	now := time.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.flows.Tracker().Report(now, report)
+	a.noteChange(now)
+	a.tellStatus(now)
+}
+
+// Remove takes in that the back end leaves for good.
+func (a *agent) Remove(id instance.ID) {
+	now := time.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.flows.Tracker().Remove(id)
+	a.noteChange(now)
+	a.tellStatus(now)
+}
+
+// received handles a message of another process. The lock is held.
+func (a *agent) received(now time.Time, from netip.AddrPort, message handshake.Message) {
+	switch message := message.(type) {
+	case handshake.Offer:
+		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
+			return a.flows.Offered(now, from, message, datagram)
+		})
+	case handshake.Forward:
+		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
+			return a.flows.Forwarded(now, from, message.Try, datagram)
+		})
+	case handshake.Locate:
+		a.perform(a.flows.Asked(now, from, message))
+	}
+}
+
+// onDatagram parses a caller's datagram that a balancer has sent on, and decides.
+func (a *agent) onDatagram(bytes []byte, from netip.AddrPort, decide func(*handshake.Datagram) []handshake.Action) {
+	datagram, err := a.adapter.ParseCaller(bytes)
+	if err != nil {
+		a.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
+		return
+	}
+	a.perform(decide(&datagram))
+}
--- /dev/null
+++ b/internal/relay/balancer.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/wire"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// lingerTime is how long a balancer that stops goes on forwarding: the platform
+// needs up to two of its questions to see that it is no longer ready.
+const lingerTime = 2500 * time.Millisecond
+
+// balancer is a running balancer.
+type balancer struct {
+	*node
+	flows  *handshake.Balancer
+	socket atomic.Pointer[wire.Socket]
+}
+
+// RunBalancer serves until the context ends and then stops cleanly. Errors at the
+// start are of kind fault.Unavailable.
+func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
+	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
+	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
+		Zone:   s.Node.Zone,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	if err := b.openAll(); err != nil {
+		return errors.Join(err, b.close())
+	}
+	b.log.WithFields(log.Fields{"data": s.Node.DataAddress, "peer": s.Node.PeerAddress, "incarnation": b.incarnation}).Info("started")
+	<-ctx.Done()
+	b.stop()
+	return b.closeAll()
+}
+
+func (b *balancer) openAll() error {
+	if err := b.open(); err != nil {
+		return err
+	}
+	socket, err := wire.Listen(b.settings.Node.DataAddress, b.receiveCaller)
+	if err != nil {
+		return err
+	}
+	b.start(b)
+	b.socket.Store(socket) // from now on callers' datagrams are handled
+	if err := b.serve(b.settings.Node.ReadyAddress, b.adapter.ReadyHandler(b.ready)); err != nil {
+		return err
+	}
+	b.spawn(b.watchLoop)
+	b.spawn(b.publish)
+	b.spawn(b.directoryLoop)
+	return nil
+}
+
+// stop tells the platform and the agents that the balancer leaves, and goes on
+// forwarding until callers' datagrams go elsewhere.
+func (b *balancer) stop() {
+	b.log.Info("leaving")
+	b.mutex.Lock()
+	b.leaving = true
+	b.urgent = true
+	b.mutex.Unlock()
+	b.sleep(lingerTime)
+}
+
+func (b *balancer) closeAll() error {
+	err := b.socket.Load().Close()
+	err = errors.Join(err, b.close())
+	b.log.Info("stopped")
+	return err
+}
+
+// ready says whether the platform is to send callers' datagrams here.
+func (b *balancer) ready() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return !b.leaving && b.flows.Ready(time.Now())
+}
+
+// receiveCaller is called by the socket.
+func (b *balancer) receiveCaller(bytes []byte, from netip.AddrPort) {
+	if b.socket.Load() == nil {
+		return
+	}
+	datagram, err := b.adapter.ParseCaller(bytes)
+	if err != nil {
+		b.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.perform(b.flows.FromCaller(time.Now(), &datagram))
+}
+
+// perform does what the decider asks for. The lock is held.
+func (b *balancer) perform(actions []handshake.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case handshake.Send:
+			b.send(action.To, action.Message)
+		case handshake.ResetCaller:
+			b.reply(action.Key.Caller, b.adapter.FormatReset(action.Key))
+		case handshake.Decision:
+			b.logDecision(action)
+		}
+	}
+}
+
+func (b *balancer) reply(caller netip.AddrPort, bytes []byte) {
+	to := b.adapter.ReplyAddress(caller, b.settings.Node.DataAddress)
+	if err := b.socket.Load().Send(bytes, to); err != nil {
+		b.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
+	}
+}
+
+func (b *balancer) status(time.Time) handshake.Status { return handshake.Status{} }
+
+func (b *balancer) configured(_ time.Time, table *routing.Table) { b.flows.Configure(table) }
+
+func (b *balancer) tick(now time.Time) { b.perform(b.flows.Tick(now)) }
+
+// received handles a message of another process. The lock is held.
+func (b *balancer) received(now time.Time, from netip.AddrPort, message handshake.Message) {
+	switch message := message.(type) {
+	case handshake.Status:
+		if message.Role == handshake.RoleAgent {
+			b.flows.TakeStatus(now, from, message)
+		}
+	case handshake.NotHeld:
+		datagram, err := b.adapter.ParseCaller(message.Bytes)
+		if err != nil {
+			b.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
+			return
+		}
+		b.perform(b.flows.Returned(now, from, &datagram, message.Tried))
+	default:
+		b.perform(b.flows.FromAgent(now, from, message))
+	}
+}
--- /dev/null
+++ b/internal/relay/codec.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Encode returns the bytes of a message between processes.
+func Encode(message handshake.Message) ([]byte, error) {
+	encoded, err := proto.Marshal(envelopeOf(message))
+	return encoded, fault.Wrap(fault.Internal, err, "encode %T", message)
+}
+
+func envelopeOf(message handshake.Message) *burlmillv1.HandshakeMessage {
+	switch m := message.(type) {
+	case handshake.Status:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Status{Status: encodeStatus(m)}}
+	case handshake.Offer:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Offer{Offer: &burlmillv1.HandshakeOffer{
+			Service: string(m.Service), Version: uint64(m.Version), Datagram: m.Bytes}}}
+	case handshake.Accepted:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Accepted{Accepted: &burlmillv1.HandshakeAccepted{
+			Key: encodeKey(m.Key), Number: m.Number, Load: encodeLoad(m.Load)}}}
+	case handshake.Refused:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Refused{Refused: &burlmillv1.HandshakeRefused{
+			Key: encodeKey(m.Key), Reason: uint32(m.Reason), Load: encodeLoad(m.Load)}}}
+	case handshake.Forward:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Forward{Forward: &burlmillv1.HandshakeForward{
+			Try: m.Try, Datagram: m.Bytes}}}
+	case handshake.NotHeld:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_NotHeld{NotHeld: &burlmillv1.HandshakeNotHeld{
+			Tried: m.Tried, Datagram: m.Bytes}}}
+	case handshake.Locate:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Locate{Locate: &burlmillv1.HandshakeLocate{
+			Key: encodeKey(m.Key), Confirms: m.Confirms}}}
+	case handshake.Located:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Located{Located: &burlmillv1.HandshakeLocated{
+			Key: encodeKey(m.Key), Holding: uint32(m.Holding)}}}
+	default:
+		return &burlmillv1.HandshakeMessage{}
+	}
+}
+
+// Decode reads a message from another process. Errors are of kind fault.Invalid.
+func Decode(encoded []byte) (handshake.Message, error) {
+	envelope := &burlmillv1.HandshakeMessage{}
+	if err := proto.Unmarshal(encoded, envelope); err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "message of %d bytes", len(encoded))
+	}
+	switch body := envelope.GetBody().(type) {
+	case *burlmillv1.HandshakeMessage_Status:
+		return decodeStatus(body.Status)
+	case *burlmillv1.HandshakeMessage_Offer:
+		return handshake.Offer{Service: catalog.ServiceName(body.Offer.GetService()),
+			Version: routing.Version(body.Offer.GetVersion()), Bytes: body.Offer.GetDatagram()}, nil
+	case *burlmillv1.HandshakeMessage_Accepted:
+		key, err := decodeKey(body.Accepted.GetKey())
+		return handshake.Accepted{Key: key, Number: body.Accepted.GetNumber(), Load: decodeLoad(body.Accepted.GetLoad())}, err
+	case *burlmillv1.HandshakeMessage_Refused:
+		key, err := decodeKey(body.Refused.GetKey())
+		return handshake.Refused{Key: key, Reason: handshake.RefusalReason(body.Refused.GetReason()), Load: decodeLoad(body.Refused.GetLoad())}, err
+	case *burlmillv1.HandshakeMessage_Forward:
+		return handshake.Forward{Try: body.Forward.GetTry(), Bytes: body.Forward.GetDatagram()}, nil
+	case *burlmillv1.HandshakeMessage_NotHeld:
+		return handshake.NotHeld{Tried: body.NotHeld.GetTried(), Bytes: body.NotHeld.GetDatagram()}, nil
+	case *burlmillv1.HandshakeMessage_Locate:
+		key, err := decodeKey(body.Locate.GetKey())
+		return handshake.Locate{Key: key, Confirms: body.Locate.GetConfirms()}, err
+	case *burlmillv1.HandshakeMessage_Located:
+		key, err := decodeKey(body.Located.GetKey())
+		return handshake.Located{Key: key, Holding: handshake.Holding(body.Located.GetHolding())}, err
+	default:
+		return nil, fault.New(fault.Invalid, "message of %d bytes without a known body", len(encoded))
+	}
+}
+
+func encodeStatus(status handshake.Status) *burlmillv1.HandshakeStatus {
+	encoded := &burlmillv1.HandshakeStatus{
+		Id:          status.ID,
+		Role:        uint32(status.Role),
+		Zone:        string(status.Zone),
+		Incarnation: status.Incarnation,
+		Service:     string(status.Service),
+		Backend:     status.Backend,
+		Version:     uint64(status.Version),
+		Leaving:     status.Leaving,
+	}
+	if status.Role == handshake.RoleAgent {
+		encoded.Load = encodeLoad(status.Load)
+	}
+	for _, peer := range status.Peers {
+		encoded.Peers = append(encoded.Peers, encodeAddress(peer))
+	}
+	return encoded
+}
+
+func decodeStatus(encoded *burlmillv1.HandshakeStatus) (handshake.Message, error) {
+	status := handshake.Status{
+		ID:          encoded.GetId(),
+		Role:        handshake.Role(encoded.GetRole()),
+		Zone:        catalog.ZoneName(encoded.GetZone()),
+		Incarnation: encoded.GetIncarnation(),
+		Service:     catalog.ServiceName(encoded.GetService()),
+		Backend:     encoded.GetBackend(),
+		Load:        decodeLoad(encoded.GetLoad()),
+		Version:     routing.Version(encoded.GetVersion()),
+		Leaving:     encoded.GetLeaving(),
+	}
+	for _, bytes := range encoded.GetPeers() {
+		address, err := decodeAddress(bytes)
+		if err != nil {
+			return nil, err
+		}
+		status.Peers = append(status.Peers, address)
+	}
+	return status, nil
+}
+
+func encodeLoad(load handshake.Load) *burlmillv1.HandshakeLoad {
+	return &burlmillv1.HandshakeLoad{
+		Accepts: load.Accepts,
+		Busy:    load.Busy,
+		Slots:   load.Slots,
+		ColdMs:  uint32(load.Cold.Milliseconds()),
+	}
+}
+
+func decodeLoad(encoded *burlmillv1.HandshakeLoad) handshake.Load {
+	return handshake.Load{
+		Accepts: encoded.GetAccepts(),
+		Busy:    encoded.GetBusy(),
+		Slots:   encoded.GetSlots(),
+		Cold:    time.Duration(encoded.GetColdMs()) * time.Millisecond,
+	}
+}
+
+func encodeKey(key flow.Key) *burlmillv1.HandshakeKey {
+	return &burlmillv1.HandshakeKey{Caller: encodeAddress(key.Caller), Service: encodeAddress(key.Service)}
+}
+
+func decodeKey(encoded *burlmillv1.HandshakeKey) (flow.Key, error) {
+	caller, err := decodeAddress(encoded.GetCaller())
+	if err != nil {
+		return flow.Key{}, err
+	}
+	service, err := decodeAddress(encoded.GetService())
+	return flow.Key{Caller: caller, Service: service}, err
+}
+
+func encodeAddress(address netip.AddrPort) []byte {
+	encoded, _ := address.MarshalBinary() // has no error to return
+	return encoded
+}
+
+func decodeAddress(encoded []byte) (address netip.AddrPort, err error) {
+	if err := address.UnmarshalBinary(encoded); err != nil || !address.IsValid() {
+		return netip.AddrPort{}, fault.New(fault.Invalid, "address of %d bytes is not an IP address and a port", len(encoded))
+	}
+	return address, nil
+}
--- /dev/null
+++ b/internal/relay/configuration.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/fault"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
+	"github.com/burlmill/burlmill/gen/burlmill/v1/burlmillv1connect"
+	"github.com/burlmill/burlmill/handshake"
+)
+
+// Times and bounds of fetching the configuration.
+const (
+	fetchDialTimeout    = 300 * time.Millisecond
+	fetchTimeout        = time.Second
+	fetchPause          = 50 * time.Millisecond // after a fetch, before the next
+	maximumDocument     = 8 << 20               // bytes
+	storeRetryFirst     = 100 * time.Millisecond
+	storeRetryMost      = 2 * time.Second
+	directoryInterval   = 2 * time.Second // between two looks for balancers in the store
+	directoryFirstDelay = 700 * time.Millisecond
+)
+
+// configurationServer hands out the configuration that a node holds.
+type configurationServer struct{ node *node }
+
+func newConfigurationHandler(n *node) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(burlmillv1connect.NewConfigurationServiceHandler(configurationServer{n}))
+	return mux
+}
+
+// Fetch implements the configuration service.
+func (s configurationServer) Fetch(_ context.Context, request *connect.Request[burlmillv1.FetchRequest]) (*connect.Response[burlmillv1.FetchResponse], error) {
+	s.node.mutex.Lock()
+	defer s.node.mutex.Unlock()
+	response := &burlmillv1.FetchResponse{Version: uint64(s.node.table.Version())}
+	if response.Version > request.Msg.GetAbove() {
+		response.Document = s.node.document
+	}
+	return connect.NewResponse(response), nil
+}
+
+// newPeerClient returns a client for calls between processes. Connections are not
+// kept: a kept one may lead to a machine that has fallen silent.
+func newPeerClient() *http.Client {
+	return &http.Client{
+		Timeout: fetchTimeout,
+		Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: fetchDialTimeout}).DialContext,
+			DisableKeepAlives: true,
+		},
+	}
+}
+
+// fetchLoop pulls the configuration from peers that hold a newer one.
+func (n *node) fetchLoop() {
+	client := newPeerClient()
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-n.fetch:
+		}
+		n.fetchNewest(client)
+		if !n.sleep(fetchPause) {
+			return
+		}
+	}
+}
+
+func (n *node) fetchNewest(client *http.Client) {
+	n.mutex.Lock()
+	held := n.table.Version()
+	peer, version := n.contacts.Newest(time.Now())
+	n.mutex.Unlock()
+	if version <= held {
+		return
+	}
+	document, err := fetchFrom(n.context, client, peer, uint64(held))
+	if err != nil {
+		n.limited.Log(log.WarnLevel, "configuration-fetch-failed", log.Fields{"peer": peer, "version": version, "error": err})
+		return
+	}
+	if len(document) > 0 {
+		_ = n.configure(document, "peer") // logged there
+	}
+}
+
+func fetchFrom(ctx context.Context, client *http.Client, peer netip.AddrPort, above uint64) ([]byte, error) {
+	service := burlmillv1connect.NewConfigurationServiceClient(client, "http://"+peer.String(), connect.WithReadMaxBytes(maximumDocument))
+	response, err := service.Fetch(ctx, connect.NewRequest(&burlmillv1.FetchRequest{Above: above}))
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "fetch configuration from %v", peer)
+	}
+	return response.Msg.GetDocument(), nil
+}
+
+// storeHealth logs when the store is lost and when it answers again.
+type storeHealth struct {
+	node *node
+	lost time.Time // zero: it answers
+}
+
+func (h *storeHealth) note(err error) {
+	switch {
+	case err == nil && !h.lost.IsZero():
+		h.node.log.WithField("outage", time.Since(h.lost)).Info("store-regained")
+		h.lost = time.Time{}
+	case err != nil && h.lost.IsZero() && h.node.context.Err() == nil:
+		h.lost = time.Now()
+		h.node.log.WithError(err).WithField("kind", fault.Of(err)).Warn("store-lost")
+	}
+}
+
+// watchLoop keeps the configuration in step with the store.
+func (n *node) watchLoop() {
+	health := &storeHealth{node: n}
+	retry := storeRetryFirst
+	var revision uint64
+	for n.context.Err() == nil {
+		document, err := n.nextDocument(revision)
+		health.note(err)
+		switch {
+		case err == nil:
+			retry = storeRetryFirst
+			revision = max(revision, document.Revision)
+			if document.Bytes != nil {
+				_ = n.configure(document.Bytes, "store") // logged there
+			}
+			continue
+		case fault.Of(err) == fault.Stale:
+			revision = 0
+		}
+		if !n.sleep(jitter(retry)) {
+			return
+		}
+		retry = min(2*retry, storeRetryMost)
+	}
+}
+
+func (n *node) nextDocument(revision uint64) (Document, error) {
+	if revision == 0 {
+		return n.adapter.Read(n.context)
+	}
+	return n.adapter.Watch(n.context, revision)
+}
+
+// jitter spreads a pause over half to one and a half of it.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + time.Duration(rand.Int64N(int64(pause)))
+}
+
+// publish notes in the store where this balancer is, so that others find it when
+// their seeds are of no use.
+func (n *node) publish() {
+	for pause := storeRetryFirst; ; pause = min(2*pause, storeRetryMost) {
+		err := n.adapter.Publish(n.context, n.settings.Node.ID, n.settings.Node.PeerAddress)
+		if err == nil || errors.Is(err, context.Canceled) {
+			return
+		}
+		n.limited.Log(log.WarnLevel, "publish-failed", log.Fields{"error": err})
+		if !n.sleep(jitter(pause)) {
+			return
+		}
+	}
+}
+
+// directoryLoop looks for balancers in the store while none is heard.
+func (n *node) directoryLoop() {
+	pause := directoryFirstDelay
+	for n.sleep(jitter(pause)) {
+		pause = directoryInterval
+		n.mutex.Lock()
+		heard := n.contacts.Hears(time.Now(), handshake.RoleBalancer)
+		n.mutex.Unlock()
+		if heard {
+			continue
+		}
+		addresses, err := n.adapter.Balancers(n.context)
+		if err != nil {
+			n.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"error": err})
+			continue
+		}
+		n.mutex.Lock()
+		for _, address := range addresses {
+			n.contacts.Add(time.Now(), address, false)
+		}
+		n.mutex.Unlock()
+		n.limited.Log(log.InfoLevel, "directory-read", log.Fields{"balancers": len(addresses)})
+	}
+}
--- /dev/null
+++ b/internal/relay/node.go
@@ -0,0 +1,318 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/wire"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Intervals of a process's own work.
+const (
+	tickInterval  = 20 * time.Millisecond // between two looks at the clock
+	flushInterval = 10 * time.Second      // between summaries of log lines left out
+)
+
+// Bounds of the log.
+const (
+	linesPerSecond = 5  // of one event
+	lineBurst      = 20 // of one event at once
+)
+
+// Bounds of the HTTP servers.
+const (
+	headerTimeout  = 2 * time.Second
+	maximumHeaders = 16 << 10 // bytes
+)
+
+// decider is the part of a node that its role fills in. Its methods are called
+// with the node's lock held.
+type decider interface {
+	status(now time.Time) handshake.Status
+	received(now time.Time, from netip.AddrPort, message handshake.Message)
+	configured(now time.Time, table *routing.Table)
+	tick(now time.Time)
+}
+
+// node is what balancers and agents have in common: the socket for other
+// processes, who they are, the configuration and the log. Its lock guards the
+// deciders; everything under it is quick and does no waiting.
+type node struct {
+	settings    settings.Settings
+	adapter     Adapter
+	log         log.Interface
+	limited     *logging.Limiter
+	incarnation uint64
+	role        handshake.Role
+	context     context.Context // ends when the process stops
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
+
+	mutex    sync.Mutex
+	decider  decider
+	contacts *handshake.Contacts
+	table    *routing.Table
+	document []byte // of the table
+	leaving  bool
+	urgent   bool // the status has changed in a way that others must know at once
+	started  bool
+
+	peers   *wire.Socket
+	servers []*http.Server
+	fetch   chan struct{} // a peer holds a newer configuration
+}
+
+func newNode(s settings.Settings, adapter Adapter, role handshake.Role, logger log.Interface) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &node{
+		settings:    s,
+		adapter:     adapter,
+		log:         logger,
+		limited:     logging.NewLimiter(logging.LimiterOptions{Log: logger, PerSecond: linesPerSecond, Burst: lineBurst, Now: time.Now}),
+		incarnation: rand.Uint64(),
+		role:        role,
+		context:     ctx,
+		cancel:      cancel,
+		contacts:    handshake.NewContacts(s.Node.PeerAddress, role),
+		fetch:       make(chan struct{}, 1),
+	}
+}
+
+// open opens the socket and the server for other processes.
+func (n *node) open() (err error) {
+	n.peers, err = wire.Listen(n.settings.Node.PeerAddress, n.receivePeer)
+	if err != nil {
+		return err
+	}
+	return n.serve(n.settings.Node.PeerAddress, newConfigurationHandler(n))
+}
+
+// serve answers HTTP requests at the address until the node is closed.
+func (n *node) serve(address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "listen on %v", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maximumHeaders}
+	n.servers = append(n.servers, server)
+	n.spawn(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.WithError(err).WithField("address", address).Error("server-failed")
+		}
+	})
+	return nil
+}
+
+func (n *node) spawn(work func()) {
+	n.running.Go(work)
+}
+
+// start begins to decide: from now on messages and ticks reach the decider.
+func (n *node) start(role decider) {
+	n.mutex.Lock()
+	n.decider = role
+	n.started = true
+	n.addSeeds(time.Now(), n.settings.Peers.Seeds)
+	n.mutex.Unlock()
+	n.spawn(n.tickLoop)
+	n.spawn(n.fetchLoop)
+}
+
+// addSeeds takes in the control addresses of other machines: processes use the
+// same port for each other on all of them.
+func (n *node) addSeeds(now time.Time, seeds []netip.AddrPort) {
+	for _, seed := range seeds {
+		n.contacts.Add(now, netip.AddrPortFrom(seed.Addr(), n.settings.Node.PeerAddress.Port()), true)
+	}
+}
+
+// close ends everything that the node runs.
+func (n *node) close() error {
+	n.cancel()
+	err := n.peers.Close()
+	for _, server := range n.servers {
+		err = errors.Join(err, server.Close())
+	}
+	n.running.Wait()
+	n.limited.Flush()
+	return err
+}
+
+func (n *node) tickLoop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-flush.C:
+			n.limited.Flush()
+		case <-ticker.C:
+			n.tick(time.Now())
+		}
+	}
+}
+
+func (n *node) tick(now time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.decider.tick(now)
+	n.tellStatus(now)
+}
+
+// tellStatus sends the own status to all that are due. The lock is held.
+func (n *node) tellStatus(now time.Time) {
+	due := n.contacts.Due(now, n.urgent)
+	n.urgent = false
+	if len(due) == 0 {
+		return
+	}
+	status := n.decider.status(now)
+	status.ID = n.settings.Node.ID
+	status.Role = n.role
+	status.Zone = n.settings.Node.Zone
+	status.Incarnation = n.incarnation
+	status.Version = n.table.Version()
+	status.Leaving = n.leaving
+	status.Peers = n.contacts.Tell(now)
+	encoded, err := Encode(status)
+	if err != nil {
+		n.limited.Log(log.ErrorLevel, "encode-failed", log.Fields{"error": err})
+		return
+	}
+	for _, address := range due {
+		n.sendBytes(encoded, address)
+	}
+}
+
+// send sends a message to another process. The lock is held.
+func (n *node) send(to netip.AddrPort, message handshake.Message) {
+	encoded, err := Encode(message)
+	if err != nil {
+		n.limited.Log(log.ErrorLevel, "encode-failed", log.Fields{"error": err})
+		return
+	}
+	n.sendBytes(encoded, to)
+}
+
+func (n *node) sendBytes(encoded []byte, to netip.AddrPort) {
+	if err := n.peers.Send(encoded, to); err != nil {
+		n.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
+	}
+}
+
+// receivePeer is called by the socket.
+func (n *node) receivePeer(datagram []byte, from netip.AddrPort) {
+	message, err := Decode(datagram)
+	if err != nil {
+		n.limited.Log(log.WarnLevel, "message-invalid", log.Fields{"from": from, "error": err})
+		return
+	}
+	now := time.Now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.started {
+		return
+	}
+	if status, ok := message.(handshake.Status); ok {
+		n.heard(now, from, status)
+	}
+	n.decider.received(now, from, message)
+}
+
+// heard takes in another process's status. The lock is held.
+func (n *node) heard(now time.Time, from netip.AddrPort, status handshake.Status) {
+	if n.contacts.Heard(now, from, status) {
+		n.log.WithFields(log.Fields{"peer": from, "id": status.ID, "role": status.Role, "zone": status.Zone,
+			"service": status.Service, "version": status.Version}).Info("peer-heard")
+	}
+	if status.Version > n.table.Version() {
+		n.wantFetch()
+	}
+}
+
+func (n *node) wantFetch() {
+	select {
+	case n.fetch <- struct{}{}:
+	default:
+	}
+}
+
+// configure puts a document in force unless a newer one is. source says where it
+// came from, for the log.
+func (n *node) configure(document []byte, source string) error {
+	table, err := n.adapter.ParseConfiguration(document)
+	if err != nil {
+		n.limited.Log(log.ErrorLevel, "configuration-invalid", log.Fields{"source": source, "error": err})
+		return err
+	}
+	now := time.Now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if table.Version() <= n.table.Version() {
+		return nil
+	}
+	n.log.WithFields(log.Fields{"version": table.Version(), "previous": n.table.Version(), "source": source,
+		"routes": table.Len()}).Info("configuration")
+	n.table = table
+	n.document = document
+	n.urgent = true
+	n.decider.configured(now, table)
+	n.tellStatus(now)
+	return nil
+}
+
+// sleep waits and says whether the node is still running.
+func (n *node) sleep(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-n.context.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// logDecision logs a decision of a decider.
+func (n *node) logDecision(d handshake.Decision) {
+	fields := log.Fields{"caller": d.Key.Caller, "address": d.Key.Service}
+	if d.Service != "" {
+		fields["service"] = d.Service
+	}
+	if d.Peer.IsValid() {
+		fields["peer"] = d.Peer
+	}
+	if d.Reason != "" {
+		fields["reason"] = d.Reason
+	}
+	if d.Version != 0 {
+		fields["version"] = d.Version
+	}
+	if d.Attempts != 0 {
+		fields["attempts"] = d.Attempts
+	}
+	if d.Load != (handshake.Load{}) {
+		fields["busy"] = d.Load.Busy
+		fields["slots"] = d.Load.Slots
+	}
+	if d.Age != 0 {
+		fields["age"] = d.Age
+	}
+	n.limited.Log(log.InfoLevel, string(d.Event), fields)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -24,6 +24,7 @@
 	ruleLoopback   = "loopback"
 	ruleDistinct   = "distinct"
 	ruleSomeSource = "some-source"
+	ruleHandshake  = "handshake"
 )
 
 // ruleTexts says in words what each rule demands; %s stands for its parameter.
@@ -40,6 +41,7 @@
 	ruleLoopback:   "must be a loopback address",
 	ruleDistinct:   "must differ from %s",
 	ruleSomeSource: "must be given where peers.seeds is empty",
+	ruleHandshake:  "must be given where flows.transport is handshake",
 }
 
 var (
@@ -55,7 +57,7 @@
 	register(validate, ruleAddress, isAddress)
 	register(validate, ruleLoopback, isLoopback)
 	register(validate, ruleDistinct, isDistinct)
-	validate.RegisterStructValidation(checkSources, Settings{})
+	validate.RegisterStructValidation(checkSettings, Settings{})
 	return validate
 }
 
@@ -99,9 +101,35 @@
 	return false
 }
 
-// checkSources demands that the node can learn the configuration from somewhere.
-func checkSources(level validator.StructLevel) {
+// checkSettings checks what concerns several sections.
+func checkSettings(level validator.StructLevel) {
 	settings := level.Current().Interface().(Settings)
+	checkSources(level, &settings)
+	checkHandshake(level, &settings)
+}
+
+// checkHandshake demands the sockets that the transport handshake needs. Those of
+// the back end go together: an agent has all of them, a balancer none.
+func checkHandshake(level validator.StructLevel, settings *Settings) {
+	if settings.Flows.Transport != TransportHandshake {
+		return
+	}
+	demand := func(address netip.AddrPort, key, field string) {
+		if !address.IsValid() {
+			level.ReportError("", key, field, ruleHandshake, "")
+		}
+	}
+	demand(settings.Node.PeerAddress, "node.peer-address", "PeerAddress")
+	demand(settings.Node.ReadyAddress, "node.ready-address", "ReadyAddress")
+	if settings.Backend.Service == "" {
+		return
+	}
+	demand(settings.Backend.Address, "backend.address", "Address")
+	demand(settings.Backend.OutboundAddress, "backend.outbound-address", "OutboundAddress")
+}
+
+// checkSources demands that the node can learn the configuration from somewhere.
+func checkSources(level validator.StructLevel, settings *Settings) {
 	if settings.Platform.URL == "" && len(settings.Peers.Seeds) == 0 {
 		level.ReportError(settings.Platform.URL, "platform.url", "URL", ruleSomeSource, "")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,8 @@
 	Zone           catalog.ZoneName `koanf:"zone" validate:"required,name" help:"Failure zone the process runs in."`
 	DataAddress    netip.AddrPort   `koanf:"data-address" validate:"required,address" help:"UDP socket for callers' datagrams and TCP socket for callers' streams."`
 	ControlAddress netip.AddrPort   `koanf:"control-address" validate:"required,address,distinct=data-address" help:"TCP socket for other burlmill processes and operators."`
+	PeerAddress    netip.AddrPort   `koanf:"peer-address" validate:"omitempty,address,distinct=data-address,distinct=control-address" help:"UDP and TCP socket for other burlmill processes; on all machines with the same port. For the transport handshake only."`
+	ReadyAddress   netip.AddrPort   `koanf:"ready-address" validate:"omitempty,address,distinct=data-address,distinct=control-address,distinct=peer-address" help:"TCP socket at which the platform asks whether this process can serve. For the transport handshake only."`
 	MetricsAddress netip.AddrPort   `koanf:"metrics-address" validate:"omitempty,address,loopback,distinct=control-address,distinct=data-address" help:"TCP socket for metrics and health. Empty: none."`
 }
 
@@ -36,14 +38,34 @@
 	Seeds []netip.AddrPort `koanf:"seeds" validate:"unique,dive,address" help:"Control addresses that are tried at start, besides those in the platform's machine list. May be given several times."`
 }
 
+// Backend is the back end beside an agent. For the transport handshake only;
+// with other transports back ends stand in the configuration.
+type Backend struct {
+	Service         catalog.ServiceName `koanf:"service" validate:"omitempty,name" help:"Service of the back end beside this agent. For the transport handshake only."`
+	Address         netip.AddrPort      `koanf:"address" validate:"omitempty,address" help:"Where the back end takes datagrams and health checks. For the transport handshake only."`
+	OutboundAddress netip.AddrPort      `koanf:"outbound-address" validate:"omitempty,address" help:"UDP socket to which the back end sends all its datagrams. For the transport handshake only."`
+	ReportInterval  time.Duration       `koanf:"report-interval" validate:"min=100ms,max=1m" help:"Time between two reports of the back end about itself. For the transport handshake only."`
+}
+
 // Flows bounds what one process remembers about flows.
 type Flows struct {
+	Transport        Transport     `koanf:"transport" validate:"oneof=envelope handshake" help:"How datagrams come: envelope is PROXY protocol version 2 from fabrics; handshake is the platform's own datagrams, whose flows open with a handshake."`
+	Lifetime         time.Duration `koanf:"lifetime" validate:"min=1s,max=24h" help:"Longest life of a flow. For the transport handshake only."`
 	IdleTimeout      time.Duration `koanf:"idle-timeout" validate:"min=1s,max=24h" help:"A flow without a datagram for this long is over."`
 	DrainIdleTimeout time.Duration `koanf:"drain-idle-timeout" validate:"min=1s,max=24h" help:"The same once the process is stopping, so that flows that have ended in silence do not hold it up."`
 	DrainLimit       time.Duration `koanf:"drain-limit" validate:"min=1s,max=24h" help:"A stopping process waits this long for its requests and flows; then it cuts off what is left."`
 	CacheSize        int           `koanf:"cache-size" validate:"min=1024,max=10000000" help:"Entries of the balancer's header cache."`
 }
 
+// Transport says in which form datagrams come.
+type Transport string
+
+// The transports.
+const (
+	TransportEnvelope  Transport = "envelope"
+	TransportHandshake Transport = "handshake"
+)
+
 // Log says what is logged.
 type Log struct {
 	Level string `koanf:"level" validate:"oneof=debug info warn error" help:"Least severe level that is logged."`
@@ -54,6 +76,7 @@
 	Node     Node     `koanf:"node"`
 	Platform Platform `koanf:"platform"`
 	Peers    Peers    `koanf:"peers"`
+	Backend  Backend  `koanf:"backend"`
 	Flows    Flows    `koanf:"flows"`
 	Log      Log      `koanf:"log"`
 }
@@ -63,7 +86,10 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{Readers: 3},
+		Backend:  Backend{ReportInterval: time.Second},
 		Flows: Flows{
+			Transport:        TransportEnvelope,
+			Lifetime:         time.Minute,
 			IdleTimeout:      2 * time.Minute,
 			DrainIdleTimeout: 10 * time.Second,
 			DrainLimit:       time.Hour,
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,156 @@
+// Package routing holds which service takes the new flows of each address that
+// callers see. A Table is an immutable, validated snapshot of one version of
+// the configuration; a newer one replaces it whole. Hosts are not part of it:
+// they announce themselves (package instance).
+package routing
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+)
+
+// Bounds of a valid table.
+const (
+	MaximumRoutes  = 100_000
+	MaximumTargets = 64      // services of one route
+	MaximumWeight  = 1 << 20 // of one target
+)
+
+// Version orders configurations. A process never goes back to a lower one.
+type Version uint64
+
+// Target is one service of a route with its weight among the route's services.
+type Target struct {
+	Service catalog.ServiceName
+	Weight  int // 0: takes no new flows
+}
+
+// Route says where the new flows of one address go.
+type Route struct {
+	Name    string
+	Address netip.AddrPort // the address that callers see
+	Targets []Target       // at least one with a weight above 0
+}
+
+// Service is what the configuration says about one service.
+type Service struct {
+	Name         catalog.ServiceName
+	HealthPath   string // HTTP path at which a host answers 200 while it is well
+	MaximumFlows int    // flows that one host holds; 0: not told
+}
+
+// Table is one version of the configuration. It never changes.
+type Table struct {
+	version     Version
+	idleTimeout time.Duration
+	routes      map[netip.AddrPort]*Route
+	services    map[catalog.ServiceName]Service
+}
+
+// Content is what a Table is made of.
+type Content struct {
+	Version     Version
+	IdleTimeout time.Duration // a flow without a datagram for this long may be forgotten; 0: not told
+	Routes      []Route
+	Services    []Service
+}
+
+// New checks the content and returns its table. Errors are of kind
+// fault.Invalid and name the field and its value.
+func New(content Content) (*Table, error) {
+	if content.Version == 0 {
+		return nil, fault.InvalidField("version", content.Version, "must be above 0")
+	}
+	if len(content.Routes) > MaximumRoutes {
+		return nil, fault.InvalidField("routes", len(content.Routes), fmt.Sprintf("must be at most %d", MaximumRoutes))
+	}
+	table := &Table{
+		version:     content.Version,
+		idleTimeout: content.IdleTimeout,
+		routes:      make(map[netip.AddrPort]*Route, len(content.Routes)),
+		services:    make(map[catalog.ServiceName]Service, len(content.Services)),
+	}
+	for _, service := range content.Services {
+		table.services[service.Name] = service
+	}
+	for i := range content.Routes {
+		if err := table.add(&content.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return table, nil
+}
+
+// add checks a route and takes it in.
+func (t *Table) add(route *Route) error {
+	if !route.Address.IsValid() {
+		return fault.InvalidField("route "+route.Name+" address", route.Address, "must be an IP address and a port")
+	}
+	if _, taken := t.routes[route.Address]; taken {
+		return fault.InvalidField("route "+route.Name+" address", route.Address, "must not be the address of two routes")
+	}
+	if len(route.Targets) > MaximumTargets {
+		return fault.InvalidField("route "+route.Name+" targets", len(route.Targets), fmt.Sprintf("must be at most %d", MaximumTargets))
+	}
+	total := 0
+	for _, target := range route.Targets {
+		if target.Weight < 0 || target.Weight > MaximumWeight {
+			return fault.InvalidField("route "+route.Name+" weight", target.Weight, fmt.Sprintf("must be 0 to %d", MaximumWeight))
+		}
+		if target.Service == "" {
+			return fault.InvalidField("route "+route.Name+" service", target.Service, "must be given")
+		}
+		total += target.Weight
+	}
+	if total == 0 {
+		return fault.InvalidField("route "+route.Name+" weights", total, "must add up to more than 0")
+	}
+	t.routes[route.Address] = route
+	return nil
+}
+
+// Version returns the table's version; a nil table has version 0.
+func (t *Table) Version() Version {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
+
+// IdleTimeout returns how long a flow may rest before it may be forgotten, 0 if
+// the configuration does not say.
+func (t *Table) IdleTimeout() time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.idleTimeout
+}
+
+// Route returns the route of an address that callers see, nil if there is none.
+func (t *Table) Route(address netip.AddrPort) *Route {
+	if t == nil {
+		return nil
+	}
+	return t.routes[address]
+}
+
+// Service returns what the configuration says about a service.
+func (t *Table) Service(name catalog.ServiceName) (service Service, known bool) {
+	if t == nil {
+		return Service{}, false
+	}
+	service, known = t.services[name]
+	return service, known
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.routes)
+}
