Recovery: an agent asks its back end at once, newcomers are told faster, a cut balancer keeps silent

Change: health check right at the agent's start, 100 ms to new strangers, directory at 150 ms, cut noticed after 300 ms of silence of all agents, no reset by a balancer that hears nobody. Ruled out: slow start of processes (20 ms).

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -79,7 +79,7 @@
 func NewAgent(now time.Time, options AgentOptions) *Agent {
 	return &Agent{
 		options: options,
-		tracker: instance.NewTracker(options.ReportInterval),
+		tracker: instance.NewTracker(options.Service, options.ReportInterval),
 		flows:   map[flow.Key]*heldFlow{},
 		started: now,
 	}
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -205,7 +205,7 @@
 func (b *Balancer) offer(now time.Time, known *balancedFlow) {
 	agent := b.board.choose(now, known.service, known.tried)
 	if agent == nil {
-		b.runOut(known)
+		b.runOut(now, known)
 		return
 	}
 	known.tried = append(known.tried, agent.address)
@@ -219,10 +219,11 @@
 
 // runOut handles an opening that no further agent can be asked to take. Where
 // every agent that was asked has refused, the caller is told at once; otherwise
-// an answer may still come.
-func (b *Balancer) runOut(known *balancedFlow) {
+// an answer may still come. A balancer that hears nobody is itself cut off: it
+// says nothing, so that the caller's next copy opens the flow through another one.
+func (b *Balancer) runOut(now time.Time, known *balancedFlow) {
 	b.settle(known)
-	if known.refused < len(known.tried) || len(known.accepts) > 0 {
+	if known.refused < len(known.tried) || len(known.accepts) > 0 || !b.board.Hears(now) {
 		return
 	}
 	b.forget(known)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -15,6 +15,8 @@
 	FreshTime  = 700 * time.Millisecond // silence after which an agent gets no new flows
 	KnownTime  = 3 * time.Second        // silence after which an agent is not asked for flows
 	ForgetTime = 60 * time.Second       // silence after which an agent is forgotten
+	CutTime    = 300 * time.Millisecond // silence of all of many agents after which the balancer is cut off
+	manyAgents = 4                      // whose statuses come often enough for CutTime
 )
 
 // Weights of the load that decides where a new flow goes, in busy shares of a back end.
@@ -90,10 +92,15 @@
 // Remove drops an agent.
 func (b *Board) Remove(address netip.AddrPort) { delete(b.agents, address) }
 
-// Hears says whether any agent was heard of late.
+// Hears says whether any agent was heard of late. The more agents there are, the
+// less silence it takes to tell that all of them are out of reach.
 func (b *Board) Hears(now time.Time) bool {
+	limit := FreshTime
+	if len(b.agents) >= manyAgents {
+		limit = CutTime
+	}
 	for _, agent := range b.agents {
-		if now.Sub(agent.heard) <= FreshTime {
+		if now.Sub(agent.heard) <= limit {
 			return true
 		}
 	}
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -13,6 +13,8 @@
 	AgentStatusInterval    = 200 * time.Millisecond  // from an agent to a balancer
 	BalancerStatusInterval = 400 * time.Millisecond  // from a balancer to all others
 	StrangerInterval       = 500 * time.Millisecond  // to a process that has not been heard
+	NewStrangerInterval    = 100 * time.Millisecond  // the same while its address is new
+	NewStrangerTime        = 5 * time.Second         // for which an address is new
 	SilentInterval         = 1 * time.Second         // to a process that is no longer heard
 	ContactTime            = 1500 * time.Millisecond // silence after which a process is not heard
 	ContactForgetTime      = 60 * time.Second        // silence after which a process is forgotten
@@ -137,6 +139,8 @@
 // interval returns how often a process is told the status; 0: never.
 func (c *Contacts) interval(now time.Time, known *contact) time.Duration {
 	switch {
+	case known.heard.IsZero() && now.Sub(known.added) <= NewStrangerTime:
+		return NewStrangerInterval
 	case known.heard.IsZero():
 		return StrangerInterval
 	case c.role == RoleAgent && known.status.Role == RoleAgent:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,7 +3,8 @@
 // id of its own. Reports may come late and in any order, and the agent may have
 // started after the back end: so an instance gets new flows only once it has
 // itself answered a health check since the agent started, and never again after
-// it has said that it leaves. The package is pure: reports, check results and a
+// it has said that it leaves. An agent that has just started asks at once: the
+// answer names the instance, and its reports say the rest. The package is pure: reports, check results and a
 // clock go in, what to believe and what to check comes out.
 package instance
 
@@ -64,6 +65,7 @@
 
 // Tracker follows the instances of one back end. It is not safe for concurrent use.
 type Tracker struct {
+	service   catalog.ServiceName
 	interval  time.Duration // between reports
 	latest    Report
 	state     State
@@ -75,9 +77,10 @@
 	checking  bool
 }
 
-// NewTracker returns a tracker that knows no instance; reports come once an interval.
-func NewTracker(interval time.Duration) *Tracker {
-	return &Tracker{interval: interval, gone: map[ID]bool{}}
+// NewTracker returns a tracker of a back end of the service that knows no
+// instance; reports come once an interval.
+func NewTracker(service catalog.ServiceName, interval time.Duration) *Tracker {
+	return &Tracker{service: service, interval: interval, gone: map[ID]bool{}}
 }
 
 // State returns what is believed of the present instance.
@@ -161,7 +164,8 @@
 		return false
 	}
 	silent := t.state == Ready && now.Sub(t.heard) > missedReports*t.interval
-	if t.state != Unverified && !silent {
+	unheard := t.state == Absent && t.latest.ID == ""
+	if t.state != Unverified && !silent && !unheard {
 		return false
 	}
 	t.checking = true
@@ -179,6 +183,12 @@
 	t.checking = false
 	t.nextCheck = now.Add(CheckInterval)
 	before := t.state
+	if t.state == Absent && check.Well && check.ID != "" && !t.gone[check.ID] {
+		t.latest = Report{ID: check.ID, Service: t.service} // its reports will say the rest
+		t.state = Ready
+		t.heard = now
+		return true
+	}
 	sameInstance := check.ID == "" || check.ID == t.latest.ID
 	switch {
 	case t.state == Unverified && check.Well && sameInstance:
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -27,7 +27,7 @@
 	storeRetryFirst     = 100 * time.Millisecond
 	storeRetryMost      = 2 * time.Second
 	directoryInterval   = 2 * time.Second // between two looks for balancers in the store
-	directoryFirstDelay = 700 * time.Millisecond
+	directoryFirstDelay = 150 * time.Millisecond
 )
 
 // configurationServer hands out the configuration that a node holds.
