--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -206,17 +206,21 @@
 	switch {
 	case held == nil || held.state == stateTentative:
 		if !try && held == nil {
-			a.giveBack(from, datagram, false)
+			a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
 			return a.take()
 		}
 		if held == nil {
 			held = a.hold(now, datagram.Key, stateTentative)
 		}
+	case a.outlived(held):
+		a.drop(held)
+		a.giveBack(from, NotHeld{Gone: true, Bytes: datagram.Bytes}, datagram.Key)
+		return a.take()
 	case held.state == stateOffered:
-		a.giveBack(from, datagram, false)
+		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
 		return a.take()
 	case held.state == stateHalfOpen && datagram.Confirms != held.number:
-		a.giveBack(from, datagram, false)
+		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
 		return a.take()
 	case held.state == stateHalfOpen:
 		held.state = stateOpen
@@ -250,9 +254,16 @@
 	}
 }
 
-func (a *Agent) giveBack(to netip.AddrPort, datagram *Datagram, tried bool) {
-	a.act(Send{To: to, Message: NotHeld{Tried: tried, Bytes: datagram.Bytes}})
-	a.act(Decision{Event: EventNotHeld, Key: datagram.Key, Service: a.options.Service, Peer: to, Reason: returnReason(tried)})
+// outlived says whether a flow was held by an instance of the back end that has
+// been replaced by another.
+func (a *Agent) outlived(held *heldFlow) bool {
+	latest := a.tracker.Latest().ID
+	return held.instance != "" && latest != "" && held.instance != latest
+}
+
+func (a *Agent) giveBack(to netip.AddrPort, message NotHeld, key flow.Key) {
+	a.act(Send{To: to, Message: message})
+	a.act(Decision{Event: EventNotHeld, Key: key, Service: a.options.Service, Peer: to, Reason: returnReason(message)})
 }
 
 // Asked answers a balancer's question who holds a flow.
@@ -267,6 +278,8 @@
 	switch {
 	case held == nil || held.state == stateTentative:
 		return a.unknownHolding(now)
+	case a.outlived(held):
+		return HeldByGone
 	case held.state == stateOpen || held.state == stateEnded:
 		return Holds
 	case held.state == stateHalfOpen && held.number == question.Confirms:
@@ -346,12 +359,13 @@
 		a.refuse(now, balancer, datagram.Key, RefusedFull)
 		return
 	}
+	gone := a.outlived(held)
 	tentative := held.state == stateTentative
-	if !tentative && held.instance == a.tracker.Latest().ID && held.state != stateEnded {
-		return // it holds the flow no longer and has told the caller itself
+	if !tentative && !gone {
+		return // its back end has ended it, and has told the caller itself
 	}
 	a.drop(held)
-	a.giveBack(balancer, datagram, tentative)
+	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: gone, Bytes: datagram.Bytes}, datagram.Key)
 }
 
 // Tick forgets flows that are over.
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -22,17 +22,12 @@
 	RestTime        = 20 * time.Second       // after which a flow without a datagram is forgotten
 	LostTime        = 1 * time.Second        // during which a flow that nobody holds is not asked for again
 	sweepInterval   = 250 * time.Millisecond // between two looks for flows to forget
-	// KnowledgeTime is how long a balancer listens before it trusts that it knows
-	// all agents.
-	KnowledgeTime = 2 * time.Second
 )
 
 // BalancerOptions are what a balancer's decider is made of.
 type BalancerOptions struct {
 	Zone   catalog.ZoneName
 	Random *rand.Rand
-	// RestTime is how long a flow may rest before it is forgotten; 0: RestTime.
-	RestTime time.Duration
 }
 
 // Balancer decides for one balancer.
@@ -42,7 +37,6 @@
 	splitter  *routing.Splitter
 	flows     map[flow.Key]*balancedFlow
 	waiting   map[flow.Key]*balancedFlow // those with a deadline
-	started   time.Time
 	nextSweep time.Time
 	actions   []Action
 }
@@ -52,7 +46,6 @@
 	key      flow.Key
 	service  catalog.ServiceName
 	seen     time.Time
-	opened   time.Time
 	deadline time.Time // of the offer or question under way; zero: none
 
 	// Of an opening.
@@ -65,12 +58,12 @@
 
 	// Of an open flow.
 	agent    netip.AddrPort // zero: not known
+	backend  string         // id of its back end when the flow was found there
 	buffered [][]byte
 	confirms uint32 // of the first buffered datagram
 	asked    []netip.AddrPort
 	answers  int
 	perhaps  []netip.AddrPort
-	complete bool // every agent that may hold the flow was asked
 	lost     time.Time
 }
 
@@ -81,13 +74,12 @@
 }
 
 // NewBalancer returns a decider that knows nothing yet.
-func NewBalancer(now time.Time, options BalancerOptions) *Balancer {
+func NewBalancer(options BalancerOptions) *Balancer {
 	return &Balancer{
 		board:    NewBoard(options.Zone, options.Random),
 		splitter: routing.NewSplitter(),
 		flows:    map[flow.Key]*balancedFlow{},
 		waiting:  map[flow.Key]*balancedFlow{},
-		started:  now,
 	}
 }
 
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -107,18 +107,23 @@
 	return false
 }
 
-// known returns the agents that may be asked for flows, and whether agents are
-// left out that were heard before and may hold some.
-func (b *Board) known(now time.Time) (agents []*agentState, complete bool) {
-	complete = true
+// known returns the agents that may be asked for flows.
+func (b *Board) known(now time.Time) []*agentState {
+	var agents []*agentState
 	for _, agent := range b.agents {
 		if now.Sub(agent.heard) <= KnownTime {
 			agents = append(agents, agent)
-		} else {
-			complete = false
 		}
 	}
-	return agents, complete
+	return agents
+}
+
+// backend returns the id of the agent's back end, "" if it is not known.
+func (b *Board) backend(address netip.AddrPort) string {
+	if agent := b.agents[address]; agent != nil {
+		return agent.status.Backend
+	}
+	return ""
 }
 
 // choose returns the agent of the service that is to get the next new flow, nil
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -40,7 +40,7 @@
 func (b *Balancer) hold(now time.Time, known *balancedFlow, agent netip.AddrPort, event Event) {
 	b.settle(known)
 	known.agent = agent
-	known.opened = now
+	known.backend = b.board.backend(agent)
 	known.accepts = nil
 	known.tried = nil
 	b.act(Decision{Event: event, Key: known.key, Service: known.service, Peer: agent, Version: b.table.Version()})
@@ -68,8 +68,7 @@
 
 // ask asks all agents that may hold the flow.
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
-	agents, complete := b.board.known(now)
-	known.complete = complete && now.Sub(b.started) >= KnowledgeTime
+	agents := b.board.known(now)
 	known.asked, known.answers, known.perhaps = nil, 0, nil
 	for _, agent := range agents {
 		known.asked = append(known.asked, agent.address)
@@ -82,7 +81,10 @@
 // located handles an agent's answer.
 func (b *Balancer) located(now time.Time, from netip.AddrPort, message Located) {
 	known := b.flows[message.Key]
-	if known == nil || known.agent.IsValid() || !slices.Contains(known.asked, from) {
+	if known == nil || known.agent.IsValid() {
+		return
+	}
+	if message.Holding != Holds && !slices.Contains(known.asked, from) {
 		return
 	}
 	switch message.Holding {
@@ -90,6 +92,9 @@
 		b.hold(now, known, from, EventLocated)
 		b.release(known)
 		return
+	case HeldByGone:
+		b.lose(now, known, reasonGone)
+		return
 	case HoldsPerhaps:
 		known.perhaps = append(known.perhaps, from)
 	}
@@ -108,30 +113,19 @@
 }
 
 // locateEnded handles a flow that no agent is sure to hold. Agents that may hold
-// it pass the first datagram to their back ends, which know. Where every agent
-// has answered that it holds no such flow, the caller is told.
+// it pass the first datagram to their back ends, which know. Where nobody may, the
+// flow may still be held by an agent that cannot be heard from here: the caller
+// is left to its own patience.
 func (b *Balancer) locateEnded(now time.Time, known *balancedFlow) {
 	b.settle(known)
 	if len(known.perhaps) > 0 {
 		b.try(now, known)
 		return
 	}
-	definite := known.complete && known.answers == len(known.asked) && len(known.asked) > 0
 	known.buffered = nil
 	known.asked = nil
 	known.lost = now
-	b.act(Decision{Event: EventLost, Key: known.key, Attempts: known.answers, Reason: lossReason(definite)})
-	if definite {
-		b.act(ResetCaller{Key: known.key})
-	}
-}
-
-// lossReason says why nobody holds a flow.
-func lossReason(definite bool) string {
-	if definite {
-		return "no-agent-holds-it"
-	}
-	return "agents-unheard"
+	b.act(Decision{Event: EventLost, Key: known.key, Attempts: known.answers, Reason: reasonUnheard})
 }
 
 // try passes what has waited to the back ends of the agents that may hold the flow.
@@ -153,26 +147,59 @@
 
 // Returned handles a datagram that an agent gave back because it does not hold
 // its flow.
-func (b *Balancer) Returned(now time.Time, from netip.AddrPort, datagram *Datagram, tried bool) []Action {
+func (b *Balancer) Returned(now time.Time, from netip.AddrPort, datagram *Datagram, message NotHeld) []Action {
 	known := b.flows[datagram.Key]
 	if known == nil {
 		known = b.add(now, datagram.Key)
 	}
-	b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: returnReason(tried)})
+	b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: returnReason(message)})
+	outlived := known.agent == from && b.outlived(known)
 	if known.agent == from {
 		known.agent = netip.AddrPort{}
 	}
-	if tried {
-		return b.take() // the caller sends it again
+	switch {
+	case message.Gone || outlived:
+		b.lose(now, known, reasonGone)
+	case message.Tried: // the caller sends it again
+	default:
+		b.carry(now, known, datagram)
 	}
-	b.carry(now, known, datagram)
 	return b.take()
 }
 
+// outlived says whether the back end that held the flow has been replaced by
+// another instance.
+func (b *Balancer) outlived(known *balancedFlow) bool {
+	agent := b.board.agents[known.agent]
+	return agent != nil && known.backend != "" && agent.status.Backend != "" && agent.status.Backend != known.backend
+}
+
+// lose ends a flow whose back end is known to be gone: the caller is told at once.
+func (b *Balancer) lose(now time.Time, known *balancedFlow, reason string) {
+	b.settle(known)
+	known.buffered = nil
+	known.asked = nil
+	known.lost = now
+	b.act(Decision{Event: EventLost, Key: known.key, Reason: reason})
+	b.act(ResetCaller{Key: known.key})
+}
+
+// Reasons for which a flow is lost or a datagram comes back.
+const (
+	reasonGone    = "back-end-gone"
+	reasonUnheard = "nobody-holds-it"
+	reasonBackend = "back-end"
+	reasonAgent   = "agent"
+)
+
 // returnReason says who has given a datagram back.
-func returnReason(tried bool) string {
-	if tried {
-		return "back-end"
+func returnReason(message NotHeld) string {
+	switch {
+	case message.Gone:
+		return reasonGone
+	case message.Tried:
+		return reasonBackend
+	default:
+		return reasonAgent
 	}
-	return "agent"
 }
--- /dev/null
+++ b/handshake/handshake_test.go
@@ -0,0 +1,265 @@
+package handshake
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
+)
+
+// startWorld returns a world in which all back ends are known to all balancers.
+func startWorld(t interface{ Fatalf(string, ...any) }, seed uint64, balancers, agents int) *world {
+	w := newWorld(seed, balancers, agents)
+	w.pass(50 * time.Millisecond)
+	for _, agent := range w.agents {
+		w.report(agent)
+	}
+	w.pass(worldCalm)
+	if w.violation != "" {
+		t.Fatalf("%s", w.violation)
+	}
+	return w
+}
+
+// TestFlowOpensAndIsFoundFromAnyBalancer sends each datagram through another balancer.
+func TestFlowOpensAndIsFoundFromAnyBalancer(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 1, 4, 5)
+	for port := uint16(1000); port < 1050; port++ {
+		is.True(w.call(port)) // the flow opens and is answered
+	}
+	for _, caller := range w.callers {
+		is.True(w.exchange(caller)) // and is found again
+	}
+	is.Equal(w.violation, "")
+	is.Equal(w.resets, 0)
+}
+
+// TestFlowsAreSpread checks that the least busy back end gets the next flow.
+func TestFlowsAreSpread(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 2, 1, 5)
+	for port := uint16(1000); port < 1100; port++ {
+		is.True(w.call(port))
+	}
+	for _, agent := range w.agents {
+		t.Logf("%s: %d", agent.backend.id, agent.backend.offered)
+		is.True(agent.backend.offered >= 10) // half of an even share
+	}
+}
+
+// TestRestartedAgentFindsItsBackEndsFlows loses what an agent knew while its back
+// end lives on.
+func TestRestartedAgentFindsItsBackEndsFlows(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 3, 2, 3)
+	for port := uint16(1000); port < 1020; port++ {
+		is.True(w.call(port))
+	}
+	for _, agent := range w.agents {
+		w.startAgent(agent)
+	}
+	w.pass(time.Second)
+	for _, caller := range w.callers {
+		is.True(w.exchange(caller))
+	}
+	is.Equal(w.violation, "")
+	is.Equal(w.resets, 0)
+}
+
+// TestRestartedAgentDoesNotReopenALeavingBackEnd: the agent that acknowledged the
+// back end's leaving is gone, and a late report says that the back end is ready.
+func TestRestartedAgentDoesNotReopenALeavingBackEnd(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 4, 1, 1)
+	agent := w.agents[0]
+	agent.backend.leaving = true
+	w.report(agent)
+	w.startAgent(agent)
+	agent.backend.leaving = false // the late report
+	w.report(agent)
+	agent.backend.leaving = true
+	w.pass(time.Second)
+	is.True(!w.call(1000))
+	is.Equal(w.violation, "")
+	is.Equal(agent.backend.offered, 0)
+}
+
+// TestCallerIsToldAtOnceWhenNobodyTakesItsFlow: every back end is leaving.
+func TestCallerIsToldAtOnceWhenNobodyTakesItsFlow(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 5, 1, 2)
+	for _, agent := range w.agents {
+		agent.backend.leaving = true
+		w.report(agent)
+	}
+	w.pass(100 * time.Millisecond)
+	w.call(1000)
+	is.Equal(w.resets, 1)
+}
+
+// TestCutBalancerKeepsSilent: a balancer that hears no agent resets nobody, since
+// another balancer may open the flow.
+func TestCutBalancerKeepsSilent(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 6, 1, 5)
+	is.True(w.balancers[0].decider.Ready(w.now))
+	for _, agent := range w.agents {
+		agent.up = false
+	}
+	w.pass(CutTime + 50*time.Millisecond)
+	is.True(!w.balancers[0].decider.Ready(w.now))
+	w.call(1000)
+	is.Equal(w.resets, 0)
+}
+
+// TestDeadAgentDelaysAnOpeningByOneOffer: an agent that has just fallen silent
+// still looks well; the flow opens at another.
+func TestDeadAgentDelaysAnOpeningByOneOffer(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 7, 1, 4)
+	w.agents[0].up = false
+	for port := uint16(1000); port < 1008; port++ {
+		is.True(w.call(port))
+	}
+	is.Equal(w.resets, 0)
+}
+
+// TestFlowOfADeadBackEndIsReset: its agent lives and the back end has started anew.
+func TestFlowOfADeadBackEndIsReset(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 8, 1, 2)
+	w.pass(time.Minute) // no agent is new any more
+	is.True(w.call(1000))
+	var caller *worldCaller
+	for _, caller = range w.callers {
+	}
+	for _, agent := range w.agents {
+		if agent.backend != caller.openAt {
+			continue
+		}
+		caller.openAt.alive = false
+		agent.backend = &worldBackend{id: "i-new", slots: 7, alive: true, half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}}
+		w.report(agent)
+	}
+	w.pass(time.Second)
+	is.True(!w.exchange(caller))
+	is.True(caller.reset)
+	is.Equal(w.violation, "")
+}
+
+// TestPromisesUnderAnyOrderOfEvents restarts balancers and agents, loses
+// datagrams and lets back ends leave, in any order. Whatever happens, no flow is
+// reset while its back end holds it, no back end that has said that it leaves
+// gets a new flow, and no caller gets data of a back end that does not hold its
+// flow. Once the world is calm, every flow whose back end lives is found.
+func TestPromisesUnderAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
+		port := uint16(1000)
+		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
+			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
+			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "leave", "pass"}).Draw(t, "step") {
+			case "call":
+				w.call(port)
+				port++
+			case "restart agent":
+				w.startAgent(agent)
+				w.report(agent)
+			case "restart balancer":
+				w.startBalancer(balancer)
+			case "stop agent":
+				agent.up = false
+			case "leave":
+				if !agent.backend.leaving && agent.up {
+					agent.backend.leaving = true
+					w.report(agent)
+				}
+			case "pass":
+				w.pass(300 * time.Millisecond)
+			}
+		}
+		w.loss = 0
+		for _, agent := range w.agents {
+			if !agent.up {
+				w.startAgent(agent)
+			}
+			w.report(agent)
+		}
+		w.pass(worldCalm)
+		for _, caller := range w.callers {
+			if caller.openAt != nil && caller.openAt.open[caller.key] && !w.exchange(caller) {
+				t.Fatalf("flow %v at %s is not found again", caller.key, caller.openAt.id)
+			}
+		}
+		if w.violation != "" {
+			t.Fatalf("%s", w.violation)
+		}
+	})
+}
+
+// TestFlowOfAnUnheardAgentIsNotReset: the agent that holds the flow cannot be
+// asked, so nobody knows that the flow is over.
+func TestFlowOfAnUnheardAgentIsNotReset(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 9, 2, 3)
+	w.pass(time.Minute) // no agent is new any more
+	is.True(w.call(1000))
+	var caller *worldCaller
+	for _, caller = range w.callers {
+	}
+	for _, agent := range w.agents {
+		agent.up = agent.backend != caller.openAt
+	}
+	w.pass(KnownTime + time.Second)
+	w.startBalancer(w.balancers[0])
+	w.pass(worldCalm + time.Second)
+	is.True(!w.exchange(caller))
+	w.pass(LostTime)
+	is.Equal(w.resets, 0)
+	is.Equal(w.violation, "")
+}
+
+// TestAgentDeliversOnlyWhatConfirmsItsBackEnd: a half-open flow that the caller
+// opened elsewhere is none of this back end's.
+func TestAgentDeliversOnlyWhatConfirmsItsBackEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	balancer := netip.MustParseAddrPort("10.0.0.1:7000")
+	agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+	agent.Tracker().Report(now, instance.Report{ID: "i", Service: worldService, Slots: 3, Sequence: 1})
+	is.True(agent.Tracker().CheckDue(now))
+	agent.Tracker().Checked(now, instance.Check{Well: true, ID: "i"})
+	key := flow.Key{Caller: netip.MustParseAddrPort("100.64.0.1:1000"), Service: worldAddress}
+
+	actions := agent.Offered(now, balancer, Offer{Service: worldService}, &Datagram{Key: key, Kind: Opening, Number: 7})
+	is.True(delivers(actions))
+	actions = agent.FromBackend(now, &Datagram{Key: key, Kind: Accept, Number: 99})
+	is.Equal(actions[0], Send{To: balancer, Message: Accepted{Key: key, Number: 99, Load: Load{Accepts: true, Busy: 1, Slots: 3}}})
+
+	actions = agent.Forwarded(now, balancer, false, &Datagram{Key: key, Kind: Data, Confirms: 50})
+	is.True(!delivers(actions))
+	is.Equal(actions[0], Send{To: balancer, Message: NotHeld{}})
+	is.True(delivers(agent.Forwarded(now, balancer, false, &Datagram{Key: key, Kind: Data, Confirms: 99, Payload: 10})))
+	is.True(delivers(agent.Forwarded(now, balancer, false, &Datagram{Key: key, Kind: Data, Confirms: 5000}))) // open now
+
+	other := Offer{Service: "sheets"}
+	actions = agent.Offered(now, balancer, other, &Datagram{Key: flow.Key{Caller: balancer, Service: worldAddress}, Kind: Opening})
+	is.True(!delivers(actions)) // of another service
+}
+
+func delivers(actions []Action) bool {
+	for _, action := range actions {
+		if _, ok := action.(Deliver); ok {
+			return true
+		}
+	}
+	return false
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -115,6 +115,7 @@
 // NotHeld gives a forwarded datagram back: the flow is not held here.
 type NotHeld struct {
 	Tried bool // the back end itself has said so
+	Gone  bool // the flow was held here by an instance of the back end that is gone
 	Bytes []byte
 }
 
@@ -132,6 +133,7 @@
 	HoldsNot Holding = iota + 1
 	HoldsPerhaps
 	Holds
+	HeldByGone // by an instance of the back end that is gone, and the flow with it
 )
 
 // String returns the answer's name in logs.
@@ -143,6 +145,8 @@
 		return "perhaps"
 	case Holds:
 		return "yes"
+	case HeldByGone:
+		return "gone"
 	default:
 		return "unknown"
 	}
--- /dev/null
+++ b/handshake/world_test.go
@@ -0,0 +1,389 @@
+package handshake
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// The test world: balancers, agents with back ends, and callers, all in virtual
+// time. Datagrams and messages take a millisecond or two each and may be lost.
+const (
+	worldService   = catalog.ServiceName("lessons")
+	worldRest      = 10 * time.Millisecond // between two rounds
+	callerPause    = 200 * time.Millisecond
+	worldCalm      = 2 * time.Second // for all to hear of each other
+	callerPatience = 30              // rounds of sending after which a caller gives up
+)
+
+var worldAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
+// worldBackend is a back end that keeps its own flows.
+type worldBackend struct {
+	id       instance.ID
+	slots    uint32
+	sequence uint64
+	leaving  bool
+	alive    bool
+	half     map[flow.Key]uint32
+	open     map[flow.Key]bool
+	offered  int // opening datagrams that reached it
+}
+
+// worldAgent is an agent with its back end.
+type worldAgent struct {
+	address netip.AddrPort
+	decider *Agent
+	backend *worldBackend
+	up      bool
+	started int
+}
+
+// worldBalancer is a balancer.
+type worldBalancer struct {
+	address netip.AddrPort
+	decider *Balancer
+	up      bool
+}
+
+// worldCaller is one caller's flow.
+type worldCaller struct {
+	key      flow.Key
+	opening  uint32
+	openAt   *worldBackend // back end whose number it acknowledged
+	number   uint32
+	answered int  // datagrams of its back end
+	reset    bool // by the system
+}
+
+// world is everything.
+type world struct {
+	now       time.Time
+	random    *rand.Rand
+	table     *routing.Table
+	balancers []*worldBalancer
+	agents    []*worldAgent
+	callers   map[flow.Key]*worldCaller
+	queue     []worldEvent
+	loss      float64
+	violation string
+	resets    int
+}
+
+// worldEvent is something on its way.
+type worldEvent struct {
+	at  time.Time
+	run func()
+}
+
+func newWorld(seed uint64, balancers, agents int) *world {
+	w := &world{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, seed)), callers: map[flow.Key]*worldCaller{}}
+	table, err := routing.New(routing.Content{Version: 1, Routes: []routing.Route{{Name: "r", Address: worldAddress,
+		Targets: []routing.Target{{Service: worldService, Weight: 1}}}}})
+	if err != nil {
+		panic(err)
+	}
+	w.table = table
+	for i := range balancers {
+		balancer := &worldBalancer{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i+1))}
+		w.balancers = append(w.balancers, balancer)
+		w.startBalancer(balancer)
+	}
+	for i := range agents {
+		agent := &worldAgent{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
+			backend: &worldBackend{id: instance.ID(fmt.Sprintf("i-%d", i)), slots: 7, alive: true,
+				half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}}}
+		w.agents = append(w.agents, agent)
+		w.startAgent(agent)
+	}
+	return w
+}
+
+func (w *world) startBalancer(balancer *worldBalancer) {
+	balancer.decider = NewBalancer(BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
+	balancer.decider.Configure(w.table)
+	balancer.up = true
+}
+
+func (w *world) startAgent(agent *worldAgent) {
+	agent.decider = NewAgent(w.now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+	agent.up = true
+	agent.started++
+}
+
+// later runs something after a short time, unless it is lost.
+func (w *world) later(run func()) {
+	if w.random.Float64() < w.loss {
+		return
+	}
+	delay := time.Duration(500+w.random.IntN(1500)) * time.Microsecond
+	w.queue = append(w.queue, worldEvent{w.now.Add(delay), run})
+}
+
+// pass lets the time pass.
+func (w *world) pass(duration time.Duration) {
+	for end := w.now.Add(duration); w.now.Before(end); {
+		w.now = w.now.Add(worldRest)
+		w.deliverDue()
+		w.tick()
+	}
+}
+
+func (w *world) deliverDue() {
+	for again := true; again; {
+		again = false
+		pending := w.queue
+		w.queue = nil
+		for _, event := range pending {
+			if event.at.After(w.now) {
+				w.queue = append(w.queue, event)
+				continue
+			}
+			event.run()
+			again = true
+		}
+	}
+}
+
+func (w *world) tick() {
+	for _, balancer := range w.balancers {
+		if balancer.up {
+			w.performBalancer(balancer, balancer.decider.Tick(w.now))
+		}
+	}
+	for _, agent := range w.agents {
+		w.tickAgent(agent)
+	}
+}
+
+func (w *world) tickAgent(agent *worldAgent) {
+	if !agent.up {
+		return
+	}
+	agent.decider.Tick(w.now)
+	if agent.decider.Tracker().CheckDue(w.now) {
+		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
+	}
+	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: "a", Incarnation: uint64(agent.started),
+		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now)}
+	for _, balancer := range w.balancers {
+		w.later(func() {
+			if balancer.up {
+				balancer.decider.TakeStatus(w.now, agent.address, status)
+			}
+		})
+	}
+}
+
+// report is a heartbeat of the agent's back end; it returns whether it was acknowledged.
+func (w *world) report(agent *worldAgent) bool {
+	backend := agent.backend
+	if !agent.up || !backend.alive {
+		return false
+	}
+	backend.sequence++
+	agent.decider.Tracker().Report(w.now, instance.Report{ID: backend.id, Service: worldService, Slots: backend.slots,
+		Leaving: backend.leaving, Sequence: backend.sequence})
+	return true
+}
+
+// fromCaller sends a caller's datagram through any balancer that is up.
+func (w *world) fromCaller(datagram Datagram) {
+	datagram.Bytes = encodeWorld(datagram)
+	balancer := w.balancers[w.random.IntN(len(w.balancers))]
+	w.later(func() {
+		if balancer.up {
+			w.performBalancer(balancer, balancer.decider.FromCaller(w.now, &datagram))
+		}
+	})
+}
+
+func (w *world) performBalancer(from *worldBalancer, actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Send:
+			w.toAgent(from, action)
+		case ResetCaller:
+			w.resetCaller(action.Key)
+		}
+	}
+}
+
+// resetCaller notes a reset of the system's own. It breaks the promise when the
+// flow is open at a back end that lives.
+func (w *world) resetCaller(key flow.Key) {
+	caller := w.callers[key]
+	if caller == nil {
+		return
+	}
+	w.resets++
+	caller.reset = true
+	if caller.openAt != nil && caller.openAt.alive && caller.openAt.open[key] {
+		w.violation = fmt.Sprintf("flow %v was reset while its back end %s held it", key, caller.openAt.id)
+	}
+}
+
+func (w *world) toAgent(from *worldBalancer, send Send) {
+	for _, agent := range w.agents {
+		if agent.address != send.To {
+			continue
+		}
+		w.later(func() {
+			if agent.up {
+				w.performAgent(agent, w.agentReceives(agent, from.address, send.Message))
+			}
+		})
+	}
+}
+
+func (w *world) agentReceives(agent *worldAgent, from netip.AddrPort, message Message) []Action {
+	switch message := message.(type) {
+	case Offer:
+		datagram := decodeWorld(message.Bytes)
+		return agent.decider.Offered(w.now, from, message, &datagram)
+	case Forward:
+		datagram := decodeWorld(message.Bytes)
+		return agent.decider.Forwarded(w.now, from, message.Try, &datagram)
+	case Locate:
+		return agent.decider.Asked(w.now, from, message)
+	}
+	return nil
+}
+
+func (w *world) performAgent(agent *worldAgent, actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Send:
+			w.toBalancer(agent, action)
+		case Deliver:
+			w.toBackend(agent, decodeWorld(action.Bytes))
+		case Reply:
+			w.toCaller(agent.backend, decodeWorld(action.Bytes))
+		}
+	}
+}
+
+func (w *world) toBalancer(agent *worldAgent, send Send) {
+	for _, balancer := range w.balancers {
+		if balancer.address != send.To {
+			continue
+		}
+		w.later(func() {
+			if !balancer.up {
+				return
+			}
+			if notHeld, ok := send.Message.(NotHeld); ok {
+				datagram := decodeWorld(notHeld.Bytes)
+				w.performBalancer(balancer, balancer.decider.Returned(w.now, agent.address, &datagram, notHeld))
+				return
+			}
+			w.performBalancer(balancer, balancer.decider.FromAgent(w.now, agent.address, send.Message))
+		})
+	}
+}
+
+// toBackend delivers a datagram to the agent's back end, which answers at once.
+func (w *world) toBackend(agent *worldAgent, datagram Datagram) {
+	backend := agent.backend
+	if !backend.alive {
+		return
+	}
+	answer := datagram
+	switch {
+	case datagram.Kind == Opening:
+		backend.offered++
+		if backend.leaving {
+			w.violation = fmt.Sprintf("back end %s got a new flow after it had said that it leaves", backend.id)
+		}
+		if _, known := backend.half[datagram.Key]; !known {
+			backend.half[datagram.Key] = w.random.Uint32()
+		}
+		answer.Kind, answer.Number = Accept, backend.half[datagram.Key]
+	case backend.open[datagram.Key]:
+		answer.Kind, answer.Payload = Data, 1
+	case datagram.Confirms == backend.half[datagram.Key] && backend.half[datagram.Key] != 0:
+		backend.open[datagram.Key] = true
+		answer.Kind, answer.Payload = Data, 1
+	default:
+		answer.Returned = true
+	}
+	if caller := w.callers[datagram.Key]; answer.Returned && caller.openAt == backend && backend.open[datagram.Key] {
+		w.violation = "a back end returned a flow that it holds"
+	}
+	answer.Bytes = encodeWorld(answer)
+	if agent.up {
+		w.performAgent(agent, agent.decider.FromBackend(w.now, &answer))
+	}
+}
+
+// toCaller delivers a back end's datagram: the caller opens its flow at the first
+// back end that accepts it.
+func (w *world) toCaller(backend *worldBackend, datagram Datagram) {
+	caller := w.callers[datagram.Key]
+	w.later(func() {
+		switch {
+		case datagram.Kind == Accept && caller.openAt == nil && !caller.reset:
+			caller.openAt, caller.number = backend, datagram.Number
+			w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+		case datagram.Kind == Data && caller.openAt == backend:
+			caller.answered++
+		case datagram.Kind == Data:
+			w.violation = fmt.Sprintf("flow %v got data of back end %s, which does not hold it", caller.key, backend.id)
+		}
+	})
+}
+
+// call lets a caller open a flow and exchange one datagram. It says whether it was answered.
+func (w *world) call(port uint16) bool {
+	caller := &worldCaller{key: flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress},
+		opening: w.random.Uint32()}
+	w.callers[caller.key] = caller
+	for range 4 {
+		if caller.openAt == nil && !caller.reset {
+			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening})
+		}
+		w.pass(callerPause)
+		if caller.answered > 0 {
+			return true
+		}
+	}
+	return w.exchange(caller)
+}
+
+// exchange sends a datagram on an open flow until it is answered.
+func (w *world) exchange(caller *worldCaller) bool {
+	if caller.openAt == nil {
+		return false
+	}
+	before := caller.answered
+	for range callerPatience {
+		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+		w.pass(callerPause)
+		if caller.answered > before {
+			return true
+		}
+	}
+	return false
+}
+
+// worldBytes keeps the datagrams of the test world by the bytes that stand for them.
+var worldBytes = map[string]Datagram{}
+
+func encodeWorld(datagram Datagram) []byte {
+	datagram.Bytes = nil
+	bytes := fmt.Appendf(nil, "%+v", datagram)
+	worldBytes[string(bytes)] = datagram
+	return bytes
+}
+
+func decodeWorld(bytes []byte) Datagram {
+	datagram := worldBytes[string(bytes)]
+	datagram.Bytes = bytes
+	return datagram
+}
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,122 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// ready returns a tracker whose instance a is ready.
+func ready(t *testing.T) *Tracker {
+	t.Helper()
+	is := is.New(t)
+	tracker := NewTracker("lessons", time.Second)
+	is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 2, Slots: 7, Cold: time.Second}))
+	is.Equal(tracker.State(), Unverified)
+	is.True(tracker.CheckDue(start))
+	is.True(!tracker.CheckDue(start)) // one at a time
+	is.True(tracker.Checked(start, Check{Well: true, ID: "a"}))
+	is.Equal(tracker.State(), Ready)
+	return tracker
+}
+
+func TestReportsInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	tracker := ready(t)
+	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 1, Slots: 9})) // late
+	is.Equal(tracker.Latest().Slots, uint32(7))
+	is.Equal(tracker.Cold(start.Add(300*time.Millisecond)), 700*time.Millisecond)
+	is.True(tracker.Report(start, Report{ID: "a", Sequence: 5, Leaving: true}))
+	is.Equal(tracker.State(), Leaving)
+	is.True(tracker.Report(start, Report{ID: "a", Sequence: 6})) // a leaving back end stays so
+	is.Equal(tracker.State(), Leaving)
+}
+
+func TestRemovedInstanceStaysGone(t *testing.T) {
+	is := is.New(t)
+	tracker := ready(t)
+	tracker.Remove("a")
+	is.Equal(tracker.State(), Leaving)
+	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 9}))
+	is.Equal(tracker.State(), Leaving)
+	is.True(tracker.Report(start, Report{ID: "b", Sequence: 1}))
+	is.Equal(tracker.State(), Unverified)
+	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 10})) // replaced
+	is.Equal(tracker.Latest().ID, ID("b"))
+}
+
+// TestRemovedBeforeAnyReport: the agent has restarted and hears the removal first.
+func TestRemovedBeforeAnyReport(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("lessons", time.Second)
+	tracker.Remove("a")
+	is.True(tracker.CheckDue(start))
+	is.True(!tracker.Checked(start, Check{Well: true, ID: "a"}))
+	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 3}))
+	is.Equal(tracker.State(), Absent)
+}
+
+// TestAgentAsksBeforeTheFirstReport: an agent that has just started does not wait
+// for the next report.
+func TestAgentAsksBeforeTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("lessons", time.Second)
+	is.True(tracker.CheckDue(start))
+	is.True(!tracker.Checked(start, Check{}))
+	is.True(!tracker.CheckDue(start.Add(CheckInterval / 2)))
+	is.True(tracker.CheckDue(start.Add(CheckInterval)))
+	is.True(tracker.Checked(start.Add(CheckInterval), Check{Well: true, ID: "a"}))
+	is.Equal(tracker.State(), Ready)
+	is.Equal(tracker.Latest().Service, tracker.service)
+	is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 1, Slots: 7}))
+	is.Equal(tracker.Latest().Slots, uint32(7))
+}
+
+// TestSilentInstanceIsAsked: reports stop without a word.
+func TestSilentInstanceIsAsked(t *testing.T) {
+	is := is.New(t)
+	tracker := ready(t)
+	is.True(!tracker.CheckDue(start.Add(time.Second)))
+	late := start.Add(missedReports*time.Second + time.Millisecond)
+	is.True(tracker.CheckDue(late))
+	is.True(tracker.Checked(late, Check{}))
+	is.Equal(tracker.State(), Unverified)
+	is.True(tracker.CheckDue(late.Add(CheckInterval)))
+	is.True(!tracker.Checked(late, Check{Well: true, ID: "other"})) // another instance has answered
+	is.Equal(tracker.State(), Unverified)
+}
+
+// TestLeavingIsForGood: whatever comes in whatever order, an instance that has
+// said that it leaves, or has left, is never ready again.
+func TestLeavingIsForGood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := NewTracker("lessons", time.Second)
+		now := start
+		left := map[ID]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.SampledFrom([]ID{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				report := Report{ID: id, Service: "lessons", Sequence: rapid.Uint64Range(1, 20).Draw(t, "sequence"), Leaving: rapid.Bool().Draw(t, "leaving")}
+				if tracker.Report(now, report) && report.Leaving {
+					left[id] = true
+				}
+			case 1:
+				tracker.Remove(id)
+				left[id] = true
+			case 2:
+				if tracker.CheckDue(now) {
+					tracker.Checked(now, Check{Well: rapid.Bool().Draw(t, "well"), ID: id})
+				}
+			}
+			if tracker.State() == Ready && left[tracker.Latest().ID] {
+				t.Fatalf("instance %s is ready although it has left", tracker.Latest().ID)
+			}
+		}
+	})
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -31,7 +31,7 @@
 // start are of kind fault.Unavailable.
 func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
-	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
+	b.flows = handshake.NewBalancer(handshake.BalancerOptions{
 		Zone:   s.Node.Zone,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
@@ -143,7 +143,7 @@
 			b.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
 			return
 		}
-		b.perform(b.flows.Returned(now, from, &datagram, message.Tried))
+		b.perform(b.flows.Returned(now, from, &datagram, message))
 	default:
 		b.perform(b.flows.FromAgent(now, from, message))
 	}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -38,7 +38,7 @@
 			Try: m.Try, Datagram: m.Bytes}}}
 	case handshake.NotHeld:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_NotHeld{NotHeld: &burlmillv1.HandshakeNotHeld{
-			Tried: m.Tried, Datagram: m.Bytes}}}
+			Tried: m.Tried, Gone: m.Gone, Datagram: m.Bytes}}}
 	case handshake.Locate:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Locate{Locate: &burlmillv1.HandshakeLocate{
 			Key: encodeKey(m.Key), Confirms: m.Confirms}}}
@@ -71,7 +71,7 @@
 	case *burlmillv1.HandshakeMessage_Forward:
 		return handshake.Forward{Try: body.Forward.GetTry(), Bytes: body.Forward.GetDatagram()}, nil
 	case *burlmillv1.HandshakeMessage_NotHeld:
-		return handshake.NotHeld{Tried: body.NotHeld.GetTried(), Bytes: body.NotHeld.GetDatagram()}, nil
+		return handshake.NotHeld{Tried: body.NotHeld.GetTried(), Gone: body.NotHeld.GetGone(), Bytes: body.NotHeld.GetDatagram()}, nil
 	case *burlmillv1.HandshakeMessage_Locate:
 		key, err := decodeKey(body.Locate.GetKey())
 		return handshake.Locate{Key: key, Confirms: body.Locate.GetConfirms()}, err
