--- /dev/null
+++ b/test/days/generate.py
@@ -0,0 +1,92 @@
+#!/usr/bin/env python3
+"""Writes days for the users' bench: each kind of trouble twice in a day, alone or in pairs.
+
+usage: generate.py SITE.toml FOLDER [PAIRS SEED]
+
+Without PAIRS one day for each kind; with PAIRS so many days with two kinds drawn by SEED.
+"""
+import random
+import sys
+import tomllib
+from pathlib import Path
+
+# Kinds that may come besides those that a site lists.
+FURTHER = [
+    {"kind": "node_freeze", "share": 0.2, "for_s": 5.0},
+    {"kind": "node_freeze", "share": 0.2, "for_s": 5.0, "on": "side"},
+    {"kind": "node_slow", "share": 0.2, "x": 5.0, "for_s": 5.0},
+    {"kind": "node_slow", "share": 0.2, "x": 5.0, "for_s": 5.0, "on": "side"},
+    {"kind": "reset_conns", "share": 0.5, "x": 0.5, "for_s": 5.0},
+    {"kind": "srv_crash", "share": 0.3, "for_s": 4.0, "how": ""},
+    {"kind": "srv_crash", "share": 0.3, "for_s": 4.0, "how": "dark"},
+    {"kind": "srv_crash", "share": 0.2, "how": "gone"},
+    {"kind": "srv_slow", "share": 0.3, "x": 4.0, "for_s": 5.0},
+    {"kind": "lossy", "x": 0.05, "for_s": 6.0},
+    {"kind": "roll_term", "share": 1.0, "gap_s": 1.0},
+    {"kind": "roll_term", "share": 1.0, "gap_s": 1.0, "on": "side"},
+    {"kind": "herd_kill", "share": 0.6, "on": "core", "for_s": 2.0, "how": "power"},
+    {"kind": "core_cut", "count": 1, "for_s": 5.0, "how": "leader all"},
+    {"kind": "core_cut", "count": 2, "for_s": 5.0, "how": "one_way"},
+    {"kind": "core_cut", "count": 2, "for_s": 5.0, "how": "near"},
+    {"kind": "node_cut", "share": 0.2, "for_s": 5.0, "how": "all"},
+    {"kind": "node_cut", "share": 0.2, "for_s": 5.0, "on": "side", "how": "all"},
+    {"kind": "node_cut", "share": 0.2, "for_s": 5.0, "on": "side", "how": "reset"},
+    {"kind": "platform_down", "for_s": 8.0, "how": "silent"},
+    {"kind": "platform_down", "for_s": 8.0, "how": "reset"},
+    {"kind": "platform_down", "for_s": 8.0, "how": "busy"},
+    {"kind": "platform_slow", "x": 200.0, "for_s": 8.0},
+    {"kind": "platform_lost", "x": 0.5, "for_s": 8.0, "how": "late"},
+    {"kind": "platform_compact", "x": 3.0, "for_s": 8.0, "how": "drain"},
+    {"kind": "config_change", "how": "route"},
+    {"kind": "config_change", "how": "weights"},
+    {"kind": "config_change", "how": "idle"},
+    {"kind": "clock_step", "share": 0.5, "x": -5000.0, "for_s": 5.0},
+    {"kind": "release", "share": 1.0, "x": 2.0, "gap_s": 1.0},
+    {"kind": "scale_in", "share": 0.2, "how": "spot", "x": 2.0},
+    {"kind": "scale_in", "how": "reclaim", "x": 2.5, "for_s": 4.0},
+]
+PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "config_storm", "big_config", "hup"}
+TIMES = [6.0, 19.0]
+
+
+def text(value):
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {text(part)}" for key, part in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(text(part) for part in value) + "]"
+    if isinstance(value, str):
+        return '"' + value + '"'
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def day(site, name, seed, troubles):
+    quiet = next(d for d in site["day"] if d["slot"] == "quiet")
+    plan, faults = [], []
+    for index, trouble in enumerate(troubles):
+        for at in TIMES:
+            entry = dict(trouble, at=at + 0.7 * index)
+            (plan if trouble["kind"] in PLANNED else faults).append(entry)
+    content = dict(name=name, slot="trouble", seed=seed, one=quiet["one"], zero=quiet["zero"], goal=quiet["goal"],
+                   labels=[], wall=quiet["wall"], light=True, plan=plan, faults=faults, traffic=quiet["traffic"])
+    return "[[day]]\n" + "".join(f"{key} = {text(value)}\n" for key, value in content.items())
+
+
+def main():
+    site = tomllib.loads(Path(sys.argv[1]).read_text())
+    folder = Path(sys.argv[2])
+    folder.mkdir(parents=True, exist_ok=True)
+    troubles = site["troubles"] + FURTHER
+    label = lambda t: "-".join([t["kind"], t.get("on", ""), t.get("how", "").replace(" ", "_")]).strip("-")
+    if len(sys.argv) > 3:
+        draw = random.Random(int(sys.argv[4]))
+        for index in range(int(sys.argv[3])):
+            pair = draw.sample(troubles, 2)
+            name = f"pair-{sys.argv[4]}-{index}-" + "+".join(map(label, pair))
+            (folder / f"{name}.toml").write_text(day(site, name, draw.randrange(1 << 30), pair))
+        return
+    for index, trouble in enumerate(troubles):
+        name = f"{index:02}-{label(trouble)}"
+        (folder / f"{name}.toml").write_text(day(site, name, 7000 + index, [trouble]))
+
+
+main()
