Openings wait for room, youngest first; no reset of a flow that may be open; stops end when quiet

Agents now take slots and as many again, refuse beyond that, and say when they have room; balancers keep openings for up to 0.7 s and serve the youngest first. Cause 3, found by TestPromisesUnderAnyOrderOfEvents (once in some hundred runs, not repeatable because maps gave the order): a balancer that found nobody reset a flow that had opened through another balancer or by an offer whose answer was lost. Ruled out for cause 1: more work at hosts (they shed), resets at once (uses up retries).

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -51,6 +51,7 @@
 	EventOffered    Event = "flow-offered"    // an opening datagram was sent to an agent
 	EventAccepted   Event = "flow-accepted"   // an agent's back end answered it
 	EventRefused    Event = "flow-refused"    // an agent refused it
+	EventHeld       Event = "flow-held"       // an opening waits for an agent
 	EventUnanswered Event = "flow-unanswered" // an agent did not answer an offer in time
 	EventRejected   Event = "flow-rejected"   // no agent takes the flow: the caller was reset
 	EventNoRoute    Event = "flow-no-route"   // no route has the address: the caller was reset
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -38,6 +38,7 @@
 	flows     map[flow.Key]*heldFlow
 	busy      uint32 // flows whose back end owes an answer
 	leaving   bool
+	toldFull  bool // balancers were told that the back end is full
 	started   time.Time
 	nextSweep time.Time
 	actions   []Action
@@ -115,6 +116,19 @@
 	}
 }
 
+// HasRoomAgain says, once, that balancers were told that the back end is full and
+// that it no longer is: flows may be waiting for it.
+func (a *Agent) HasRoomAgain(now time.Time) bool {
+	again := a.toldFull && !a.Load(now).Full()
+	if again {
+		a.toldFull = false
+	}
+	return again
+}
+
+// NoteTold notes that balancers are told the load.
+func (a *Agent) NoteTold(load Load) { a.toldFull = a.toldFull || load.Full() }
+
 // accepts returns why the back end gets no new flows, 0 if it does.
 func (a *Agent) accepts() RefusalReason {
 	switch {
@@ -139,15 +153,11 @@
 
 // Offered handles a balancer's offer of a new flow.
 func (a *Agent) Offered(now time.Time, from netip.AddrPort, offer Offer, datagram *Datagram) []Action {
-	reason := a.accepts()
-	if reason == 0 && offer.Service != a.options.Service {
-		reason = RefusedWrongService
-	}
-	if reason != 0 {
+	held := a.flows[datagram.Key]
+	if reason := a.refusal(now, held, offer); reason != 0 {
 		a.refuse(now, from, datagram.Key, reason)
 		return a.take()
 	}
-	held := a.flows[datagram.Key]
 	if held != nil && held.opening == datagram.Number && held.state == stateOpen {
 		return a.take() // a late copy
 	}
@@ -164,8 +174,24 @@
 	return a.take()
 }
 
+// refusal returns why an offer is refused, 0 if it is not.
+func (a *Agent) refusal(now time.Time, held *heldFlow, offer Offer) RefusalReason {
+	if reason := a.accepts(); reason != 0 {
+		return reason
+	}
+	if offer.Service != a.options.Service {
+		return RefusedWrongService
+	}
+	if held == nil && a.Load(now).Full() {
+		return RefusedBusy
+	}
+	return 0
+}
+
 func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
-	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: a.Load(now)}})
+	load := a.Load(now)
+	a.toldFull = a.toldFull || load.Full()
+	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: load}})
 	a.act(Decision{Event: EventRefused, Key: key, Service: a.options.Service, Peer: to, Reason: reason.String()})
 }
 
@@ -343,7 +369,9 @@
 		held.state = stateHalfOpen
 	}
 	if held.balancer.IsValid() {
-		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: a.Load(now)}})
+		load := a.Load(now)
+		a.toldFull = a.toldFull || load.Full()
+		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: load}})
 	}
 }
 
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -21,6 +22,9 @@
 	OpeningTime     = 3 * time.Second        // after which a flow that has not opened is forgotten
 	RestTime        = 20 * time.Second       // after which a flow without a datagram is forgotten
 	LostTime        = 1 * time.Second        // during which a flow that nobody holds is not asked for again
+	HoldTime        = 700 * time.Millisecond // that an opening waits for an agent
+	MaximumHeld     = 4096                   // openings that wait for an agent
+	YoungTime       = time.Second            // after the start, during which a balancer may not know all agents
 	sweepInterval   = 250 * time.Millisecond // between two looks for flows to forget
 )
 
@@ -37,6 +41,8 @@
 	splitter  *routing.Splitter
 	flows     map[flow.Key]*balancedFlow
 	waiting   map[flow.Key]*balancedFlow // those with a deadline
+	held      []*balancedFlow            // openings that wait for an agent, oldest first; some may have been released
+	started   time.Time
 	nextSweep time.Time
 	actions   []Action
 }
@@ -55,6 +61,12 @@
 	refused int
 	accepts []accept // answers so far
 	sentAt  time.Time
+	held    bool // in Balancer.held
+	heldAt  time.Time
+	// uncertain says that the flow may have opened without this balancer's
+	// knowing it: through another one, or by an offer whose answer was lost. Such a
+	// flow is never reset for want of an agent.
+	uncertain bool
 
 	// Of an open flow.
 	agent    netip.AddrPort // zero: not known
@@ -74,12 +86,13 @@
 }
 
 // NewBalancer returns a decider that knows nothing yet.
-func NewBalancer(options BalancerOptions) *Balancer {
+func NewBalancer(now time.Time, options BalancerOptions) *Balancer {
 	return &Balancer{
 		board:    NewBoard(options.Zone, options.Random),
 		splitter: routing.NewSplitter(),
 		flows:    map[flow.Key]*balancedFlow{},
 		waiting:  map[flow.Key]*balancedFlow{},
+		started:  now,
 	}
 }
 
@@ -137,6 +150,7 @@
 }
 
 func (b *Balancer) forget(known *balancedFlow) {
+	b.release(known)
 	delete(b.flows, known.key)
 	delete(b.waiting, known.key)
 }
@@ -160,46 +174,58 @@
 	if known != nil {
 		b.forget(known)
 	}
-	route := b.table.Route(datagram.Key.Service)
-	if route == nil {
-		b.act(Decision{Event: EventNoRoute, Key: datagram.Key, Version: b.table.Version()})
-		b.act(ResetCaller{Key: datagram.Key})
-		return
-	}
 	known = b.add(now, datagram.Key)
-	known.service = b.splitter.Next(b.table, route)
 	known.number = datagram.Number
 	known.opening = bytes.Clone(datagram.Bytes)
-	b.offer(now, known)
+	known.uncertain = datagram.Copies > 0
+	b.place(now, known)
 }
 
 // openAgain handles a copy of an opening datagram: the caller has had no answer,
 // so another agent is asked.
 func (b *Balancer) openAgain(now time.Time, known *balancedFlow, datagram *Datagram) {
-	if known.agent.IsValid() || !known.deadline.IsZero() {
+	if known.agent.IsValid() || known.held || !known.deadline.IsZero() {
 		return
 	}
-	if b.table.Route(known.key.Service) == nil {
-		b.forget(known)
+	known.seen = now
+	known.opening = bytes.Clone(datagram.Bytes)
+	if _, outcome := b.board.choose(now, known.service, known.tried); outcome == nobodyElse {
+		known.tried, known.refused = nil, 0 // all were tried: once more
+	}
+	b.place(now, known)
+}
+
+// place finds the service of an opening by the configuration in force now, and
+// offers it.
+func (b *Balancer) place(now time.Time, known *balancedFlow) {
+	if b.table == nil {
+		b.keep(now, known)
+		return
+	}
+	route := b.table.Route(known.key.Service)
+	if route == nil {
 		b.act(Decision{Event: EventNoRoute, Key: known.key, Version: b.table.Version()})
-		b.act(ResetCaller{Key: known.key})
+		b.refuse(known)
 		return
 	}
-	known.seen = now
-	known.opening = bytes.Clone(datagram.Bytes)
-	if b.board.choose(now, known.service, known.tried) == nil {
-		known.tried = nil // all were tried: once more
+	if !route.Has(known.service) {
+		known.service = b.splitter.Next(b.table, route)
 	}
 	b.offer(now, known)
 }
 
 // offer sends the opening datagram to the next agent.
 func (b *Balancer) offer(now time.Time, known *balancedFlow) {
-	agent := b.board.choose(now, known.service, known.tried)
-	if agent == nil {
+	agent, outcome := b.board.choose(now, known.service, known.tried)
+	switch outcome {
+	case allFull:
+		b.keep(now, known)
+		return
+	case nobodyElse:
 		b.runOut(now, known)
 		return
 	}
+	b.release(known)
 	known.tried = append(known.tried, agent.address)
 	known.sentAt = now
 	agent.unanswered++
@@ -211,16 +237,33 @@
 
 // runOut handles an opening that no further agent can be asked to take. Where
 // every agent that was asked has refused, the caller is told at once; otherwise
-// an answer may still come. A balancer that hears nobody is itself cut off: it
-// says nothing, so that the caller's next copy opens the flow through another one.
+// an answer may still come. A balancer that hears nobody has just started or is
+// itself cut off: it keeps the opening and says nothing, so that the caller's next
+// copy may open the flow through another one.
 func (b *Balancer) runOut(now time.Time, known *balancedFlow) {
 	b.settle(known)
-	if known.refused < len(known.tried) || len(known.accepts) > 0 || !b.board.Hears(now) {
-		return
+	switch {
+	case !b.board.Hears(now) || b.young(now):
+		b.keep(now, known)
+	case known.refused >= len(known.tried) && len(known.accepts) == 0:
+		b.reject(known)
+	default:
+		b.release(known)
 	}
-	b.forget(known)
+}
+
+// reject tells the caller that its flow does not open.
+func (b *Balancer) reject(known *balancedFlow) {
 	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
-	b.act(ResetCaller{Key: known.key})
+	b.refuse(known)
+}
+
+// refuse forgets an opening and resets its caller, unless the flow may be open.
+func (b *Balancer) refuse(known *balancedFlow) {
+	b.forget(known)
+	if !known.uncertain {
+		b.act(ResetCaller{Key: known.key})
+	}
 }
 
 // FromAgent handles a message of an agent, statuses apart.
@@ -246,6 +289,7 @@
 	known.accepts = append(slices.DeleteFunc(known.accepts, same), accept{from, message.Number})
 	if known.opening != nil {
 		b.settle(known)
+		b.release(known)
 	}
 	b.act(Decision{Event: EventAccepted, Key: known.key, Service: known.service, Peer: from, Attempts: len(known.tried),
 		Load: message.Load, Age: now.Sub(known.sentAt)})
@@ -272,13 +316,11 @@
 
 // Tick handles deadlines that have passed.
 func (b *Balancer) Tick(now time.Time) []Action {
-	for _, known := range b.waiting {
-		if now.Before(known.deadline) {
-			continue
-		}
+	b.placeHeld(now)
+	for _, known := range b.overdue(now) {
 		b.settle(known)
 		if known.buffered != nil {
-			b.locateEnded(now, known)
+			b.locateLate(now, known)
 			continue
 		}
 		b.unanswered(now, known)
@@ -287,8 +329,24 @@
 	return b.take()
 }
 
+// overdue returns the flows whose deadline has passed, in an order that is the same
+// in every run.
+func (b *Balancer) overdue(now time.Time) []*balancedFlow {
+	var overdue []*balancedFlow
+	for _, known := range b.waiting {
+		if !now.Before(known.deadline) {
+			overdue = append(overdue, known)
+		}
+	}
+	slices.SortFunc(overdue, func(x, y *balancedFlow) int {
+		return cmp.Or(x.deadline.Compare(y.deadline), x.key.Caller.Compare(y.key.Caller), x.key.Service.Compare(y.key.Service))
+	})
+	return overdue
+}
+
 // unanswered handles an offer that an agent has not answered in time.
 func (b *Balancer) unanswered(now time.Time, known *balancedFlow) {
+	known.uncertain = true
 	silent := known.tried[len(known.tried)-1]
 	if agent := b.board.agents[silent]; agent != nil {
 		agent.silent++
@@ -317,6 +375,3 @@
 		}
 	}
 }
-
-// Waiting says whether a deadline is set, so that Tick must be called soon.
-func (b *Balancer) Waiting() bool { return len(b.waiting) > 0 }
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -44,6 +44,7 @@
 type Board struct {
 	zone   catalog.ZoneName
 	agents map[netip.AddrPort]*agentState
+	order  []*agentState // by address, so that every run decides alike
 	random *rand.Rand
 }
 
@@ -55,15 +56,26 @@
 // Take takes in an agent's status.
 func (b *Board) Take(now time.Time, from netip.AddrPort, status Status) {
 	agent := b.agents[from]
-	if agent == nil || agent.status.Incarnation != status.Incarnation {
+	switch {
+	case agent == nil:
 		agent = &agentState{address: from}
-		b.agents[from] = agent
+		b.add(agent)
+	case agent.status.Incarnation != status.Incarnation:
+		*agent = agentState{address: from}
 	}
 	agent.status = status
 	agent.heard = now
 	agent.takeLoad(now, status.Load)
 }
 
+func (b *Board) add(agent *agentState) {
+	b.agents[agent.address] = agent
+	place, _ := slices.BinarySearchFunc(b.order, agent, compareAddresses)
+	b.order = slices.Insert(b.order, place, agent)
+}
+
+func compareAddresses(a, b *agentState) int { return a.address.Compare(b.address) }
+
 func (a *agentState) takeLoad(now time.Time, load Load) {
 	a.load = load
 	a.loadHeard = now
@@ -83,16 +95,15 @@
 
 // Forget drops agents that have been silent for long.
 func (b *Board) Forget(now time.Time) {
-	for address, agent := range b.agents {
-		if now.Sub(agent.heard) > ForgetTime {
-			delete(b.agents, address)
+	b.order = slices.DeleteFunc(b.order, func(agent *agentState) bool {
+		forgotten := now.Sub(agent.heard) > ForgetTime
+		if forgotten {
+			delete(b.agents, agent.address)
 		}
-	}
+		return forgotten
+	})
 }
 
-// Remove drops an agent.
-func (b *Board) Remove(address netip.AddrPort) { delete(b.agents, address) }
-
 // Hears says whether any agent was heard of late. The more agents there are, the
 // less silence it takes to tell that all of them are out of reach.
 func (b *Board) Hears(now time.Time) bool {
@@ -100,7 +111,7 @@
 	if len(b.agents) >= manyAgents {
 		limit = CutTime
 	}
-	for _, agent := range b.agents {
+	for _, agent := range b.order {
 		if now.Sub(agent.heard) <= limit || agent.freshTime() > FreshTime && agent.usable(now) {
 			return true
 		}
@@ -111,7 +122,7 @@
 // known returns the agents that may be asked for flows.
 func (b *Board) known(now time.Time) []*agentState {
 	var agents []*agentState
-	for _, agent := range b.agents {
+	for _, agent := range b.order {
 		if now.Sub(agent.heard) <= max(KnownTime, patience(agent.status)) {
 			agents = append(agents, agent)
 		}
@@ -127,21 +138,43 @@
 	return ""
 }
 
-// choose returns the agent of the service that is to get the next new flow, nil
-// if there is none besides those in except.
-func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) *agentState {
+// choice is the outcome of looking for an agent.
+type choice uint8
+
+const (
+	chosen     choice = iota
+	allFull           // agents take new flows, but have as much work as they get
+	nobodyElse        // no agent takes new flows
+)
+
+// choose returns the agent of the service that is to get the next new flow, none
+// of those in except.
+func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
 	var best *agentState
 	bestScore := 0.0
-	for _, agent := range b.agents {
+	outcome := nobodyElse
+	for _, agent := range b.order {
 		if agent.status.Service != service || !agent.usable(now) || slices.Contains(except, agent.address) {
 			continue
 		}
+		if agent.full() {
+			outcome = min(outcome, allFull)
+			continue
+		}
 		score := b.score(agent)
 		if best == nil || cmp.Less(score, bestScore) {
-			best, bestScore = agent, score
+			best, bestScore, outcome = agent, score, chosen
 		}
 	}
-	return best
+	return best, outcome
+}
+
+// full says whether the agent's back end has as much work as it gets, counting
+// offers under way.
+func (a *agentState) full() bool {
+	load := a.load
+	load.Busy += uint32(a.unanswered)
+	return load.Full()
 }
 
 // freshTime returns the silence after which the agent gets no new flows.
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -10,6 +10,7 @@
 // carry takes a caller's datagram of a flow that is open, or that it opens, to
 // the agent that holds the flow.
 func (b *Balancer) carry(now time.Time, known *balancedFlow, datagram *Datagram) {
+	b.release(known) // the caller has opened it
 	if known.agent.IsValid() {
 		b.forward(known.agent, datagram.Bytes)
 		return
@@ -39,6 +40,7 @@
 // hold notes that the agent holds the flow.
 func (b *Balancer) hold(now time.Time, known *balancedFlow, agent netip.AddrPort, event Event) {
 	b.settle(known)
+	b.release(known)
 	known.agent = agent
 	known.backend = b.board.backend(agent)
 	known.accepts = nil
@@ -91,7 +93,7 @@
 	switch message.Holding {
 	case Holds:
 		b.hold(now, known, from, EventLocated)
-		b.release(known)
+		b.flush(known)
 		return
 	case HeldByGone:
 		b.lose(now, known, reasonGone)
@@ -105,20 +107,38 @@
 	}
 }
 
-// release sends on what has waited for the flow's agent.
-func (b *Balancer) release(known *balancedFlow) {
+// flush sends on what has waited for the flow's agent.
+func (b *Balancer) flush(known *balancedFlow) {
 	for _, datagram := range known.buffered {
 		b.forward(known.agent, datagram)
 	}
 	known.buffered = nil
 }
 
+// locateLate handles a question whose time is over.
+func (b *Balancer) locateLate(now time.Time, known *balancedFlow) {
+	if known.asked == nil {
+		b.ask(now, known)
+		return
+	}
+	b.locateEnded(now, known)
+}
+
+// askAgainTime is how long a balancer that has just started waits before it asks
+// again who holds a flow: by then it knows more agents.
+const askAgainTime = 50 * time.Millisecond
+
 // locateEnded handles a flow that no agent is sure to hold. Agents that may hold
 // it pass the first datagram to their back ends, which know. Where nobody may, the
 // flow may still be held by an agent that cannot be heard from here: the caller
 // is left to its own patience.
 func (b *Balancer) locateEnded(now time.Time, known *balancedFlow) {
 	b.settle(known)
+	if b.young(now) {
+		b.await(known, now.Add(askAgainTime))
+		known.asked = nil
+		return
+	}
 	if len(known.perhaps) > 0 {
 		b.try(now, known)
 		return
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -195,15 +195,12 @@
 }
 
 // needs says whether a process must hear news at once: balancers that place flows
-// here, and all others a balancer speaks to.
+// here, agents on which this balancer places flows, and all other balancers.
 func (c *Contacts) needs(now time.Time, known *contact) bool {
 	if !known.heardLately(now) {
 		return false
 	}
-	if c.role == RoleAgent {
-		return known.status.Role == RoleBalancer
-	}
-	return known.status.Role == RoleBalancer || known.wants(now)
+	return known.wants(now) || c.role == RoleBalancer && known.status.Role == RoleBalancer
 }
 
 // interval returns how often a process is told the status; 0: never.
--- a/handshake/datagram.go
+++ b/handshake/datagram.go
@@ -53,6 +53,9 @@
 	// the caller has received nothing but the Accept: equal to the Accept's
 	// Number in the datagrams that open the flow.
 	Confirms uint32
+	// Copies is, in an opening datagram, how many copies the caller has sent
+	// before: an earlier one may have opened the flow elsewhere.
+	Copies   uint32
 	Payload  int    // bytes of the flow's content
 	Finish   bool   // the sender has nothing more to send
 	Returned bool   // given back by a back end that does not hold the flow
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -233,10 +233,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	balancer := netip.MustParseAddrPort("10.0.0.1:7000")
-	agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
-	agent.Tracker().Report(now, instance.Report{ID: "i", Service: worldService, Slots: 3, Sequence: 1})
-	is.True(agent.Tracker().CheckDue(now))
-	agent.Tracker().Checked(now, instance.Check{Well: true, ID: "i"})
+	agent := readyAgent(t, now)
 	key := flow.Key{Caller: netip.MustParseAddrPort("100.64.0.1:1000"), Service: worldAddress}
 
 	actions := agent.Offered(now, balancer, Offer{Service: worldService}, &Datagram{Key: key, Kind: Opening, Number: 7})
@@ -255,6 +252,17 @@
 	is.True(!delivers(actions)) // of another service
 }
 
+// readyAgent returns an agent whose back end is ready and has 3 slots.
+func readyAgent(t *testing.T, now time.Time) *Agent {
+	t.Helper()
+	is := is.New(t)
+	agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+	agent.Tracker().Report(now, instance.Report{ID: "i", Service: worldService, Slots: 3, Sequence: 1})
+	is.True(agent.Tracker().CheckDue(now))
+	agent.Tracker().Checked(now, instance.Check{Well: true, ID: "i"})
+	return agent
+}
+
 func delivers(actions []Action) bool {
 	for _, action := range actions {
 		if _, ok := action.(Deliver); ok {
--- /dev/null
+++ b/handshake/hold_test.go
@@ -0,0 +1,153 @@
+package handshake
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/routing"
+)
+
+var holdAgent = netip.MustParseAddrPort("10.0.1.1:7000")
+
+func holdKey(port uint16) flow.Key {
+	return flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress}
+}
+
+func holdTable(t *testing.T, version routing.Version) *routing.Table {
+	t.Helper()
+	table, err := routing.New(routing.Content{Version: version, Routes: []routing.Route{{Name: "r", Address: worldAddress,
+		Targets: []routing.Target{{Service: worldService, Weight: 1}}}}})
+	is.New(t).NoErr(err)
+	return table
+}
+
+// offersIn returns the callers' ports of the offers among the actions.
+func offersIn(actions []Action, ports map[string]uint16) []uint16 {
+	var offered []uint16
+	for _, action := range actions {
+		if send, ok := action.(Send); ok {
+			if offer, ok := send.Message.(Offer); ok {
+				offered = append(offered, ports[string(offer.Bytes)])
+			}
+		}
+	}
+	return offered
+}
+
+func hasReset(actions []Action) bool {
+	for _, action := range actions {
+		if _, ok := action.(ResetCaller); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFullBackEndsAreWaitedForYoungestFirst: openings wait while the only back end
+// is full; once it has room the youngest goes first, since the oldest has missed
+// its time already.
+func TestFullBackEndsAreWaitedForYoungestFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b.Configure(holdTable(t, 1))
+	now = now.Add(YoungTime)
+	status := func(busy uint32) {
+		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: busy}})
+	}
+	limit := Load{Slots: 3}.Limit()
+	status(limit)
+	ports := map[string]uint16{}
+	for port := uint16(1); port <= 3; port++ {
+		bytes := []byte{byte(port)}
+		ports[string(bytes)] = port
+		actions := b.FromCaller(now, &Datagram{Key: holdKey(port), Kind: Opening, Number: 7, Bytes: bytes})
+		is.Equal(len(offersIn(actions, ports)), 0)
+		is.True(!hasReset(actions))
+		now = now.Add(50 * time.Millisecond)
+	}
+	status(limit - 2)
+	is.Equal(offersIn(b.Tick(now), ports), []uint16{3, 2})
+	is.Equal(len(offersIn(b.Tick(now.Add(time.Millisecond)), ports)), 0) // full again with what is under way
+	now = now.Add(HoldTime)
+	status(limit)
+	is.True(hasReset(b.Tick(now))) // the first one has waited for long enough and is told
+}
+
+// TestFullAgentRefuses: it counts what all balancers send, and says once when it
+// has room again.
+func TestFullAgentRefuses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := readyAgent(t, now)
+	limit := agent.Load(now).Limit()
+	for port := range uint16(limit) {
+		is.True(delivers(agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(port + 1), Kind: Opening})))
+	}
+	actions := agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
+	is.Equal(actions[0].(Send).Message.(Refused).Reason, RefusedBusy)
+	is.True(!agent.HasRoomAgain(now))
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})
+	is.True(agent.HasRoomAgain(now))
+	is.True(!agent.HasRoomAgain(now))
+}
+
+// TestOpeningWaitsForTheFirstConfiguration: a balancer that has just started gets
+// callers' datagrams before it knows what to do with them.
+func TestOpeningWaitsForTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	bytes := []byte{1}
+	actions := b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Bytes: bytes})
+	is.True(!hasReset(actions))
+	b.Configure(holdTable(t, 4))
+	is.Equal(len(offersIn(b.Tick(now), nil)), 0) // no agent is known yet
+	b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3}})
+	is.Equal(len(offersIn(b.Tick(now.Add(10*time.Millisecond)), nil)), 1)
+}
+
+// TestUnroutedOpeningIsResetAtOnce: the address never had a route, or lost it
+// while the opening waited.
+func TestUnroutedOpeningIsResetAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	is.True(!hasReset(b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Bytes: []byte{1}})))
+	empty, err := routing.New(routing.Content{Version: 2})
+	is.NoErr(err)
+	b.Configure(empty)
+	is.True(hasReset(b.Tick(now)))
+	is.True(hasReset(b.FromCaller(now, &Datagram{Key: holdKey(2), Kind: Opening, Bytes: []byte{2}})))
+	is.Equal(b.Flows(), 0)
+}
+
+// TestFlowThatMayBeOpenIsNotReset: this balancer finds nobody for an opening, but
+// an earlier copy went through another balancer, or an offer was not answered
+// here: the caller may have opened the flow by now. Found by
+// TestPromisesUnderAnyOrderOfEvents.
+func TestFlowThatMayBeOpenIsNotReset(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b.Configure(holdTable(t, 1))
+	now = now.Add(YoungTime)
+	accepts := func(accepts bool) {
+		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: accepts, Slots: 3}})
+	}
+	accepts(false)
+	is.True(hasReset(b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Bytes: []byte{1}}))) // nobody has seen it
+	is.True(!hasReset(b.FromCaller(now, &Datagram{Key: holdKey(2), Kind: Opening, Copies: 1, Bytes: []byte{2}})))
+
+	accepts(true)
+	is.Equal(len(offersIn(b.FromCaller(now, &Datagram{Key: holdKey(3), Kind: Opening, Bytes: []byte{3}}), nil)), 1)
+	now = now.Add(OfferTime)
+	accepts(false)
+	is.True(!hasReset(b.Tick(now))) // the offer was not answered
+	is.True(!hasReset(b.FromCaller(now, &Datagram{Key: holdKey(3), Kind: Opening, Copies: 1, Bytes: []byte{3}})))
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -39,6 +39,25 @@
 	Cold time.Duration
 }
 
+// Bounds of the work that a back end gets beyond its slots: it waits there for a
+// slot, so that none stands idle while the next flow is on its way.
+const (
+	minimumWaiting = 4  // requests
+	unknownLimit   = 12 // requests in all where the slots are not known
+)
+
+// Limit returns how many requests the back end gets at once: as many again as it
+// can run, so that none waits longer than it takes to run one.
+func (l Load) Limit() uint32 {
+	if l.Slots == 0 {
+		return unknownLimit
+	}
+	return l.Slots + max(l.Slots, minimumWaiting)
+}
+
+// Full says whether the back end has as much work as it gets.
+func (l Load) Full() bool { return l.Busy >= l.Limit() }
+
 // Status is what a process tells others about itself.
 type Status struct {
 	ID          string
@@ -82,6 +101,7 @@
 	RefusedLeaving                               // the back end or the agent is leaving
 	RefusedWrongService                          // the back end is of another service
 	RefusedFull                                  // the back end gave the datagram back
+	RefusedBusy                                  // the back end has as much work as it gets
 )
 
 // String returns the reason's name in logs and metrics.
@@ -95,6 +115,8 @@
 		return "wrong-service"
 	case RefusedFull:
 		return "full"
+	case RefusedBusy:
+		return "busy"
 	default:
 		return "unknown"
 	}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -106,7 +106,7 @@
 }
 
 func (w *world) startBalancer(balancer *worldBalancer) {
-	balancer.decider = NewBalancer(BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
+	balancer.decider = NewBalancer(w.now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
 	balancer.decider.Configure(w.table)
 	balancer.up = true
 }
@@ -344,9 +344,9 @@
 	caller := &worldCaller{key: flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress},
 		opening: w.random.Uint32()}
 	w.callers[caller.key] = caller
-	for range 4 {
+	for copies := range uint32(4) {
 		if caller.openAt == nil && !caller.reset {
-			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening})
+			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening, Copies: copies})
 		}
 		w.pass(callerPause)
 		if caller.answered > 0 {
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -18,8 +18,8 @@
 
 // Times of an agent that stops.
 const (
-	agentDrainTime = 4 * time.Second       // for its open flows, at most
-	agentDrainLook = 50 * time.Millisecond // between two looks whether they have ended
+	agentDrainMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
+	agentDrainLook   = 50 * time.Millisecond   // between two looks whether they have ended
 )
 
 // agent is a running agent.
@@ -91,7 +91,7 @@
 	a.flows.Leave()
 	a.log.WithField("flows", a.flows.Unfinished()).Info("leaving")
 	a.mutex.Unlock()
-	deadline := time.Now().Add(agentDrainTime)
+	deadline := time.Now().Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
 	for time.Now().Before(deadline) && a.unfinished() > 0 {
 		a.sleep(agentDrainLook)
 	}
@@ -149,10 +149,12 @@
 }
 
 func (a *agent) status(now time.Time) handshake.Status {
+	load := a.flows.Load(now)
+	a.flows.NoteTold(load)
 	return handshake.Status{
 		Service: a.settings.Backend.Service,
 		Backend: string(a.flows.Tracker().Latest().ID),
-		Load:    a.flows.Load(now),
+		Load:    load,
 	}
 }
 
@@ -162,6 +164,7 @@
 func (a *agent) tick(now time.Time) {
 	a.flows.Tick(now)
 	a.noteChange(now)
+	a.urgent = a.urgent || a.flows.HasRoomAgain(now)
 	if a.flows.Tracker().CheckDue(now) {
 		path := a.healthPath()
 		a.spawn(func() { a.check(path) })
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -16,22 +16,29 @@
 	"github.com/burlmill/burlmill/routing"
 )
 
-// lingerTime is how long a balancer that stops goes on forwarding: the platform
-// needs up to two of its questions to see that it is no longer ready.
-const lingerTime = 2500 * time.Millisecond
+// Times of a balancer that stops. It goes on forwarding until the platform sends
+// it no more datagrams: that needs up to two of the platform's questions whether
+// it is ready, and longer while too few other balancers are.
+const (
+	lingerLeast  = 1100 * time.Millisecond
+	lingerQuiet  = 250 * time.Millisecond // without a datagram
+	lingerLook   = 50 * time.Millisecond
+	lingerMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
+)
 
 // balancer is a running balancer.
 type balancer struct {
 	*node
-	flows  *handshake.Balancer
-	socket atomic.Pointer[wire.Socket]
+	flows      *handshake.Balancer
+	socket     atomic.Pointer[wire.Socket]
+	lastCaller time.Time // when the latest datagram of a caller came
 }
 
 // RunBalancer serves until the context ends and then stops cleanly. Errors at the
 // start are of kind fault.Unavailable.
 func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
-	b.flows = handshake.NewBalancer(handshake.BalancerOptions{
+	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
 		Zone:   s.Node.Zone,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
@@ -73,7 +80,21 @@
 	b.leaving = true
 	b.urgent = true
 	b.mutex.Unlock()
-	b.sleep(lingerTime)
+	begun := time.Now()
+	limit := max(lingerLeast, b.settings.Flows.DrainLimit-lingerMargin)
+	for b.sleep(lingerLook) {
+		lingered := time.Since(begun)
+		if lingered >= limit || lingered >= lingerLeast && b.quiet() {
+			return
+		}
+	}
+}
+
+// quiet says whether callers' datagrams go elsewhere by now.
+func (b *balancer) quiet() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return time.Since(b.lastCaller) >= lingerQuiet
 }
 
 func (b *balancer) closeAll() error {
@@ -104,7 +125,9 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.perform(b.flows.FromCaller(time.Now(), &datagram))
+	now := time.Now()
+	b.lastCaller = now
+	b.perform(b.flows.FromCaller(now, &datagram))
 }
 
 // perform does what the decider asks for. The lock is held.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -36,6 +37,11 @@
 	Targets []Target       // at least one with a weight above 0
 }
 
+// Has says whether the service takes new flows of the route.
+func (r *Route) Has(service catalog.ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // Service is what the configuration says about one service.
 type Service struct {
 	Name         catalog.ServiceName
