Lost peers, readiness and changed settings in the log; settings are read again while a process runs

Change: peer-lost, readiness, settings-reloaded; seeds take effect at once, the rest is named as waiting for a restart; flow-held once a flow. Ruled out: watching by inotify (not there on the platform).

--- a/cmd/burlmill/processes.go
+++ b/cmd/burlmill/processes.go
@@ -26,7 +26,7 @@
 }
 
 // relayProcess is the same for a process whose flows open with a handshake.
-type relayProcess func(context.Context, settings.Settings, relay.Adapter, log.Interface) error
+type relayProcess func(context.Context, settings.Settings, relay.Adapter, log.Interface, <-chan settings.Settings) error
 
 // processAction configures a command that loads the settings and runs a process.
 func processAction(run process, runRelay relayProcess) func(*kingpin.CmdClause) action {
@@ -39,7 +39,8 @@
 				return err
 			}
 			if loaded.Flows.Transport == settings.TransportHandshake {
-				return runWithQueue(ctx, loaded, runRelay)
+				load := func() (settings.Settings, error) { return settings.Load(*path, flags.Overrides()) }
+				return runWithQueue(ctx, loaded, *path, load, runRelay)
 			}
 			// nbio's log belongs to the whole process, so it is routed only here.
 			logging.RouteNbio(logging.New(os.Stdout, loaded.Log.Level))
@@ -52,10 +53,11 @@
 const logCloseTime = 500 * time.Millisecond
 
 // runWithQueue runs a process whose log never holds it up.
-func runWithQueue(ctx context.Context, loaded settings.Settings, run relayProcess) error {
+func runWithQueue(ctx context.Context, loaded settings.Settings, path string, load func() (settings.Settings, error), run relayProcess) error {
 	queue := logging.NewQueue(os.Stdout)
 	defer queue.Close(logCloseTime)
 	logger := logging.New(queue, loaded.Log.Level)
 	logging.RouteNbio(logger)
-	return run(ctx, loaded, platform.New(loaded), logger.WithField("node", loaded.Node.ID))
+	changes := settings.Watch(ctx, path, load, func(err error) { logger.WithError(err).Error("settings-invalid") })
+	return run(ctx, loaded, platform.New(loaded), logger.WithField("node", loaded.Node.ID), changes)
 }
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -61,6 +61,7 @@
 	next         time.Time // when it is told the status again
 	subscription time.Time // until when it wants the load, or is asked for it
 	seed         bool      // never forgotten
+	lost         bool      // noticed as no longer heard
 }
 
 // NewContacts returns the contacts of a process that knows nobody.
@@ -95,6 +96,7 @@
 	}
 	known.status = status
 	known.heard = now
+	known.lost = false
 	if status.Subscribe {
 		known.subscription = now.Add(SubscriptionTime)
 	}
@@ -113,6 +115,19 @@
 	return now.Sub(other.heard), true
 }
 
+// Lost returns the processes that have fallen silent since the last call.
+func (c *Contacts) Lost(now time.Time) []Contact {
+	var lost []Contact
+	for address, known := range c.contacts {
+		if known.heard.IsZero() || known.lost || known.heardLately(now) {
+			continue
+		}
+		known.lost = true
+		lost = append(lost, Contact{Address: address, Status: known.status, Heard: known.heard})
+	}
+	return lost
+}
+
 // CountHeard returns how many processes were heard of late.
 func (c *Contacts) CountHeard(now time.Time) int {
 	count := 0
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -22,10 +22,11 @@
 		b.held = slices.Delete(b.held, 0, 1)
 	}
 	known.held = true
-	if known.heldAt.IsZero() {
-		known.heldAt = now
-	}
 	b.held = append(b.held, known)
+	if !known.heldAt.IsZero() {
+		return // it has waited before
+	}
+	known.heldAt = now
 	b.act(Decision{Event: EventHeld, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
 }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/settings"
@@ -32,15 +33,19 @@
 }
 
 // RunAgent serves until the context ends and then stops cleanly. Errors at the
-// start are of kind fault.Unavailable.
-func RunAgent(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
+// start are of kind fault.Unavailable. Settings that come from changes take effect as
+// far as they can without a restart.
+func RunAgent(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface, changes <-chan settings.Settings) error {
+	if s.Backend.Service == "" {
+		return fault.InvalidField("backend.service", s.Backend.Service, "must be given to an agent where flows.transport is handshake")
+	}
 	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger)}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Service:        s.Backend.Service,
 		FlowLifetime:   s.Flows.Lifetime,
 		ReportInterval: s.Backend.ReportInterval,
 	})
-	if err := a.openAll(); err != nil {
+	if err := a.openAll(changes); err != nil {
 		return errors.Join(err, a.close())
 	}
 	a.log.WithFields(log.Fields{"service": s.Backend.Service, "backend": s.Backend.Address, "peer": s.Node.PeerAddress, "incarnation": a.incarnation}).Info("started")
@@ -49,7 +54,7 @@
 	return a.closeAll()
 }
 
-func (a *agent) openAll() error {
+func (a *agent) openAll(changes <-chan settings.Settings) error {
 	if err := a.open(); err != nil {
 		return err
 	}
@@ -74,6 +79,7 @@
 		return err
 	}
 	a.spawn(a.directoryLoop)
+	a.spawn(func() { a.reloadLoop(changes) })
 	return nil
 }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -31,18 +31,20 @@
 	*node
 	flows      *handshake.Balancer
 	socket     atomic.Pointer[wire.Socket]
+	wasReady   bool
 	lastCaller time.Time // when the latest datagram of a caller came
 }
 
 // RunBalancer serves until the context ends and then stops cleanly. Errors at the
-// start are of kind fault.Unavailable.
-func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface) error {
+// start are of kind fault.Unavailable. Settings that come from changes take effect as
+// far as they can without a restart.
+func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface, changes <-chan settings.Settings) error {
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
 		Zone:   s.Node.Zone,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	if err := b.openAll(); err != nil {
+	if err := b.openAll(changes); err != nil {
 		return errors.Join(err, b.close())
 	}
 	b.log.WithFields(log.Fields{"data": s.Node.DataAddress, "peer": s.Node.PeerAddress, "incarnation": b.incarnation}).Info("started")
@@ -51,7 +53,7 @@
 	return b.closeAll()
 }
 
-func (b *balancer) openAll() error {
+func (b *balancer) openAll(changes <-chan settings.Settings) error {
 	if err := b.open(); err != nil {
 		return err
 	}
@@ -69,6 +71,7 @@
 	b.spawn(b.watchLoop)
 	b.spawn(b.publish)
 	b.spawn(b.directoryLoop)
+	b.spawn(func() { b.reloadLoop(changes) })
 	return nil
 }
 
@@ -163,7 +166,22 @@
 
 func (b *balancer) configured(_ time.Time, table *routing.Table) { b.flows.Configure(table) }
 
-func (b *balancer) tick(now time.Time) { b.perform(b.flows.Tick(now)) }
+// tick looks at the clock. The lock is held.
+func (b *balancer) tick(now time.Time) {
+	b.perform(b.flows.Tick(now))
+	b.noteReadiness(now)
+}
+
+// noteReadiness logs when the balancer becomes ready and when it ceases to be.
+func (b *balancer) noteReadiness(now time.Time) {
+	ready := !b.leaving && b.flows.Ready(now)
+	if ready == b.wasReady {
+		return
+	}
+	b.wasReady = ready
+	b.log.WithFields(log.Fields{"ready": ready, "leaving": b.leaving, "version": b.table.Version(),
+		"hears_agents": b.flows.Board().Hears(now), "peers": b.contacts.CountHeard(now)}).Info("readiness")
+}
 
 // received handles a message of another process. The lock is held.
 func (b *balancer) received(now time.Time, from netip.AddrPort, message handshake.Message) {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"sync"
 	"time"
 
@@ -22,8 +23,9 @@
 
 // Intervals of a process's own work.
 const (
-	tickInterval  = 20 * time.Millisecond // between two looks at the clock
-	flushInterval = 10 * time.Second      // between summaries of log lines left out
+	tickInterval  = 20 * time.Millisecond  // between two looks at the clock
+	flushInterval = 10 * time.Second       // between summaries of log lines left out
+	peerLook      = 250 * time.Millisecond // between two looks for peers that have fallen silent
 )
 
 // Bounds of the log.
@@ -73,6 +75,7 @@
 	leaving      bool
 	urgent       bool // the status has changed in a way that others must know at once
 	started      bool
+	nextLook     time.Time // for peers that have fallen silent
 
 	peers   *wire.Socket
 	servers []*http.Server
@@ -209,9 +212,47 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.decider.tick(now)
+	n.noteLost(now)
 	n.tellStatus(now)
 }
 
+// noteLost logs peers that have fallen silent. The lock is held.
+func (n *node) noteLost(now time.Time) {
+	if now.Before(n.nextLook) {
+		return
+	}
+	n.nextLook = now.Add(peerLook)
+	for _, lost := range n.contacts.Lost(now) {
+		n.limited.Log(log.WarnLevel, "peer-lost", log.Fields{"peer": lost.Address, "id": lost.Status.ID, "role": lost.Status.Role,
+			"age": now.Sub(lost.Heard), "leaving": lost.Status.Leaving})
+	}
+}
+
+// reload takes in settings that have changed while the process runs. Only seeds
+// take effect at once; what else has changed is logged and waits for a restart.
+func (n *node) reload(changed settings.Settings) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.addSeeds(time.Now(), changed.Peers.Seeds)
+	same := n.settings
+	same.Peers.Seeds = changed.Peers.Seeds
+	restart := !reflect.DeepEqual(same, changed)
+	n.log.WithFields(log.Fields{"seeds": len(changed.Peers.Seeds), "needs_restart": restart}).Info("settings-reloaded")
+	n.settings.Peers.Seeds = changed.Peers.Seeds
+}
+
+// reloadLoop takes in settings until there are no more.
+func (n *node) reloadLoop(changes <-chan settings.Settings) {
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case changed := <-changes:
+			n.reload(changed)
+		}
+	}
+}
+
 // tellStatus sends the own status to all that are due. The lock is held.
 func (n *node) tellStatus(now time.Time) {
 	due := n.contacts.Due(now, n.urgent)
