--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -22,8 +22,9 @@
 const (
 	fetchDialTimeout    = 300 * time.Millisecond
 	fetchTimeout        = time.Second
-	fetchPause          = 50 * time.Millisecond // after a fetch, before the next
-	maximumDocument     = 8 << 20               // bytes
+	fetchPause          = 50 * time.Millisecond  // after a fetch, before the next
+	agentFetchDelay     = 300 * time.Millisecond // on average: agents need it less than balancers, from whom they then take it
+	maximumDocument     = 8 << 20                // bytes
 	storeRetryFirst     = 100 * time.Millisecond
 	storeRetryMost      = 2 * time.Second
 	readerLook          = 250 * time.Millisecond // between two looks whether to read the store
@@ -72,6 +73,9 @@
 			return
 		case <-n.fetch:
 		}
+		if n.role == handshake.RoleAgent && !n.sleep(jitter(agentFetchDelay)) {
+			return
+		}
 		n.fetchNewest(client)
 		if !n.sleep(fetchPause) {
 			return
