Operators' commands answer on a platform deployment

Change: status.Service tells rows of any source (Rows); the relay's node is one. Hosts, flows, routes with their shares, versions with their age and recent events come from the same tables and columns as before. Ruled out: a second service with tables of its own.

--- a/cmd/burlmill/processes.go
+++ b/cmd/burlmill/processes.go
@@ -26,7 +26,7 @@
 }
 
 // relayProcess is the same for a process whose flows open with a handshake.
-type relayProcess func(context.Context, settings.Settings, relay.Adapter, log.Interface, <-chan settings.Settings) error
+type relayProcess func(context.Context, settings.Settings, relay.Adapter, *log.Logger, <-chan settings.Settings) error
 
 // processAction configures a command that loads the settings and runs a process.
 func processAction(run process, runRelay relayProcess) func(*kingpin.CmdClause) action {
@@ -59,5 +59,5 @@
 	logger := logging.New(queue, loaded.Log.Level)
 	logging.RouteNbio(logger)
 	changes := settings.Watch(ctx, path, load, func(err error) { logger.WithError(err).Error("settings-invalid") })
-	return run(ctx, loaded, platform.New(loaded), logger.WithField("node", loaded.Node.ID), changes)
+	return run(ctx, loaded, platform.New(loaded), logger, changes)
 }
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -38,6 +38,7 @@
 	flows     map[flow.Key]*heldFlow
 	busy      uint32 // flows whose back end owes an answer
 	leaving   bool
+	refusals  uint64
 	toldFull  bool // balancers were told that the back end is full
 	started   time.Time
 	nextSweep time.Time
@@ -62,6 +63,7 @@
 	balancer netip.AddrPort // that sent the latest datagram
 	opening  uint32         // number of the opening datagram
 	number   uint32         // of the back end
+	begun    time.Time      // when it became known here
 	seen     time.Time
 	owes     bool // the back end owes an answer
 	owedAt   time.Time
@@ -92,6 +94,27 @@
 // Flows returns the number of flows known.
 func (a *Agent) Flows() int { return len(a.flows) }
 
+// Refusals returns how many offers were refused since the start.
+func (a *Agent) Refusals() uint64 { return a.refusals }
+
+// OpenFlow is one open flow, for operators.
+type OpenFlow struct {
+	Key   flow.Key
+	Begun time.Time
+	Seen  time.Time // latest datagram
+}
+
+// Open returns the open flows, in no order.
+func (a *Agent) Open() []OpenFlow {
+	var open []OpenFlow
+	for _, held := range a.flows {
+		if held.state == stateOpen {
+			open = append(open, OpenFlow{Key: held.key, Begun: held.begun, Seen: held.seen})
+		}
+	}
+	return open
+}
+
 // Unfinished returns the number of flows that are open.
 func (a *Agent) Unfinished() int {
 	open := 0
@@ -191,12 +214,13 @@
 func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
 	load := a.Load(now)
 	a.toldFull = a.toldFull || load.Full()
+	a.refusals++
 	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: load}})
 	a.act(Decision{Event: EventRefused, Key: key, Service: a.options.Service, Peer: to, Reason: reason.String()})
 }
 
 func (a *Agent) hold(now time.Time, key flow.Key, state flowState) *heldFlow {
-	held := &heldFlow{key: key, state: state, seen: now, instance: a.tracker.Latest().ID}
+	held := &heldFlow{key: key, state: state, begun: now, seen: now, instance: a.tracker.Latest().ID}
 	a.flows[key] = held
 	return held
 }
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -35,7 +35,7 @@
 // RunAgent serves until the context ends and then stops cleanly. Errors at the
 // start are of kind fault.Unavailable. Settings that come from changes take effect as
 // far as they can without a restart.
-func RunAgent(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface, changes <-chan settings.Settings) error {
+func RunAgent(ctx context.Context, s settings.Settings, adapter Adapter, logger *log.Logger, changes <-chan settings.Settings) error {
 	if s.Backend.Service == "" {
 		return fault.InvalidField("backend.service", s.Backend.Service, "must be given to an agent where flows.transport is handshake")
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -38,7 +38,7 @@
 // RunBalancer serves until the context ends and then stops cleanly. Errors at the
 // start are of kind fault.Unavailable. Settings that come from changes take effect as
 // far as they can without a restart.
-func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger log.Interface, changes <-chan settings.Settings) error {
+func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger *log.Logger, changes <-chan settings.Settings) error {
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
 		Zone:   s.Node.Zone,
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -16,6 +16,7 @@
 	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
 	"github.com/burlmill/burlmill/gen/burlmill/v1/burlmillv1connect"
 	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/status"
 )
 
 // Times and bounds of fetching the configuration.
@@ -35,9 +36,13 @@
 // configurationServer hands out the configuration that a node holds.
 type configurationServer struct{ node *node }
 
-func newConfigurationHandler(n *node) http.Handler {
+// peerHandler serves other processes and operators.
+func (n *node) peerHandler() http.Handler {
+	operators := status.NewService(n.events)
+	operators.BindRows(n.settings.Node.ID, n)
 	mux := http.NewServeMux()
 	mux.Handle(burlmillv1connect.NewConfigurationServiceHandler(configurationServer{n}))
+	mux.Handle(operators.Handler())
 	return mux
 }
 
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -17,7 +17,9 @@
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/status"
 	"github.com/burlmill/burlmill/internal/wire"
+	"github.com/burlmill/burlmill/query"
 	"github.com/burlmill/burlmill/routing"
 )
 
@@ -47,6 +49,8 @@
 	received(now time.Time, from netip.AddrPort, message handshake.Message)
 	configured(now time.Time, table *routing.Table)
 	tick(now time.Time)
+	backendRows(now time.Time, into *query.Collector)
+	flowRows(now time.Time, into *query.Collector)
 }
 
 // node is what balancers and agents have in common: the socket for other
@@ -56,6 +60,7 @@
 	settings    settings.Settings
 	adapter     Adapter
 	log         log.Interface
+	events      *status.Events
 	limited     *logging.Limiter
 	metrics     *metrics
 	incarnation uint64
@@ -82,12 +87,15 @@
 	fetch   chan struct{} // a peer holds a newer configuration
 }
 
-func newNode(s settings.Settings, adapter Adapter, role handshake.Role, logger log.Interface) *node {
+func newNode(s settings.Settings, adapter Adapter, role handshake.Role, output *log.Logger) *node {
+	events := status.NewEvents()
+	logger := events.Record(output).WithField("node", s.Node.ID)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &node{
 		settings:     s,
 		adapter:      adapter,
 		log:          logger,
+		events:       events,
 		limited:      logging.NewLimiter(logging.LimiterOptions{Log: logger, PerSecond: linesPerSecond, Burst: lineBurst, Now: time.Now}),
 		metrics:      newMetrics(),
 		configuredAt: time.Now(),
@@ -106,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if err := n.serve(n.settings.Node.PeerAddress, newConfigurationHandler(n)); err != nil {
+	if err := n.serve(n.settings.Node.PeerAddress, n.peerHandler()); err != nil {
 		return err
 	}
 	n.addGauges()
@@ -144,7 +152,10 @@
 	if err != nil {
 		return fault.Wrap(fault.Unavailable, err, "listen on %v", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maximumHeaders}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true) // operators' commands speak it
+	server := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maximumHeaders}
 	n.servers = append(n.servers, server)
 	n.spawn(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -260,22 +271,28 @@
 	if len(due) == 0 {
 		return
 	}
-	status := n.decider.status(now)
-	status.ID = n.settings.Node.ID
-	status.Role = n.role
-	status.Zone = n.settings.Node.Zone
-	status.Incarnation = n.incarnation
-	status.Version = n.table.Version()
-	status.Leaving = n.leaving
-	status.Peers = n.contacts.Tell(now)
-	status.StoreFresh = n.storeFresh(now)
+	told := n.ownStatus(now)
+	told.Peers = n.contacts.Tell(now)
 	for _, to := range due {
-		status.Interval = to.Interval
-		status.Subscribe = to.Subscribe
-		n.send(to.Address, status)
+		told.Interval = to.Interval
+		told.Subscribe = to.Subscribe
+		n.send(to.Address, told)
 	}
 }
 
+// ownStatus returns what this process tells of itself. The lock is held.
+func (n *node) ownStatus(now time.Time) handshake.Status {
+	own := n.decider.status(now)
+	own.ID = n.settings.Node.ID
+	own.Role = n.role
+	own.Zone = n.settings.Node.Zone
+	own.Incarnation = n.incarnation
+	own.Version = n.table.Version()
+	own.Leaving = n.leaving
+	own.StoreFresh = n.storeFresh(now)
+	return own
+}
+
 // send sends a message to another process. The lock is held.
 func (n *node) send(to netip.AddrPort, message handshake.Message) {
 	encoded, err := Encode(message)
@@ -307,22 +324,22 @@
 	if !n.started {
 		return
 	}
-	if status, ok := message.(handshake.Status); ok {
-		n.heard(now, from, status)
+	if told, ok := message.(handshake.Status); ok {
+		n.heard(now, from, told)
 	}
 	n.decider.received(now, from, message)
 }
 
 // heard takes in another process's status. The lock is held.
-func (n *node) heard(now time.Time, from netip.AddrPort, status handshake.Status) {
+func (n *node) heard(now time.Time, from netip.AddrPort, told handshake.Status) {
 	if gap, known := n.contacts.Silence(now, from); known {
 		n.metrics.gaps.Observe(gap.Seconds())
 	}
-	if n.contacts.Heard(now, from, status) {
-		n.log.WithFields(log.Fields{"peer": from, "id": status.ID, "role": status.Role, "zone": status.Zone,
-			"service": status.Service, "version": status.Version}).Info("peer-heard")
+	if n.contacts.Heard(now, from, told) {
+		n.log.WithFields(log.Fields{"peer": from, "id": told.ID, "role": told.Role, "zone": told.Zone,
+			"service": told.Service, "version": told.Version}).Info("peer-heard")
 	}
-	if status.Version > n.table.Version() {
+	if told.Version > n.table.Version() {
 		n.wantFetch()
 	}
 }
--- /dev/null
+++ b/internal/relay/rows.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/status"
+	"github.com/burlmill/burlmill/internal/version"
+	"github.com/burlmill/burlmill/query"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// protocolHandshake is the protocol of all services of this transport.
+const protocolHandshake = "handshake"
+
+// Collect implements status.Rows: what operators ask of this process.
+func (n *node) Collect(_ context.Context, table string, unreachable bool, into *query.Collector) error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	switch table {
+	case status.TableNodes:
+		n.nodeRows(now, into)
+	case status.TableServices:
+		n.serviceRows(into)
+	case status.TableBackends:
+		if !unreachable {
+			n.decider.backendRows(now, into)
+		}
+	case status.TableFlows:
+		n.decider.flowRows(now, into)
+	case status.TableVersions:
+		n.versionRow(now, into)
+	case status.TableEvents:
+		n.events.Rows(n.settings.Node.ID, into)
+	default:
+		return fault.New(fault.Internal, "table %q has no source", table)
+	}
+	return nil
+}
+
+// nodeRows adds this process and those that it hears.
+func (n *node) nodeRows(now time.Time, into *query.Collector) {
+	own := n.ownStatus(now)
+	into.Add(n.nodeRow(own, n.settings.Node.PeerAddress, n.settings.Node.DataAddress))
+	for _, contact := range n.contacts.List() {
+		if contact.Heard.IsZero() || now.Sub(contact.Heard) > handshake.ContactForgetTime {
+			continue
+		}
+		data := netip.AddrPortFrom(contact.Address.Addr(), n.settings.Node.DataAddress.Port())
+		into.Add(n.nodeRow(contact.Status, contact.Address, data))
+	}
+}
+
+func (n *node) nodeRow(of handshake.Status, control, data netip.AddrPort) query.Row {
+	state := "alive"
+	if of.Leaving {
+		state = "leaving"
+	}
+	return query.Row{
+		query.TextValue(of.ID),
+		query.TextValue(of.Role.String()),
+		query.TextValue(n.settings.Node.Region),
+		query.TextValue(string(of.Zone)),
+		query.TextValue(state),
+		query.NumberValue(int64(of.Incarnation >> 1)), // fits a signed number
+		query.AddressValue(control),
+		query.AddressValue(data),
+	}
+}
+
+// serviceRows adds a row for each route: its targets share it by weight.
+func (n *node) serviceRows(into *query.Collector) {
+	for _, route := range n.table.Routes() {
+		var shares []string
+		for _, target := range route.Targets {
+			shares = append(shares, fmt.Sprintf("%s=%d", target.Service, target.Weight))
+		}
+		into.Add(query.Row{
+			query.TextValue(route.Name),
+			query.TextValue(protocolHandshake),
+			query.AddressValue(route.Address),
+			query.NumberValue(int64(n.table.Version())),
+			query.TextValue(strings.Join(shares, " ")),
+			query.NumberValue(int64(n.backendsOf(route, func(handshake.Status) bool { return true }))),
+			query.NumberValue(int64(n.backendsOf(route, func(s handshake.Status) bool { return !s.Load.Accepts }))),
+			query.NumberValue(int64(n.slotsOf(route))),
+		})
+	}
+}
+
+// backendsOf counts the back ends of the route's services that are heard and wanted.
+func (n *node) backendsOf(route *routing.Route, wanted func(handshake.Status) bool) int {
+	count := 0
+	for _, contact := range n.contacts.List() {
+		if contact.Status.Role == handshake.RoleAgent && route.Has(contact.Status.Service) && wanted(contact.Status) {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *node) slotsOf(route *routing.Route) uint32 {
+	slots := uint32(0)
+	for _, contact := range n.contacts.List() {
+		if contact.Status.Role == handshake.RoleAgent && route.Has(contact.Status.Service) {
+			slots += contact.Status.Load.Slots
+		}
+	}
+	return slots
+}
+
+func (n *node) versionRow(now time.Time, into *query.Collector) {
+	into.Add(query.Row{
+		query.TextValue(n.settings.Node.ID),
+		query.NumberValue(int64(n.table.Version())),
+		query.TextValue(fmt.Sprintf("%016x", xxhash.Sum64(n.document))),
+		query.DurationValue(now.Sub(n.configuredAt)),
+		query.TextValue(version.String()),
+	})
+}
+
+// A balancer has no back end, and the flows that it knows are told by the agents.
+func (b *balancer) backendRows(time.Time, *query.Collector) {}
+func (b *balancer) flowRows(time.Time, *query.Collector)    {}
+
+// backendRows adds the back end beside this agent.
+func (a *agent) backendRows(now time.Time, into *query.Collector) {
+	tracker := a.flows.Tracker()
+	load := a.flows.Load(now)
+	into.Add(query.Row{
+		query.TextValue(string(a.settings.Backend.Service)),
+		query.TextValue(string(tracker.Latest().ID)),
+		query.TextValue(a.settings.Node.Region),
+		query.TextValue(string(a.settings.Node.Zone)),
+		query.TextValue(tracker.State().String()),
+		query.TextValue(a.settings.Node.ID),
+		query.TextValue("yes"),
+		query.AddressValue(a.settings.Backend.Address),
+		query.NumberValue(int64(a.flows.Unfinished())),
+		query.NumberValue(int64(load.Busy)),
+		query.NumberValue(int64(load.Slots)),
+		query.NumberValue(int64(a.flows.Refusals())),
+	})
+}
+
+// flowRows adds the open flows of the back end beside this agent.
+func (a *agent) flowRows(now time.Time, into *query.Collector) {
+	for _, open := range a.flows.Open() {
+		into.Add(query.Row{
+			query.TextValue(a.settings.Node.ID),
+			query.TextValue(string(a.settings.Backend.Service)),
+			query.TextValue(string(a.flows.Tracker().Latest().ID)),
+			query.AddressValue(open.Key.Caller),
+			query.DurationValue(now.Sub(open.Begun)),
+			query.DurationValue(now.Sub(open.Seen)),
+		})
+	}
+}
--- a/internal/status/events.go
+++ b/internal/status/events.go
@@ -9,6 +9,8 @@
 
 	"github.com/apex/log"
 	"github.com/go-logfmt/logfmt"
+
+	"github.com/burlmill/burlmill/query"
 )
 
 // Bounds of the memory of events.
@@ -86,6 +88,20 @@
 	return append(ordered, e.ring[:e.next]...)
 }
 
+// Rows adds the rows of the table of events to the collector.
+func (e *Events) Rows(node string, into *query.Collector) {
+	now := time.Now()
+	for _, event := range e.All() {
+		into.Add(query.Row{
+			query.TextValue(node),
+			query.DurationValue(now.Sub(event.Time)),
+			query.TextValue(event.Level.String()),
+			query.TextValue(event.Name),
+			query.TextValue(event.Detail),
+		})
+	}
+}
+
 // detailOf formats fields. A field that cannot be formatted is left out.
 func detailOf(fields log.Fields) string {
 	var pairs []string
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -48,30 +49,29 @@
 
 // source makes the rows of the tables of one process.
 type source struct {
-	id          string
-	node        Node
-	data        netip.AddrPort // data address of this process
-	work        Work           // nil for a balancer
-	events      *Events
-	since       time.Time // when the configuration in force came
-	unreachable bool      // asked for back ends that cannot be reached
+	id     string
+	node   Node
+	data   netip.AddrPort // data address of this process
+	work   Work           // nil for a balancer
+	events *Events
+	since  atomic.Pointer[time.Time] // when the configuration in force came
 }
 
-// collect adds the rows of the query's table to the collector.
-func (s *source) collect(ctx context.Context, table string, into *query.Collector) error {
+// Collect implements Rows.
+func (s *source) Collect(ctx context.Context, table string, unreachable bool, into *query.Collector) error {
 	switch table {
 	case TableNodes:
 		s.nodes(into)
 	case TableServices:
 		s.services(into)
 	case TableBackends:
-		return s.backends(ctx, into)
+		return s.backends(ctx, unreachable, into)
 	case TableFlows:
 		return s.flows(ctx, into)
 	case TableVersions:
 		s.version(into)
 	case TableEvents:
-		s.recentEvents(into)
+		s.events.Rows(s.id, into)
 	default:
 		return fault.New(fault.Internal, "table %q has no source", table)
 	}
@@ -125,11 +125,11 @@
 	return strings.Join(texts, " ")
 }
 
-func (s *source) backends(ctx context.Context, into *query.Collector) error {
+func (s *source) backends(ctx context.Context, unreachable bool, into *query.Collector) error {
 	for _, service := range s.node.Snapshot().Services() {
 		for index := range service.Backends {
 			backend := &service.Backends[index]
-			if err := s.backend(ctx, service, backend, into); err != nil {
+			if err := s.backend(ctx, unreachable, service, backend, into); err != nil {
 				return err
 			}
 		}
@@ -138,8 +138,8 @@
 }
 
 // backend adds the row of a back end if this process has to tell of it.
-func (s *source) backend(ctx context.Context, service *catalog.Service, backend *catalog.Backend, into *query.Collector) error {
-	if s.unreachable {
+func (s *source) backend(ctx context.Context, unreachable bool, service *catalog.Service, backend *catalog.Backend, into *query.Collector) error {
+	if unreachable {
 		if !s.node.Alive(backend.Agent) {
 			into.Add(backendRow("", "no", service, backend, BackendLoad{}))
 		}
@@ -196,20 +196,7 @@
 		query.TextValue(s.id),
 		query.NumberValue(int64(snapshot.Revision())),
 		query.TextValue(fmt.Sprintf("%016x", snapshot.Digest())),
-		query.DurationValue(time.Since(s.since)),
+		query.DurationValue(time.Since(*s.since.Load())),
 		query.TextValue(version.String()),
 	})
 }
-
-func (s *source) recentEvents(into *query.Collector) {
-	now := time.Now()
-	for _, event := range s.events.All() {
-		into.Add(query.Row{
-			query.TextValue(s.id),
-			query.DurationValue(now.Sub(event.Time)),
-			query.TextValue(event.Level.String()),
-			query.TextValue(event.Name),
-			query.TextValue(event.Detail),
-		})
-	}
-}
--- a/internal/status/service.go
+++ b/internal/status/service.go
@@ -30,8 +30,21 @@
 type Service struct {
 	events  *Events
 	running chan struct{} // holds one entry for each query that runs
-	bound   atomic.Pointer[source]
-	since   atomic.Pointer[time.Time] // when the configuration in force came
+	bound   atomic.Pointer[binding]
+}
+
+// Rows makes the rows of a process's tables. It is safe for concurrent use.
+type Rows interface {
+	// Collect adds the rows of the table to the collector. With unreachable, the
+	// table of back ends holds those that this process cannot reach in place of its
+	// own. Errors carry a kind of package fault.
+	Collect(ctx context.Context, table string, unreachable bool, into *query.Collector) error
+}
+
+// binding is what a service tells about.
+type binding struct {
+	id   string
+	rows Rows
 }
 
 // NewService returns a service that has nothing to tell yet.
@@ -45,15 +58,20 @@
 	Data netip.AddrPort // by which the catalog names an agent
 }
 
-// Bind gives the service what it tells about. work is nil for a balancer.
+// Bind gives the service what it tells about: a process whose back ends stand in
+// the catalog. work is nil for a balancer.
 func (s *Service) Bind(identity Identity, node Node, work Work) {
+	rows := &source{id: identity.ID, node: node, data: identity.Data, work: work, events: s.events}
 	node.Subscribe(func(*catalog.Snapshot) {
 		now := time.Now()
-		s.since.Store(&now)
+		rows.since.Store(&now)
 	})
-	s.bound.Store(&source{id: identity.ID, node: node, data: identity.Data, work: work, events: s.events})
+	s.BindRows(identity.ID, rows)
 }
 
+// BindRows gives the service what it tells about.
+func (s *Service) BindRows(id string, rows Rows) { s.bound.Store(&binding{id: id, rows: rows}) }
+
 // Handler returns the path and the handler to serve.
 func (s *Service) Handler() (path string, handler http.Handler) {
 	return burlmillv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(maximumRequest))
@@ -81,24 +99,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maximumTime)
 	defer cancel()
-	return s.run(ctx, *bound, request)
+	return run(ctx, bound, request)
 }
 
-// run evaluates the query over the source.
-func (s *Service) run(ctx context.Context, source source, request *burlmillv1.QueryRequest) (*burlmillv1.QueryResponse, error) {
+// run evaluates the query over the rows.
+func run(ctx context.Context, bound *binding, request *burlmillv1.QueryRequest) (*burlmillv1.QueryResponse, error) {
 	parsed, err := query.Parse(request.GetQuery(), Tables())
 	if err != nil {
 		return nil, err
 	}
-	source.since = *s.since.Load()
-	source.unreachable = request.GetUnreachable()
 	collector := query.NewCollector(parsed, MaximumRows)
-	if err := source.collect(ctx, parsed.Table().Name, collector); err != nil {
+	if err := bound.rows.Collect(ctx, parsed.Table().Name, request.GetUnreachable(), collector); err != nil {
 		return nil, err
 	}
 	rows, whole := encodeRows(collector.Rows(), limitOf(request))
 	return &burlmillv1.QueryResponse{
-		Node:      source.id,
+		Node:      bound.id,
 		Columns:   parsed.Table().Names(),
 		Rows:      rows,
 		Truncated: !whole || collector.Truncated(),
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -144,6 +145,16 @@
 	return t.routes[address]
 }
 
+// Routes returns all routes in order of address.
+func (t *Table) Routes() []*Route {
+	if t == nil {
+		return nil
+	}
+	routes := slices.Collect(maps.Values(t.routes))
+	slices.SortFunc(routes, func(a, b *Route) int { return a.Address.Compare(b.Address) })
+	return routes
+}
+
 // Service returns what the configuration says about a service.
 func (t *Table) Service(name catalog.ServiceName) (service Service, known bool) {
 	if t == nil {
