--- /dev/null
+++ b/handshake/agent_flows.go
@@ -0,0 +1,217 @@
+package handshake
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
+)
+
+// Forwarded handles a datagram that a balancer takes to be of a flow held here.
+func (a *Agent) Forwarded(now time.Time, from netip.AddrPort, try bool, datagram *Datagram) []Action {
+	held := a.flows[datagram.Key]
+	switch {
+	case held == nil || held.state == stateTentative:
+		if !try && held == nil {
+			a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
+			return a.take()
+		}
+		if held == nil {
+			held = a.hold(now, datagram.Key, stateTentative)
+		}
+	case a.outlived(held):
+		a.drop(held)
+		a.giveBack(from, NotHeld{Gone: true, Bytes: datagram.Bytes}, datagram.Key)
+		return a.take()
+	case held.state == stateOffered:
+		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
+		return a.take()
+	case held.state == stateHalfOpen && datagram.Confirms != held.number:
+		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
+		return a.take()
+	case held.state == stateHalfOpen:
+		held.state = stateOpen
+		a.act(Decision{Event: EventOpened, Key: held.key, Service: a.options.Service, Peer: from, Load: a.Load(now)})
+	}
+	held.balancer = from
+	held.seen = now
+	a.fromCaller(now, held, datagram)
+	a.act(Deliver{Bytes: datagram.Bytes})
+	return a.take()
+}
+
+// fromCaller notes what a caller's datagram does to its flow.
+func (a *Agent) fromCaller(now time.Time, held *heldFlow, datagram *Datagram) {
+	if datagram.Payload > 0 {
+		a.owe(now, held)
+	}
+	if datagram.Finish {
+		a.finish(held, callerFinished)
+	}
+	if datagram.Kind == Reset {
+		a.finish(held, bothFinished)
+	}
+}
+
+func (a *Agent) finish(held *heldFlow, end uint8) {
+	held.finished |= end
+	if held.finished == bothFinished && held.state != stateEnded {
+		held.state = stateEnded
+		a.settle(held)
+	}
+}
+
+// outlived says whether a flow was held by an instance of the back end that has
+// been replaced by another.
+func (a *Agent) outlived(held *heldFlow) bool {
+	latest := a.tracker.Latest().ID
+	return held.instance != "" && latest != "" && held.instance != latest
+}
+
+func (a *Agent) giveBack(to netip.AddrPort, message NotHeld, key flow.Key) {
+	a.act(Send{To: to, Message: message})
+	a.act(Decision{Event: EventNotHeld, Key: key, Service: a.options.Service, Peer: to, Reason: returnReason(message)})
+}
+
+// Asked answers a balancer's question who holds a flow.
+func (a *Agent) Asked(now time.Time, from netip.AddrPort, question Locate) []Action {
+	answer := Located{Key: question.Key, Holding: a.holding(now, question)}
+	a.act(Send{To: from, Message: answer})
+	return a.take()
+}
+
+func (a *Agent) holding(now time.Time, question Locate) Holding {
+	held := a.flows[question.Key]
+	switch {
+	case held == nil || held.state == stateTentative:
+		return a.unknownHolding(now)
+	case a.outlived(held):
+		return HeldByGone
+	case held.state == stateOpen || held.state == stateEnded:
+		return Holds
+	case held.state == stateHalfOpen && held.number == question.Confirms:
+		return Holds
+	default:
+		return HoldsNot
+	}
+}
+
+// unknownHolding answers for a flow that the agent does not know: one that has
+// started after its back end may have missed the flow's opening.
+func (a *Agent) unknownHolding(now time.Time) Holding {
+	if now.Sub(a.started) < a.options.FlowLifetime && a.tracker.State() != instance.Absent {
+		return HoldsPerhaps
+	}
+	return HoldsNot
+}
+
+// FromBackend handles a datagram of the back end.
+func (a *Agent) FromBackend(now time.Time, datagram *Datagram) []Action {
+	a.tracker.Alive(now)
+	held := a.flows[datagram.Key]
+	if datagram.Returned {
+		a.returned(now, held, datagram)
+		return a.take()
+	}
+	if held == nil {
+		held = a.hold(now, datagram.Key, stateOpen) // the back end speaks on it, so it holds it
+	}
+	held.seen = now
+	a.fromHolder(now, held, datagram)
+	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
+	return a.take()
+}
+
+// fromHolder notes what a back end's datagram does to its flow.
+func (a *Agent) fromHolder(now time.Time, held *heldFlow, datagram *Datagram) {
+	switch {
+	case datagram.Kind == Accept:
+		a.acceptedBy(now, held, datagram.Number)
+	case held.state == stateTentative:
+		held.state = stateOpen
+		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
+		a.act(Decision{Event: EventLocated, Key: held.key, Service: a.options.Service, Peer: held.balancer})
+	}
+	if datagram.Payload > 0 {
+		a.settle(held)
+	}
+	if datagram.Finish {
+		a.finish(held, backendFinished)
+	}
+	if datagram.Kind == Reset {
+		a.finish(held, bothFinished)
+	}
+}
+
+// acceptedBy notes that the back end has taken a flow.
+func (a *Agent) acceptedBy(now time.Time, held *heldFlow, number uint32) {
+	held.number = number
+	if held.state == stateOffered {
+		held.state = stateHalfOpen
+	}
+	if held.balancer.IsValid() {
+		load := a.Load(now)
+		a.toldFull = a.toldFull || load.Full()
+		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: load}})
+	}
+}
+
+// returned handles a datagram that the back end gave back: it does not hold the
+// flow, or cannot take it.
+func (a *Agent) returned(now time.Time, held *heldFlow, datagram *Datagram) {
+	if held == nil {
+		return
+	}
+	balancer := held.balancer
+	if datagram.Kind == Opening {
+		a.drop(held)
+		a.refuse(now, balancer, datagram.Key, RefusedFull)
+		return
+	}
+	gone := a.outlived(held)
+	tentative := held.state == stateTentative
+	if !tentative && !gone {
+		return // its back end has ended it, and has told the caller itself
+	}
+	a.drop(held)
+	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: gone, Bytes: datagram.Bytes}, datagram.Key)
+}
+
+// Tick forgets flows that are over.
+func (a *Agent) Tick(now time.Time) {
+	if now.Before(a.nextSweep) {
+		return
+	}
+	a.nextSweep = now.Add(sweepInterval)
+	for _, held := range a.flows {
+		if held.owes && now.Sub(held.owedAt) > busyTime(held.state) {
+			a.settle(held)
+		}
+		if now.Sub(held.seen) > a.lifetime(held.state) {
+			a.drop(held)
+		}
+	}
+}
+
+// busyTime returns how long a flow counts as work without an answer.
+func busyTime(state flowState) time.Duration {
+	if state == stateOpen {
+		return BusyTime
+	}
+	return UnconfirmedBusyTime
+}
+
+// lifetime returns how long a flow without a datagram is remembered.
+func (a *Agent) lifetime(state flowState) time.Duration {
+	switch state {
+	case stateOffered, stateHalfOpen:
+		return HalfOpenTime
+	case stateTentative:
+		return tentativeTTL
+	case stateEnded:
+		return EndedTime
+	default:
+		return a.options.FlowLifetime
+	}
+}
--- /dev/null
+++ b/internal/relay/codec_test.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/routing"
+)
+
+var addresses = rapid.Custom(func(t *rapid.T) netip.AddrPort {
+	var bytes [4]byte
+	copy(bytes[:], rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "address"))
+	return netip.AddrPortFrom(netip.AddrFrom4(bytes), rapid.Uint16().Draw(t, "port"))
+})
+
+func drawKey(t *rapid.T) flow.Key {
+	return flow.Key{Caller: addresses.Draw(t, "caller"), Service: addresses.Draw(t, "service")}
+}
+
+func drawLoad(t *rapid.T) handshake.Load {
+	return handshake.Load{
+		Accepts: rapid.Bool().Draw(t, "accepts"),
+		Busy:    rapid.Uint32().Draw(t, "busy"),
+		Slots:   rapid.Uint32().Draw(t, "slots"),
+		Cold:    time.Duration(rapid.Uint32().Draw(t, "cold")) * time.Millisecond,
+	}
+}
+
+func drawStatus(t *rapid.T) handshake.Status {
+	status := handshake.Status{
+		ID:          rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "id"),
+		Role:        handshake.RoleAgent,
+		Zone:        catalog.ZoneName(rapid.StringMatching("[a-z]{1,9}").Draw(t, "zone")),
+		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+		Service:     "lessons",
+		Backend:     rapid.StringMatching("i-[0-9]{0,9}").Draw(t, "backend"),
+		Load:        drawLoad(t),
+		Version:     routing.Version(rapid.Uint64().Draw(t, "version")),
+		Leaving:     rapid.Bool().Draw(t, "leaving"),
+		Interval:    time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond,
+		Subscribe:   rapid.Bool().Draw(t, "subscribe"),
+		StoreFresh:  rapid.Bool().Draw(t, "store fresh"),
+	}
+	if peers := rapid.SliceOfN(addresses, 0, 5).Draw(t, "peers"); len(peers) > 0 {
+		status.Peers = peers
+	}
+	return status
+}
+
+func drawMessage(t *rapid.T) handshake.Message {
+	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		return drawStatus(t)
+	case 1:
+		return handshake.Offer{Service: "lessons", Version: routing.Version(rapid.Uint64().Draw(t, "version")), Bytes: datagram}
+	case 2:
+		return handshake.Accepted{Key: drawKey(t), Number: rapid.Uint32().Draw(t, "number"), Load: drawLoad(t)}
+	case 3:
+		return handshake.Refused{Key: drawKey(t), Reason: handshake.RefusedBusy, Load: drawLoad(t)}
+	case 4:
+		return handshake.Forward{Try: rapid.Bool().Draw(t, "try"), Bytes: datagram}
+	case 5:
+		return handshake.NotHeld{Tried: rapid.Bool().Draw(t, "tried"), Gone: rapid.Bool().Draw(t, "gone"), Bytes: datagram}
+	case 6:
+		return handshake.Locate{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms")}
+	default:
+		return handshake.Located{Key: drawKey(t), Holding: handshake.HeldByGone}
+	}
+}
+
+// TestMessagesSurviveTheWire: what is read back is what was sent.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		message := drawMessage(t)
+		encoded, err := Encode(message)
+		is.NoErr(err)
+		decoded, err := Decode(encoded)
+		is.NoErr(err)
+		is.Equal(decoded, message)
+	})
+}
+
+// TestDamagedMessages: whatever comes is read or refused, and nothing else.
+func TestDamagedMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		encoded, err := Encode(drawMessage(t))
+		is.New(t).NoErr(err)
+		place := rapid.IntRange(0, len(encoded)-1).Draw(t, "place")
+		encoded[place] ^= rapid.ByteMin(1).Draw(t, "damage")
+		if _, err := Decode(encoded); err != nil && fault.Of(err) != fault.Invalid {
+			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
+		}
+	})
+	for _, bad := range [][]byte{nil, {}, {0xff}, make([]byte, 100)} {
+		_, err := Decode(bad)
+		is.New(t).Equal(fault.Of(err), fault.Invalid)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	encoded, err := Encode(handshake.Locate{Key: flow.Key{Caller: netip.MustParseAddrPort("192.0.2.1:1"), Service: netip.MustParseAddrPort("192.0.2.2:2")}})
+	is.New(f).NoErr(err)
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, input []byte) {
+		if _, err := Decode(input); err != nil && fault.Of(err) != fault.Invalid {
+			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
+		}
+	})
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"reflect"
 	"sync"
 	"time"
 
@@ -32,8 +31,8 @@
 
 // Bounds of the log.
 const (
-	linesPerSecond = 5  // of one event
-	lineBurst      = 20 // of one event at once
+	linesPerSecond = 25 // of one event
+	lineBurst      = 50 // of one event at once
 )
 
 // Bounds of the HTTP servers.
@@ -124,28 +123,6 @@
 	return n.serve(n.settings.Node.MetricsAddress, n.metrics.handler())
 }
 
-// addGauges adds the values that both roles have.
-func (n *node) addGauges() {
-	n.metrics.gauge("configuration_version", "Version of the configuration in force, 0 if there is none.", n.locked(func(time.Time) float64 {
-		return float64(n.table.Version())
-	}))
-	n.metrics.gauge("configuration_age_seconds", "Time since the configuration in force was taken in.", n.locked(func(now time.Time) float64 {
-		return now.Sub(n.configuredAt).Seconds()
-	}))
-	n.metrics.gauge("peers_heard", "Processes heard of late.", n.locked(func(now time.Time) float64 {
-		return float64(n.contacts.CountHeard(now))
-	}))
-}
-
-// locked returns a function that reads a value with the lock held.
-func (n *node) locked(read func(now time.Time) float64) func() float64 {
-	return func() float64 {
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		return read(time.Now())
-	}
-}
-
 // serve answers HTTP requests at the address until the node is closed.
 func (n *node) serve(address netip.AddrPort, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address.String())
@@ -227,43 +204,6 @@
 	n.tellStatus(now)
 }
 
-// noteLost logs peers that have fallen silent. The lock is held.
-func (n *node) noteLost(now time.Time) {
-	if now.Before(n.nextLook) {
-		return
-	}
-	n.nextLook = now.Add(peerLook)
-	for _, lost := range n.contacts.Lost(now) {
-		n.limited.Log(log.WarnLevel, "peer-lost", log.Fields{"peer": lost.Address, "id": lost.Status.ID, "role": lost.Status.Role,
-			"age": now.Sub(lost.Heard), "leaving": lost.Status.Leaving})
-	}
-}
-
-// reload takes in settings that have changed while the process runs. Only seeds
-// take effect at once; what else has changed is logged and waits for a restart.
-func (n *node) reload(changed settings.Settings) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.addSeeds(time.Now(), changed.Peers.Seeds)
-	same := n.settings
-	same.Peers.Seeds = changed.Peers.Seeds
-	restart := !reflect.DeepEqual(same, changed)
-	n.log.WithFields(log.Fields{"seeds": len(changed.Peers.Seeds), "needs_restart": restart}).Info("settings-reloaded")
-	n.settings.Peers.Seeds = changed.Peers.Seeds
-}
-
-// reloadLoop takes in settings until there are no more.
-func (n *node) reloadLoop(changes <-chan settings.Settings) {
-	for {
-		select {
-		case <-n.context.Done():
-			return
-		case changed := <-changes:
-			n.reload(changed)
-		}
-	}
-}
-
 // tellStatus sends the own status to all that are due. The lock is held.
 func (n *node) tellStatus(now time.Time) {
 	due := n.contacts.Due(now, n.urgent)
@@ -387,32 +327,3 @@
 		return true
 	}
 }
-
-// note counts and logs a decision of a decider.
-func (n *node) note(d handshake.Decision) {
-	n.metrics.decided(d)
-	fields := log.Fields{"caller": d.Key.Caller, "address": d.Key.Service}
-	if d.Service != "" {
-		fields["service"] = d.Service
-	}
-	if d.Peer.IsValid() {
-		fields["peer"] = d.Peer
-	}
-	if d.Reason != "" {
-		fields["reason"] = d.Reason
-	}
-	if d.Version != 0 {
-		fields["version"] = d.Version
-	}
-	if d.Attempts != 0 {
-		fields["attempts"] = d.Attempts
-	}
-	if d.Load != (handshake.Load{}) {
-		fields["busy"] = d.Load.Busy
-		fields["slots"] = d.Load.Slots
-	}
-	if d.Age != 0 {
-		fields["age"] = d.Age
-	}
-	n.limited.Log(log.InfoLevel, string(d.Event), fields)
-}
--- /dev/null
+++ b/internal/relay/record.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/settings"
+)
+
+// addGauges adds the values that both roles have.
+func (n *node) addGauges() {
+	n.metrics.gauge("configuration_version", "Version of the configuration in force, 0 if there is none.", n.locked(func(time.Time) float64 {
+		return float64(n.table.Version())
+	}))
+	n.metrics.gauge("configuration_age_seconds", "Time since the configuration in force was taken in.", n.locked(func(now time.Time) float64 {
+		return now.Sub(n.configuredAt).Seconds()
+	}))
+	n.metrics.gauge("peers_heard", "Processes heard of late.", n.locked(func(now time.Time) float64 {
+		return float64(n.contacts.CountHeard(now))
+	}))
+}
+
+// locked returns a function that reads a value with the lock held.
+func (n *node) locked(read func(now time.Time) float64) func() float64 {
+	return func() float64 {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		return read(time.Now())
+	}
+}
+
+// noteLost logs peers that have fallen silent. The lock is held.
+func (n *node) noteLost(now time.Time) {
+	if now.Before(n.nextLook) {
+		return
+	}
+	n.nextLook = now.Add(peerLook)
+	for _, lost := range n.contacts.Lost(now) {
+		n.limited.Log(log.WarnLevel, "peer-lost", log.Fields{"peer": lost.Address, "id": lost.Status.ID, "role": lost.Status.Role,
+			"age": now.Sub(lost.Heard), "leaving": lost.Status.Leaving})
+	}
+}
+
+// reload takes in settings that have changed while the process runs. Only seeds
+// take effect at once; what else has changed is logged and waits for a restart.
+func (n *node) reload(changed settings.Settings) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.addSeeds(time.Now(), changed.Peers.Seeds)
+	same := n.settings
+	same.Peers.Seeds = changed.Peers.Seeds
+	restart := !reflect.DeepEqual(same, changed)
+	n.log.WithFields(log.Fields{"seeds": len(changed.Peers.Seeds), "needs_restart": restart}).Info("settings-reloaded")
+	n.settings.Peers.Seeds = changed.Peers.Seeds
+}
+
+// reloadLoop takes in settings until there are no more.
+func (n *node) reloadLoop(changes <-chan settings.Settings) {
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case changed := <-changes:
+			n.reload(changed)
+		}
+	}
+}
+
+// note counts and logs a decision of a decider.
+func (n *node) note(d handshake.Decision) {
+	n.metrics.decided(d)
+	fields := log.Fields{"caller": d.Key.Caller, "address": d.Key.Service}
+	if d.Service != "" {
+		fields["service"] = d.Service
+	}
+	if d.Peer.IsValid() {
+		fields["peer"] = d.Peer
+	}
+	if d.Reason != "" {
+		fields["reason"] = d.Reason
+	}
+	if d.Version != 0 {
+		fields["version"] = d.Version
+	}
+	if d.Attempts != 0 {
+		fields["attempts"] = d.Attempts
+	}
+	if d.Load != (handshake.Load{}) {
+		fields["busy"] = d.Load.Busy
+		fields["slots"] = d.Load.Slots
+	}
+	if d.Age != 0 {
+		fields["age"] = d.Age
+	}
+	n.limited.Log(log.InfoLevel, string(d.Event), fields)
+}
