A flow is tried only where a back end may predate its agent; regions and distance in placing

An agent whose back end's first reports were seen by it knows that there is no earlier flow. And answers of agents in another region take longer than 40 ms, so that each opening would have been offered twice there. Change: instance.MayPredate; regions in statuses and in the load that decides; the time for an answer follows the agent. Ruled out: one try at a time (seconds until the holder is found). Tests: TestMayPredate, TestPatienceFollowsTheDistance, TestChoice.

--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/burlmill/burlmill/flow"
-	"github.com/burlmill/burlmill/instance"
 )
 
 // Forwarded handles a datagram that a balancer takes to be of a flow held here.
@@ -98,9 +97,10 @@
 }
 
 // unknownHolding answers for a flow that the agent does not know: one that has
-// started after its back end may have missed the flow's opening.
+// started after its back end may have missed the flow's opening. Only then, since
+// each back end that is asked in vain gets datagrams of a flow of another.
 func (a *Agent) unknownHolding(now time.Time) Holding {
-	if now.Sub(a.started) < a.options.FlowLifetime && a.tracker.State() != instance.Absent {
+	if now.Sub(a.started) < a.options.FlowLifetime && a.tracker.MayPredate() {
 		return HoldsPerhaps
 	}
 	return HoldsNot
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -15,22 +15,24 @@
 
 // Times and bounds of a balancer's flows.
 const (
-	OfferTime       = 40 * time.Millisecond  // for an agent to answer an offer
-	LocateTime      = 60 * time.Millisecond  // for agents to say who holds a flow
-	MaximumOffers   = 4                      // of one opening datagram
-	MaximumBuffered = 16                     // datagrams of one flow that wait for its agent
-	OpeningTime     = 3 * time.Second        // after which a flow that has not opened is forgotten
-	RestTime        = 20 * time.Second       // after which a flow without a datagram is forgotten
-	LostTime        = 1 * time.Second        // during which a flow that nobody holds is not asked for again
-	HoldTime        = 700 * time.Millisecond // that an opening waits for an agent
-	MaximumHeld     = 4096                   // openings that wait for an agent
-	YoungTime       = time.Second            // after the start, during which a balancer may not know all agents
-	sweepInterval   = 250 * time.Millisecond // between two looks for flows to forget
+	OfferTime        = 40 * time.Millisecond  // for an agent to answer an offer, at least
+	MaximumOfferTime = 250 * time.Millisecond // the same at most
+	LocateTime       = 60 * time.Millisecond  // for agents to say who holds a flow
+	MaximumOffers    = 4                      // of one opening datagram
+	MaximumBuffered  = 16                     // datagrams of one flow that wait for its agent
+	OpeningTime      = 3 * time.Second        // after which a flow that has not opened is forgotten
+	RestTime         = 20 * time.Second       // after which a flow without a datagram is forgotten
+	LostTime         = 1 * time.Second        // during which a flow that nobody holds is not asked for again
+	HoldTime         = 700 * time.Millisecond // that an opening waits for an agent
+	MaximumHeld      = 4096                   // openings that wait for an agent
+	YoungTime        = time.Second            // after the start, during which a balancer may not know all agents
+	sweepInterval    = 250 * time.Millisecond // between two looks for flows to forget
 )
 
 // BalancerOptions are what a balancer's decider is made of.
 type BalancerOptions struct {
 	Zone   catalog.ZoneName
+	Region string
 	Random *rand.Rand
 }
 
@@ -88,7 +90,7 @@
 // NewBalancer returns a decider that knows nothing yet.
 func NewBalancer(now time.Time, options BalancerOptions) *Balancer {
 	return &Balancer{
-		board:    NewBoard(options.Zone, options.Random),
+		board:    NewBoard(options.Zone, options.Region, options.Random),
 		splitter: routing.NewSplitter(),
 		flows:    map[flow.Key]*balancedFlow{},
 		waiting:  map[flow.Key]*balancedFlow{},
@@ -229,7 +231,7 @@
 	known.tried = append(known.tried, agent.address)
 	known.sentAt = now
 	agent.unanswered++
-	b.await(known, now.Add(OfferTime))
+	b.await(known, now.Add(agent.patience()))
 	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(), Bytes: known.opening}})
 	b.act(Decision{Event: EventOffered, Key: known.key, Service: known.service, Peer: agent.address,
 		Version: b.table.Version(), Attempts: len(known.tried), Load: agent.load, Age: now.Sub(agent.loadHeard)})
@@ -285,6 +287,7 @@
 	if known == nil || known.agent.IsValid() {
 		return
 	}
+	b.board.noteAnswer(from, now.Sub(known.sentAt))
 	same := func(a accept) bool { return a.agent == from }
 	known.accepts = append(slices.DeleteFunc(known.accepts, same), accept{from, message.Number})
 	if known.opening != nil {
@@ -348,9 +351,7 @@
 func (b *Balancer) unanswered(now time.Time, known *balancedFlow) {
 	known.uncertain = true
 	silent := known.tried[len(known.tried)-1]
-	if agent := b.board.agents[silent]; agent != nil {
-		agent.silent++
-	}
+	b.board.noteSilence(silent)
 	b.act(Decision{Event: EventUnanswered, Key: known.key, Service: known.service, Peer: silent,
 		Attempts: len(known.tried), Age: now.Sub(known.sentAt)})
 	if len(known.tried) < MaximumOffers {
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -22,11 +22,12 @@
 
 // Weights of the load that decides where a new flow goes, in busy shares of a back end.
 const (
-	otherZoneWeight = 0.08 // for an agent in another zone
-	coldWeight      = 0.5  // for a back end that is slow after its start
-	unansweredShare = 1.0  // for each offer sent that has had no answer
-	randomShare     = 0.02 // of chance, so that balancers do not all choose alike
-	unknownSlots    = 3    // assumed where a back end has not told its slots
+	otherZoneWeight   = 0.08 // for an agent in another zone
+	otherRegionWeight = 0.6  // for an agent in another region
+	coldWeight        = 0.5  // for a back end that is slow after its start
+	unansweredShare   = 1.0  // for each offer sent that has had no answer
+	randomShare       = 0.02 // of chance, so that balancers do not all choose alike
+	unknownSlots      = 3    // assumed where a back end has not told its slots
 )
 
 // agentState is what a balancer knows about one agent.
@@ -38,19 +39,59 @@
 	loadHeard  time.Time
 	unanswered int // offers without an answer since load was heard
 	silent     int // offers in a row that ran out without an answer
+	// answerTime is how long the agent takes to answer: it follows longer times at
+	// once and shorter ones slowly.
+	answerTime time.Duration
+}
+
+// Shares by which the answer time follows a shorter one, and the patience for an
+// answer in answer times.
+const (
+	answerDecay    = 8
+	answerPatience = 2
+)
+
+// noteAnswer takes in how long the agent took to answer an offer.
+func (b *Board) noteAnswer(from netip.AddrPort, took time.Duration) {
+	agent := b.agents[from]
+	if agent == nil {
+		return
+	}
+	if took >= agent.answerTime {
+		agent.answerTime = min(took, MaximumOfferTime)
+		return
+	}
+	agent.answerTime -= (agent.answerTime - took) / answerDecay
+}
+
+// noteSilence takes in that an offer to the agent had no answer in time. It may be
+// farther away than was thought, so it gets more time.
+func (b *Board) noteSilence(address netip.AddrPort) {
+	agent := b.agents[address]
+	if agent == nil {
+		return
+	}
+	agent.silent++
+	agent.answerTime = min(max(answerPatience*agent.answerTime, OfferTime), MaximumOfferTime)
+}
+
+// patience returns how long to wait for an answer of the agent.
+func (a *agentState) patience() time.Duration {
+	return min(max(OfferTime, answerPatience*a.answerTime), MaximumOfferTime)
 }
 
 // Board holds what a balancer knows about agents.
 type Board struct {
 	zone   catalog.ZoneName
+	region string
 	agents map[netip.AddrPort]*agentState
 	order  []*agentState // by address, so that every run decides alike
 	random *rand.Rand
 }
 
-// NewBoard returns an empty board of a balancer in the zone.
-func NewBoard(zone catalog.ZoneName, random *rand.Rand) *Board {
-	return &Board{zone: zone, agents: map[netip.AddrPort]*agentState{}, random: random}
+// NewBoard returns an empty board of a balancer in the zone of the region.
+func NewBoard(zone catalog.ZoneName, region string, random *rand.Rand) *Board {
+	return &Board{zone: zone, region: region, agents: map[netip.AddrPort]*agentState{}, random: random}
 }
 
 // Take takes in an agent's status.
@@ -198,7 +239,10 @@
 	if agent.load.Cold > 0 {
 		score += coldWeight
 	}
-	if agent.status.Zone != b.zone {
+	switch {
+	case agent.status.Region != b.region:
+		score += otherRegionWeight
+	case agent.status.Zone != b.zone:
 		score += otherZoneWeight
 	}
 	score += float64(agent.silent)
--- /dev/null
+++ b/handshake/board_test.go
@@ -0,0 +1,87 @@
+package handshake
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func boardAgent(i int) netip.AddrPort { return contactAddress(RoleAgent, i) }
+
+// newTestBoard returns a board that has heard agents with the statuses.
+func newTestBoard(now time.Time, statuses ...Status) *Board {
+	board := NewBoard("a", "saigon", rand.New(rand.NewPCG(1, 1)))
+	for i, status := range statuses {
+		status.Role, status.Service = RoleAgent, worldService
+		board.Take(now, boardAgent(i), status)
+	}
+	return board
+}
+
+// TestPatienceFollowsTheDistance: an agent in another region answers later than
+// the usual time; after one lost offer it gets the time that it needs.
+func TestPatienceFollowsTheDistance(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	board := newTestBoard(now, Status{Region: "hanoi", Load: Load{Accepts: true, Slots: 3}})
+	agent := board.agents[boardAgent(0)]
+	const distance = 60 * time.Millisecond
+	is.True(agent.patience() < distance)
+	board.noteSilence(boardAgent(0))
+	is.True(agent.patience() >= distance)
+	for range 20 {
+		board.noteAnswer(boardAgent(0), distance)
+	}
+	is.True(agent.patience() >= distance)
+	for range 100 {
+		board.noteAnswer(boardAgent(0), time.Millisecond)
+	}
+	is.Equal(agent.patience(), OfferTime)
+	for range 100 {
+		board.noteSilence(boardAgent(0))
+	}
+	is.Equal(agent.patience(), MaximumOfferTime)
+}
+
+// TestChoice: the least busy back end, rather near than far, not one that is cold,
+// silent, full or leaving.
+func TestChoice(t *testing.T) {
+	now := time.Unix(1000, 0)
+	near := func(busy uint32) Status {
+		return Status{Zone: "a", Region: "saigon", Load: Load{Accepts: true, Slots: 7, Busy: busy}}
+	}
+	otherZone, otherRegion, cold, leaving, closed := near(0), near(0), near(0), near(0), near(0)
+	otherZone.Zone, otherRegion.Region, cold.Load.Cold, leaving.Leaving, closed.Load.Accepts = "b", "hanoi", time.Second, true, false
+	full := near(Load{Slots: 7}.Limit())
+	cases := map[string]struct {
+		statuses []Status
+		want     int // index of the agent, -1: none
+		outcome  choice
+	}{
+		"least busy":                    {[]Status{near(3), near(1), near(2)}, 1, chosen},
+		"near before far":               {[]Status{otherZone, near(0)}, 1, chosen},
+		"far when near is much busier":  {[]Status{near(2), otherZone}, 1, chosen},
+		"own region until half is busy": {[]Status{otherRegion, near(4)}, 1, chosen},
+		"other region when it is full":  {[]Status{full, otherRegion}, 1, chosen},
+		"warm before cold":              {[]Status{cold, near(3)}, 1, chosen},
+		"not one that leaves":           {[]Status{leaving, closed, near(6)}, 2, chosen},
+		"all full":                      {[]Status{full, full, closed}, -1, allFull},
+		"nobody":                        {[]Status{leaving, closed}, -1, nobodyElse},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			board := newTestBoard(now, test.statuses...)
+			agent, outcome := board.choose(now, worldService, nil)
+			is.Equal(outcome, test.outcome)
+			if test.want >= 0 {
+				is.Equal(agent.address, boardAgent(test.want))
+			}
+			agent, _ = board.choose(now.Add(maximumFreshTime+time.Millisecond), worldService, nil)
+			is.True(agent == nil) // nobody has been heard since
+		})
+	}
+}
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -77,10 +77,19 @@
 		b.act(Send{To: agent.address, Message: Locate{Key: known.key, Confirms: known.confirms}})
 	}
 	known.sentAt = now
-	b.await(known, now.Add(LocateTime))
+	b.await(known, now.Add(b.locateTime(agents)))
 	b.act(Decision{Event: EventLocating, Key: known.key, Attempts: len(known.asked)})
 }
 
+// locateTime returns how long the agents may take to answer.
+func (b *Balancer) locateTime(agents []*agentState) time.Duration {
+	longest := LocateTime
+	for _, agent := range agents {
+		longest = max(longest, agent.patience())
+	}
+	return longest
+}
+
 // located handles an agent's answer.
 func (b *Balancer) located(now time.Time, from netip.AddrPort, message Located) {
 	known := b.flows[message.Key]
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -63,6 +63,7 @@
 	ID          string
 	Role        Role
 	Zone        catalog.ZoneName
+	Region      string
 	Incarnation uint64              // differs from start to start
 	Service     catalog.ServiceName // of the back end; agents only
 	Backend     string              // id of the back end, empty if none is known; agents only
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -18,6 +18,7 @@
 	worldService   = catalog.ServiceName("lessons")
 	worldRest      = 10 * time.Millisecond // between two rounds
 	callerPause    = 200 * time.Millisecond
+	worldReports   = 10              // by which a report's sequence grows: most reports are not seen here
 	worldCalm      = 2 * time.Second // for all to hear of each other
 	callerPatience = 30              // rounds of sending after which a caller gives up
 )
@@ -97,7 +98,7 @@
 	}
 	for i := range agents {
 		agent := &worldAgent{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
-			backend: &worldBackend{id: instance.ID(fmt.Sprintf("i-%d", i)), slots: 7, alive: true,
+			backend: &worldBackend{id: instance.ID(fmt.Sprintf("i-%d", i)), slots: 7, alive: true, sequence: 1,
 				half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}}}
 		w.agents = append(w.agents, agent)
 		w.startAgent(agent)
@@ -187,7 +188,7 @@
 	if !agent.up || !backend.alive {
 		return false
 	}
-	backend.sequence++
+	backend.sequence += worldReports
 	agent.decider.Tracker().Report(w.now, instance.Report{ID: backend.id, Service: worldService, Slots: backend.slots,
 		Leaving: backend.leaving, Sequence: backend.sequence})
 	return true
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	CheckTimeout  = 800 * time.Millisecond // for one health check
 	missedReports = 3                      // reports missed in a row after which the instance is checked
 	rememberLimit = 64                     // ids of instances that are gone
+	firstReports  = 2                      // sequence up to which a report says that its instance has just started
 )
 
 // ID names one start of a back end.
@@ -68,6 +69,7 @@
 	service   catalog.ServiceName
 	interval  time.Duration // between reports
 	latest    Report
+	first     uint64 // sequence of the present instance's first report here; 0: none yet
 	state     State
 	heard     time.Time // last sign of life
 	coldUntil time.Time
@@ -94,6 +96,12 @@
 	return max(0, t.coldUntil.Sub(now))
 }
 
+// MayPredate says whether the present instance may have been at work before this
+// tracker heard of it, so that it may hold what the tracker's owner does not know.
+func (t *Tracker) MayPredate() bool {
+	return t.state != Absent && (t.first == 0 || t.first > firstReports)
+}
+
 // Heard returns when the present instance last gave a sign of life.
 func (t *Tracker) Heard() time.Time { return t.heard }
 
@@ -107,6 +115,7 @@
 	}
 	t.retire(t.latest.ID)
 	t.latest = report
+	t.first = report.Sequence
 	t.state = Unverified
 	t.heard = now
 	t.coldUntil = now.Add(report.Cold)
@@ -122,6 +131,9 @@
 	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
 		return false
 	}
+	if t.first == 0 {
+		t.first = report.Sequence
+	}
 	leaving := t.latest.Leaving || report.Leaving
 	t.latest = report
 	t.latest.Leaving = leaving
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -90,6 +90,23 @@
 	is.Equal(tracker.State(), Unverified)
 }
 
+// TestMayPredate: only an instance whose first reports were seen here has surely
+// not been at work before.
+func TestMayPredate(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("lessons", time.Second)
+	is.True(!tracker.MayPredate())
+	tracker.CheckDue(start)
+	tracker.Checked(start, Check{Well: true, ID: "a"})
+	is.True(tracker.MayPredate()) // nothing is known of its past
+	tracker.Report(start, Report{ID: "a", Sequence: firstReports})
+	is.True(!tracker.MayPredate()) // it has just started
+	tracker.Report(start, Report{ID: "a", Sequence: 50})
+	is.True(!tracker.MayPredate())
+	tracker.Report(start, Report{ID: "b", Sequence: firstReports + 1})
+	is.True(tracker.MayPredate())
+}
+
 // TestLeavingIsForGood: whatever comes in whatever order, an instance that has
 // said that it leaves, or has left, is never ready again.
 func TestLeavingIsForGood(t *testing.T) {
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -42,6 +42,7 @@
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
 		Zone:   s.Node.Zone,
+		Region: s.Node.Region,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err := b.openAll(changes); err != nil {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -39,6 +39,7 @@
 		ID:          rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "id"),
 		Role:        handshake.RoleAgent,
 		Zone:        catalog.ZoneName(rapid.StringMatching("[a-z]{1,9}").Draw(t, "zone")),
+		Region:      "saigon",
 		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
 		Service:     "lessons",
 		Backend:     rapid.StringMatching("i-[0-9]{0,9}").Draw(t, "backend"),
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -226,6 +226,7 @@
 	own.ID = n.settings.Node.ID
 	own.Role = n.role
 	own.Zone = n.settings.Node.Zone
+	own.Region = n.settings.Node.Region
 	own.Incarnation = n.incarnation
 	own.Version = n.table.Version()
 	own.Leaving = n.leaving
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -67,7 +67,7 @@
 	return query.Row{
 		query.TextValue(of.ID),
 		query.TextValue(of.Role.String()),
-		query.TextValue(n.settings.Node.Region),
+		query.TextValue(of.Region),
 		query.TextValue(string(of.Zone)),
 		query.TextValue(state),
 		query.NumberValue(int64(of.Incarnation >> 1)), // fits a signed number
