A reset that a write has met is no clean end of a stream

The kernel tells a reset once: the direction that writes to the killed process takes the error, the one that reads sees an end and passed it on as a clean one before the other could cut the stream. The relay (internal/stream) and the lab's fabric both had it. Change: an end is clean only if the socket is not closed, or our own direction had been ended before. Ruled out: load (the sequence is reproduced without any: TestResetIsNoEnd failed before, passes now); linger, which is set on every socket.

--- a/internal/lab/fabric/stream.go
+++ b/internal/lab/fabric/stream.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/burlmill/burlmill/fault"
+	"golang.org/x/sys/unix"
+
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/internal/stream"
 )
@@ -115,27 +118,71 @@
 	return nil
 }
 
+// side is one socket of a stream.
+type side struct {
+	socket *net.TCPConn
+	mutex  sync.Mutex
+	ended  bool // our direction of the socket has been ended
+}
+
 // carryBoth carries both directions and says whether both have ended cleanly. If
 // one fails, both sockets are closed.
 func carryBoth(caller, balancer *net.TCPConn) bool {
+	near, far := &side{socket: caller}, &side{socket: balancer}
 	up := make(chan bool, 1)
-	go func() { up <- carry(caller, balancer) }()
-	down := carry(balancer, caller)
+	go func() { up <- carry(near, far) }()
+	down := carry(far, near)
 	return <-up && down
 }
 
-func carry(source, sink *net.TCPConn) bool {
-	_, err := io.Copy(sink, source)
+func carry(source, sink *side) bool {
+	_, err := io.Copy(sink.socket, source.socket)
+	if err == nil && source.wasReset() {
+		err = syscall.ECONNRESET
+	}
 	if err == nil {
-		err = sink.CloseWrite()
+		err = sink.end()
 	}
 	if err != nil {
-		_ = source.Close()
-		_ = sink.Close()
+		_ = source.socket.Close()
+		_ = sink.socket.Close()
 	}
 	return err == nil
 }
 
+// end ends our direction of the socket.
+func (s *side) end() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	err := s.socket.CloseWrite()
+	s.ended = err == nil
+	return err
+}
+
+// stateClosed is TCP_CLOSE of the kernel's list of states.
+const stateClosed = 7
+
+// wasReset says whether a socket that looks ended was reset: the kernel tells a
+// reset once, and a write in the other direction may have taken it. Before our own
+// direction is ended, only a reset closes a socket.
+func (s *side) wasReset() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ended {
+		return false
+	}
+	raw, err := s.socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(descriptor uintptr) {
+		information, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && information.State == stateClosed
+	})
+	return reset || err != nil
+}
+
 // keep notes a socket that close has to reset; false means that it came too late.
 func (p *streamPort) keep(socket *net.TCPConn) bool {
 	_ = socket.SetLinger(resetOnClose)
--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -43,6 +43,9 @@
 	socket *net.TCPConn
 	raw    syscall.RawConn
 	early  []byte // bytes of the stream that were read together with its beginning
+
+	ending  sync.Mutex // held while this side's direction is ended
+	sentEnd bool       // this side's direction has been ended
 }
 
 // newConnection takes the socket over.
@@ -90,6 +93,41 @@
 	return c.socket.Close()
 }
 
+// endSending ends the direction towards the peer.
+func (c *Connection) endSending() error {
+	c.ending.Lock()
+	defer c.ending.Unlock()
+	err := c.socket.CloseWrite()
+	c.sentEnd = err == nil
+	return err
+}
+
+// stateClosed is TCP_CLOSE of the kernel's list of states.
+const stateClosed = 7
+
+// checkEnd says whether the end of what the peer sends is a clean one. The kernel
+// tells a reset once, and a write in the other direction may have taken it; then a
+// read sees nothing but an end. Before this side has ended its own direction, a
+// socket that is closed nevertheless was reset.
+func (c *Connection) checkEnd() error {
+	c.ending.Lock()
+	defer c.ending.Unlock()
+	if c.sentEnd {
+		return io.EOF
+	}
+	end := io.EOF
+	err := c.raw.Control(func(descriptor uintptr) {
+		information, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && information.State == stateClosed {
+			end = unix.ECONNRESET
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return end
+}
+
 // beginning lets read take the beginning of the stream and keeps what came with
 // it for the relay.
 func (c *Connection) beginning(limit time.Duration, read func(*bufio.Reader) error) error {
@@ -149,7 +187,7 @@
 	}
 	if taken.length == 0 {
 		pieces.Put(taken)
-		return nil, io.EOF
+		return nil, c.checkEnd()
 	}
 	return taken, nil
 }
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -85,7 +85,7 @@
 	for {
 		next, err := source.next()
 		if errors.Is(err, io.EOF) {
-			return sink.socket.CloseWrite()
+			return sink.endSending()
 		}
 		if err != nil {
 			return err
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -287,3 +287,27 @@
 		<-relay.over
 	})
 }
+
+// TestResetIsNoEnd: the error of a reset is told once, and a write may take it
+// away from the reader, to whom the stream then looks as if it had ended.
+func TestResetIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	socket, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	near, err := newConnection(socket.(*net.TCPConn))
+	is.NoErr(err)
+	defer near.Abort()
+	far, err := listener.Accept()
+	is.NoErr(err)
+	is.NoErr(far.(*net.TCPConn).SetLinger(0))
+	is.NoErr(far.Close())
+	for err == nil { // until the write has met the reset
+		_, err = near.socket.Write([]byte("x"))
+	}
+	_, err = near.next()
+	is.True(err != nil)
+	is.True(!errors.Is(err, io.EOF))
+}
