Only an instance's very first report proves that it has no earlier flows

Ruled out: load (reproduced in virtual time: TestAgentRestartedEarlyInItsBackEndsLife fails before, passes now).

--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -271,3 +271,22 @@
 	}
 	return false
 }
+
+// TestAgentRestartedEarlyInItsBackEndsLife: a health check lets flows open before
+// the back end's second report, which then is the first one that the new agent
+// hears. Found by platform.TestSystemServesThroughFailures.
+func TestAgentRestartedEarlyInItsBackEndsLife(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(10, 1, 1)
+	w.pass(worldCalm) // the back end has answered a health check and made no report
+	is.True(w.call(1000))
+	agent := w.agents[0]
+	w.startAgent(agent)
+	agent.backend.sequence, w.reports = 1, 1
+	w.report(agent)
+	is.Equal(agent.decider.Tracker().Latest().Sequence, uint64(2))
+	w.pass(worldCalm)
+	for _, caller := range w.callers {
+		is.True(w.exchange(caller))
+	}
+}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -75,6 +75,7 @@
 	loss      float64
 	violation string
 	resets    int
+	reports   uint64 // by which a report's sequence grows
 }
 
 // worldEvent is something on its way.
@@ -84,7 +85,7 @@
 }
 
 func newWorld(seed uint64, balancers, agents int) *world {
-	w := &world{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, seed)), callers: map[flow.Key]*worldCaller{}}
+	w := &world{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, seed)), callers: map[flow.Key]*worldCaller{}, reports: worldReports}
 	table, err := routing.New(routing.Content{Version: 1, Routes: []routing.Route{{Name: "r", Address: worldAddress,
 		Targets: []routing.Target{{Service: worldService, Weight: 1}}}}})
 	if err != nil {
@@ -188,7 +189,7 @@
 	if !agent.up || !backend.alive {
 		return false
 	}
-	backend.sequence += worldReports
+	backend.sequence += w.reports
 	agent.decider.Tracker().Report(w.now, instance.Report{ID: backend.id, Service: worldService, Slots: backend.slots,
 		Leaving: backend.leaving, Sequence: backend.sequence})
 	return true
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,7 +20,7 @@
 	CheckTimeout  = 800 * time.Millisecond // for one health check
 	missedReports = 3                      // reports missed in a row after which the instance is checked
 	rememberLimit = 64                     // ids of instances that are gone
-	firstReports  = 2                      // sequence up to which a report says that its instance has just started
+	firstReports  = 1                      // sequence of the report with which an instance begins
 )
 
 // ID names one start of a back end.
