--- a/internal/lab/caller/result.go
+++ b/internal/lab/caller/result.go
@@ -40,7 +40,8 @@
 
 	BrokenFlows []BrokenFlow
 
-	Streams         uint64  // TCP streams begun; each ends in one of the next five
+	Streams         uint64  // TCP streams begun; each ends in one of the last five
+	StreamsAnswered uint64  // of them, those whose back end's answer was heard
 	StreamsComplete uint64  // every byte came back in order and then the clean end
 	StreamsRefused  uint64  // reset before the back end had answered
 	StreamsCut      uint64  // reset later
@@ -93,6 +94,7 @@
 	r.Replies += other.Replies
 	r.BrokenFlows = append(r.BrokenFlows, other.BrokenFlows...)
 	r.Streams += other.Streams
+	r.StreamsAnswered += other.StreamsAnswered
 	r.StreamsComplete += other.StreamsComplete
 	r.StreamsRefused += other.StreamsRefused
 	r.StreamsCut += other.StreamsCut
