--- a/internal/lab/cluster/backends.go
+++ b/internal/lab/cluster/backends.go
@@ -56,7 +56,7 @@
 // startBackend starts a back end and the agent beside it.
 func (c *Cluster) startBackend(ctx context.Context, service catalog.ServiceName, site catalog.SiteName) (*Backend, error) {
 	member := c.newBackend(service, site)
-	member.Address = netip.AddrPortFrom(c.addresses.take(), backendPort)
+	member.Address = netip.AddrPortFrom(c.addresses.Take(), backendPort)
 	if err := c.serve(member); err != nil {
 		return nil, err
 	}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -9,6 +9,7 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/internal/lab/fabric"
+	"github.com/burlmill/burlmill/internal/lab/loopback"
 	"github.com/burlmill/burlmill/internal/lab/process"
 	"github.com/burlmill/burlmill/internal/objects"
 )
@@ -37,7 +38,7 @@
 	plan      Plan
 	group     *process.Group
 	processes []*process.Process // all that were started here
-	addresses *addressPlan
+	addresses *loopback.Network
 	labURL    string // base URL of the store's fault switches
 	burlmill  string // path of the burlmill binary
 	lab       string // path of the burlmill-lab binary
@@ -55,7 +56,7 @@
 			return nil, err
 		}
 	}
-	c := &Cluster{plan: plan, group: group, addresses: newAddressPlan()}
+	c := &Cluster{plan: plan, group: group, addresses: loopback.NewNetwork()}
 	if err := c.start(ctx); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
@@ -93,7 +94,7 @@
 }
 
 func (c *Cluster) startStore(context.Context) (err error) {
-	host := c.addresses.take()
+	host := c.addresses.Take()
 	address := netip.AddrPortFrom(host, storePort).String()
 	labAddress := netip.AddrPortFrom(host, labPort).String()
 	c.StoreURL = "http://" + address
@@ -124,7 +125,7 @@
 		service := catalog.Service{
 			Name:     plan.Name,
 			Protocol: plan.Protocol,
-			Address:  netip.AddrPortFrom(c.addresses.take(), uint16(servicePort+index)),
+			Address:  netip.AddrPortFrom(c.addresses.Take(), uint16(servicePort+index)),
 		}
 		for _, site := range plan.Sites {
 			service.Shares = append(service.Shares, catalog.SiteShare{Site: site.Name, Percent: site.Percent})
--- a/internal/lab/cluster/plan.go
+++ b/internal/lab/cluster/plan.go
@@ -4,10 +4,6 @@
 package cluster
 
 import (
-	"fmt"
-	"net/netip"
-	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -77,29 +73,3 @@
 
 // region is the region of every process of a cluster.
 const region = "r1"
-
-// clustersPerProcess is how many clusters of one process may run at once.
-const clustersPerProcess = 16
-
-// clusterCount numbers the clusters of this process.
-var clusterCount atomic.Uint32
-
-// addressPlan hands out loopback addresses that no other cluster on this
-// machine uses: the second and third octets come from the process id and the
-// number of the cluster.
-type addressPlan struct {
-	prefix string
-	next   int
-}
-
-func newAddressPlan() *addressPlan {
-	number := uint32(os.Getpid())*clustersPerProcess + clusterCount.Add(1)%clustersPerProcess
-	return &addressPlan{prefix: fmt.Sprintf("127.%d.%d", 1+number/250%250, 1+number%250), next: 1}
-}
-
-// take returns the next free address of the plan.
-func (p *addressPlan) take() netip.Addr {
-	address := netip.MustParseAddr(fmt.Sprintf("%s.%d", p.prefix, p.next))
-	p.next++
-	return address
-}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -19,8 +19,7 @@
 	lastPort  = 32_000
 )
 
-// The second octet of a process's address is one of four that internal/lab/cluster
-// leaves free; with the other two octets it tells 2^18 process ids apart.
+// The second octet of a process's address is one of four that networks leave free; with the other two octets it tells 2^18 process ids apart.
 const (
 	firstOctet  = 251
 	octetsInUse = 4
@@ -43,3 +42,29 @@
 	}
 	return netip.AddrPortFrom(IP(), uint16(port))
 }
+
+// networksPerProcess is how many networks of one process may be in use at once.
+const networksPerProcess = 16
+
+var networks atomic.Uint32
+
+// Network hands out addresses for a deployment whose machines all use the same
+// ports. No other network on this machine has them: the second and third octets come
+// from the process id and the number of the network.
+type Network struct {
+	prefix string
+	next   int
+}
+
+// NewNetwork returns a network that has handed out nothing yet.
+func NewNetwork() *Network {
+	number := uint32(os.Getpid())*networksPerProcess + networks.Add(1)%networksPerProcess
+	return &Network{prefix: fmt.Sprintf("127.%d.%d", 1+number/250%250, 1+number%250), next: 1}
+}
+
+// Take returns the next address; there are 254 of them.
+func (n *Network) Take() netip.Addr {
+	addr := netip.MustParseAddr(fmt.Sprintf("%s.%d", n.prefix, n.next))
+	n.next++
+	return addr
+}
