An opening whose copies may have gone elsewhere is not reset

Change: a reset only while no further copy can be on its way (180 ms after the latest one that came here), with no copy missing between, and not for what may have waited through a pause of this process. Else silence: the next copy is answered.

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -26,7 +26,10 @@
 	HoldTime         = 700 * time.Millisecond // that an opening waits for an agent
 	MaximumHeld      = 4096                   // openings that wait for an agent
 	YoungTime        = time.Second            // after the start, during which a balancer may not know all agents
-	sweepInterval    = 250 * time.Millisecond // between two looks for flows to forget
+	// CopyTime is the time after a caller's opening datagram in which it sends no
+	// further copy: until then no other balancer can have opened the flow.
+	CopyTime      = 180 * time.Millisecond
+	sweepInterval = 250 * time.Millisecond // between two looks for flows to forget
 )
 
 // BalancerOptions are what a balancer's decider is made of.
@@ -45,6 +48,8 @@
 	waiting   map[flow.Key]*balancedFlow // those with a deadline
 	held      []*balancedFlow            // openings that wait for an agent, oldest first; some may have been released
 	started   time.Time
+	lastTick  time.Time
+	resumed   time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
 	nextSweep time.Time
 	actions   []Action
 }
@@ -65,6 +70,8 @@
 	sentAt  time.Time
 	held    bool // in Balancer.held
 	heldAt  time.Time
+	copies  uint32    // number of the latest copy of the opening datagram
+	copyAt  time.Time // when it came
 	// uncertain says that the flow may have opened without this balancer's
 	// knowing it: through another one, or by an offer whose answer was lost. Such a
 	// flow is never reset for want of an agent.
@@ -95,6 +102,7 @@
 		flows:    map[flow.Key]*balancedFlow{},
 		waiting:  map[flow.Key]*balancedFlow{},
 		started:  now,
+		lastTick: now,
 	}
 }
 
@@ -179,13 +187,36 @@
 	known = b.add(now, datagram.Key)
 	known.number = datagram.Number
 	known.opening = bytes.Clone(datagram.Bytes)
-	known.uncertain = datagram.Copies > 0
+	known.copies = datagram.Copies
+	known.copyAt = now
+	b.notePause(now)
+	known.uncertain = datagram.Copies > 0 || !b.resumed.IsZero() && now.Sub(b.resumed) < CopyTime
 	b.place(now, known)
 }
 
+// notePause notes a pause of this process: datagrams that waited in its socket
+// meanwhile may be older than they look.
+func (b *Balancer) notePause(now time.Time) {
+	if now.Sub(b.lastTick) > CopyTime {
+		b.resumed = now
+	}
+}
+
+// takeCopy notes that a copy of an opening datagram has come.
+func (f *balancedFlow) takeCopy(now time.Time, copies uint32) {
+	if copies > f.copies+1 {
+		f.uncertain = true // the one between went elsewhere, or was lost
+	}
+	if copies > f.copies {
+		f.copies = copies
+		f.copyAt = now
+	}
+}
+
 // openAgain handles a copy of an opening datagram: the caller has had no answer,
 // so another agent is asked.
 func (b *Balancer) openAgain(now time.Time, known *balancedFlow, datagram *Datagram) {
+	known.takeCopy(now, datagram.Copies)
 	if known.agent.IsValid() || known.held || !known.deadline.IsZero() {
 		return
 	}
@@ -207,7 +238,7 @@
 	route := b.table.Route(known.key.Service)
 	if route == nil {
 		b.act(Decision{Event: EventNoRoute, Key: known.key, Version: b.table.Version()})
-		b.refuse(known)
+		b.refuse(now, known)
 		return
 	}
 	if !route.Has(known.service) {
@@ -248,22 +279,23 @@
 	case !b.board.Hears(now) || b.young(now):
 		b.keep(now, known)
 	case known.refused >= len(known.tried) && len(known.accepts) == 0:
-		b.reject(known)
+		b.reject(now, known)
 	default:
 		b.release(known)
 	}
 }
 
 // reject tells the caller that its flow does not open.
-func (b *Balancer) reject(known *balancedFlow) {
+func (b *Balancer) reject(now time.Time, known *balancedFlow) {
 	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
-	b.refuse(known)
+	b.refuse(now, known)
 }
 
-// refuse forgets an opening and resets its caller, unless the flow may be open.
-func (b *Balancer) refuse(known *balancedFlow) {
+// refuse forgets an opening and resets its caller, unless the flow may be open: a
+// copy that is due by now may have opened it through another balancer.
+func (b *Balancer) refuse(now time.Time, known *balancedFlow) {
 	b.forget(known)
-	if !known.uncertain {
+	if !known.uncertain && now.Sub(known.copyAt) < CopyTime {
 		b.act(ResetCaller{Key: known.key})
 	}
 }
@@ -319,6 +351,8 @@
 
 // Tick handles deadlines that have passed.
 func (b *Balancer) Tick(now time.Time) []Action {
+	b.notePause(now)
+	b.lastTick = now
 	b.placeHeld(now)
 	for _, known := range b.overdue(now) {
 		b.settle(known)
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -68,7 +68,7 @@
 		b.forget(known)
 		return
 	}
-	b.reject(known)
+	b.reject(now, known)
 }
 
 // young says whether the balancer has started so lately that it may not know all
