Back ends that fail flows are suspected and get new ones last

Cause: a host that fails quickly (answers 5xx, resets flows, goes down and up) looks less busy than its peers, so the least busy placement sends it more than its share; a health check does not show it (it may be good, and the reverse). Change: instance.Outcomes judges a back end by its flows: 3 failures among the latest 8 (an answer that says so, or a reset in place of one), or two crashes within 20 s, make it suspected for 1 s; a single failure after that renews it for twice as long (8 s at most), 8 good answers end it. Its agent tells balancers with its load; they place on it only where every other back end is full. Never an exclusion: where all fail, all are used. platform/ says whether an answer's status line is 5xx (a match on the first bytes of what is sent anyway; nothing else of HTTP is read). Weighed: ejecting suspects (needs a rule for many of them), health checks in steady state (they lie, and are priced), a share of failures beside the load (a few per cent of the flows would still go there). Tests first: TestBackEndThatFailsFlowsIsSuspected, TestChoice, instance/outcomes_test.go.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -62,6 +62,7 @@
 	EventLost       Event = "flow-lost"       // nobody holds the flow
 	EventAdmitted   Event = "flow-admitted"   // an agent passed an opening datagram to its back end
 	EventNotHeld    Event = "flow-not-held"   // an agent gave a datagram back
+	EventSuspected  Event = "flow-failed"     // the back end failed the flow, and others of late: it is suspected
 	EventEnded      Event = "flow-ended"      // a flow has ended
 	EventRouteGone  Event = "flow-route-gone" // the configuration no longer has the flow's route
 )
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -136,6 +136,7 @@
 		Busy:    a.busy,
 		Slots:   a.tracker.Latest().Slots,
 		Cold:    a.tracker.Cold(now),
+		Suspect: a.tracker.Outcomes().Suspect(now),
 	}
 }
 
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -154,6 +154,9 @@
 		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
 		a.act(Decision{Event: EventLocated, Key: held.key, Service: a.options.Service, Peer: held.balancer})
 	}
+	if held.owes && held.state == stateOpen {
+		a.judge(now, held, datagram)
+	}
 	if datagram.Payload > 0 {
 		a.settle(held)
 	}
@@ -165,6 +168,20 @@
 	}
 }
 
+// judge notes how the back end ends what it owes on an open flow: with an answer, with
+// one that says that it failed, or with a reset in place of one.
+func (a *Agent) judge(now time.Time, held *heldFlow, datagram *Datagram) {
+	outcomes := a.tracker.Outcomes()
+	switch {
+	case datagram.Kind == Reset || datagram.Payload > 0 && datagram.Failed:
+		if outcomes.Failed(now) {
+			a.act(Decision{Event: EventSuspected, Key: held.key, Service: a.options.Service, Load: a.Load(now), Age: now.Sub(held.owedAt)})
+		}
+	case datagram.Payload > 0:
+		outcomes.Succeeded()
+	}
+}
+
 // acceptedBy notes that the back end has taken a flow.
 func (a *Agent) acceptedBy(now time.Time, held *heldFlow, number uint32) {
 	held.number = number
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -25,6 +25,7 @@
 	otherZoneWeight   = 0.08 // for an agent in another zone
 	otherRegionWeight = 0.6  // for an agent in another region
 	coldWeight        = 0.5  // for a back end that is slow after its start
+	suspectWeight     = 4.0  // for a back end that has failed flows of late: more than any load of one that is not full
 	unansweredShare   = 1.0  // for each offer sent that has had no answer
 	randomShare       = 0.02 // of chance, so that balancers do not all choose alike
 	unknownSlots      = 3    // assumed where a back end has not told its slots
@@ -239,6 +240,9 @@
 	if agent.load.Cold > 0 {
 		score += coldWeight
 	}
+	if agent.load.Suspect {
+		score += suspectWeight
+	}
 	switch {
 	case agent.status.Region != b.region:
 		score += otherRegionWeight
--- a/handshake/board_test.go
+++ b/handshake/board_test.go
@@ -56,20 +56,24 @@
 	otherZone, otherRegion, cold, leaving, closed := near(0), near(0), near(0), near(0), near(0)
 	otherZone.Zone, otherRegion.Region, cold.Load.Cold, leaving.Leaving, closed.Load.Accepts = "b", "hanoi", time.Second, true, false
 	full := near(Load{Slots: 7}.Limit())
+	almostFull, suspect := near(Load{Slots: 7}.Limit()-1), near(0)
+	suspect.Load.Suspect = true
 	cases := map[string]struct {
 		statuses []Status
 		want     int // index of the agent, -1: none
 		outcome  choice
 	}{
-		"least busy":                    {[]Status{near(3), near(1), near(2)}, 1, chosen},
-		"near before far":               {[]Status{otherZone, near(0)}, 1, chosen},
-		"far when near is much busier":  {[]Status{near(2), otherZone}, 1, chosen},
-		"own region until half is busy": {[]Status{otherRegion, near(4)}, 1, chosen},
-		"other region when it is full":  {[]Status{full, otherRegion}, 1, chosen},
-		"warm before cold":              {[]Status{cold, near(3)}, 1, chosen},
-		"not one that leaves":           {[]Status{leaving, closed, near(6)}, 2, chosen},
-		"all full":                      {[]Status{full, full, closed}, -1, allFull},
-		"nobody":                        {[]Status{leaving, closed}, -1, nobodyElse},
+		"least busy":                     {[]Status{near(3), near(1), near(2)}, 1, chosen},
+		"near before far":                {[]Status{otherZone, near(0)}, 1, chosen},
+		"far when near is much busier":   {[]Status{near(2), otherZone}, 1, chosen},
+		"own region until half is busy":  {[]Status{otherRegion, near(4)}, 1, chosen},
+		"other region when it is full":   {[]Status{full, otherRegion}, 1, chosen},
+		"warm before cold":               {[]Status{cold, near(3)}, 1, chosen},
+		"almost full before suspected":   {[]Status{suspect, almostFull}, 1, chosen},
+		"suspected when others are full": {[]Status{suspect, full}, 0, chosen},
+		"not one that leaves":            {[]Status{leaving, closed, near(6)}, 2, chosen},
+		"all full":                       {[]Status{full, full, closed}, -1, allFull},
+		"nobody":                         {[]Status{leaving, closed}, -1, nobodyElse},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/handshake/datagram.go
+++ b/handshake/datagram.go
@@ -57,6 +57,7 @@
 	// before: an earlier one may have opened the flow elsewhere.
 	Copies   uint32
 	Payload  int    // bytes of the flow's content
+	Failed   bool   // from a back end: its content begins an answer by which the back end says that it failed
 	Finish   bool   // the sender has nothing more to send
 	Returned bool   // given back by a back end that does not hold the flow
 	Bytes    []byte // the whole datagram; valid only during the call
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -349,3 +349,34 @@
 		})
 	}
 }
+
+// TestBackEndThatFailsFlowsIsSuspected: it fails them quickly, so that it looks less
+// busy than the others; balancers must not take that for room.
+func TestBackEndThatFailsFlowsIsSuspected(t *testing.T) {
+	for name, answer := range map[string]Datagram{
+		"answers that say so": {Kind: Data, Payload: 100, Failed: true},
+		"resets":              {Kind: Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			agent := readyAgent(t, now)
+			fail := func(port uint16) {
+				key := holdKey(port)
+				agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: key, Kind: Opening, Number: 7})
+				agent.FromBackend(now, &Datagram{Key: key, Kind: Accept, Number: 50})
+				agent.Forwarded(now, holdAgent, false, &Datagram{Key: key, Kind: Data, Confirms: 50, Payload: 10})
+				failed := answer
+				failed.Key = key
+				agent.FromBackend(now, &failed)
+			}
+			fail(1)
+			fail(2)
+			is.True(!agent.Load(now).Suspect)
+			fail(3)
+			is.True(agent.Load(now).Suspect)
+			is.True(agent.Load(now).Accepts) // where no other one can take a flow
+			is.True(!agent.Load(now.Add(instance.SuspicionTime)).Suspect)
+		})
+	}
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -37,6 +37,9 @@
 	Slots   uint32 // requests it can run at once; 0: not known
 	// Cold is how much longer it is slow after its start.
 	Cold time.Duration
+	// Suspect says that it has failed flows of late (instance.Outcomes): it gets
+	// new ones only where every other one is full.
+	Suspect bool
 }
 
 // Bounds of the work that a back end gets beyond its slots: it waits there for a
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -77,6 +77,7 @@
 	goneOrder []ID
 	nextCheck time.Time
 	checking  bool
+	outcomes  Outcomes // of the present instance, and crashes of those before it
 }
 
 // NewTracker returns a tracker of a back end of the service that knows no
@@ -113,6 +114,7 @@
 	if report.ID == t.latest.ID {
 		return t.update(now, report)
 	}
+	t.succeed(now)
 	t.retire(t.latest.ID)
 	t.latest = report
 	t.first = report.Sequence
@@ -126,6 +128,20 @@
 	return true
 }
 
+// succeed begins to judge another instance than the present one.
+func (t *Tracker) succeed(now time.Time) {
+	switch {
+	case t.latest.ID == "":
+	case t.state == Leaving:
+		t.outcomes = Outcomes{}
+	default:
+		t.outcomes.Crashed(now)
+	}
+}
+
+// Outcomes returns what judges the back end by its flows.
+func (t *Tracker) Outcomes() *Outcomes { return &t.outcomes }
+
 // update takes in a further report of the present instance.
 func (t *Tracker) update(now time.Time, report Report) bool {
 	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -181,14 +181,15 @@
 // new flows.
 func (a *agent) noteChange(now time.Time) {
 	load := a.flows.Load(now)
-	if load.Accepts == a.last.Accepts {
+	if load.Accepts == a.last.Accepts && load.Suspect == a.last.Suspect {
 		return
 	}
 	a.last = load
 	a.urgent = true
 	tracker := a.flows.Tracker()
 	a.log.WithFields(log.Fields{"backend": tracker.Latest().ID, "state": tracker.State(), "accepts": load.Accepts,
-		"slots": load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
+		"suspect": load.Suspect,
+		"slots":   load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
 }
 
 // defaultHealthPath is asked for while no configuration is known.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -139,6 +139,7 @@
 		Busy:    load.Busy,
 		Slots:   load.Slots,
 		ColdMs:  uint32(load.Cold.Milliseconds()),
+		Suspect: load.Suspect,
 	}
 }
 
@@ -148,6 +149,7 @@
 		Busy:    encoded.GetBusy(),
 		Slots:   encoded.GetSlots(),
 		Cold:    time.Duration(encoded.GetColdMs()) * time.Millisecond,
+		Suspect: encoded.GetSuspect(),
 	}
 }
 
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -31,6 +31,7 @@
 		Busy:    rapid.Uint32().Draw(t, "busy"),
 		Slots:   rapid.Uint32().Draw(t, "slots"),
 		Cold:    time.Duration(rapid.Uint32().Draw(t, "cold")) * time.Millisecond,
+		Suspect: rapid.Bool().Draw(t, "suspect"),
 	}
 }
 
