--- /dev/null
+++ b/handshake/intervals.go
@@ -0,0 +1,102 @@
+package handshake
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Whom a process tells its status, and how often.
+
+// Times and bounds of what processes tell each other about themselves. Intervals
+// grow with the number of those who are told, so that what one process sends does
+// not grow with the fleet.
+const (
+	AgentStatusInterval = 200 * time.Millisecond  // from an agent to a balancer that places flows on it, at least
+	agentStatusPerPeer  = 20 * time.Millisecond   // added for each such balancer above agentStatusFree
+	agentStatusFree     = 10                      // such balancers that cost no time
+	maximumAgentStatus  = time.Second             // at most
+	subscribeInterval   = time.Second             // from a balancer to an agent it places flows on
+	SubscriptionTime    = 3 * time.Second         // for which one such status counts
+	helloInterval       = time.Second             // to those that need no more than to know of each other, at least
+	helloPerPeer        = 100 * time.Millisecond  // for each of them: the interval is the sum, if that is more
+	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
+	balancerPerPeer     = 40 * time.Millisecond   // for each of them: the interval is the sum, if that is more
+	StrangerInterval    = 500 * time.Millisecond  // to a process that has not been heard
+	NewStrangerInterval = 100 * time.Millisecond  // the same while its address is new
+	NewStrangerTime     = 5 * time.Second         // for which an address is new
+	SilentInterval      = 1 * time.Second         // to a process that is no longer heard
+	ContactTime         = 1500 * time.Millisecond // silence after which a process is not heard, if it promised no slower status
+	ContactForgetTime   = 60 * time.Second        // silence after which a process is forgotten
+	MaximumPeersTold    = 16                      // addresses in one status
+	missedStatuses      = 3.5                     // intervals of silence after which a process is not heard
+)
+
+// Due is a process that is to be told the status now.
+type Due struct {
+	Address   netip.AddrPort
+	Interval  time.Duration // until it is told again
+	Subscribe bool          // it is asked to tell its load often
+}
+
+// Due returns whom to tell the status now. With urgent, all who need the news are
+// told at once.
+func (c *Contacts) Due(now time.Time, urgent bool) []Due {
+	c.selectAgents(now)
+	var due []Due
+	for address, known := range c.contacts {
+		if c.expired(now, known) {
+			delete(c.contacts, address)
+			continue
+		}
+		if now.Before(known.next) && !(urgent && c.needs(now, known)) {
+			continue
+		}
+		interval := c.interval(now, known)
+		if interval == 0 {
+			continue
+		}
+		known.next = now.Add(interval)
+		due = append(due, Due{Address: address, Interval: interval, Subscribe: c.role == RoleBalancer && known.wants(now)})
+	}
+	return due
+}
+
+func (k *contact) wants(now time.Time) bool { return now.Before(k.subscription) }
+
+// needs says whether a process must hear news at once: balancers that place flows
+// here, agents on which this balancer places flows, and all other balancers.
+func (c *Contacts) needs(now time.Time, known *contact) bool {
+	if !known.heardLately(now) {
+		return false
+	}
+	return known.wants(now) || c.role == RoleBalancer && known.status.Role == RoleBalancer
+}
+
+// interval returns how often a process is told the status; 0: never.
+func (c *Contacts) interval(now time.Time, known *contact) time.Duration {
+	switch {
+	case known.heard.IsZero() && now.Sub(known.added) <= NewStrangerTime:
+		return NewStrangerInterval
+	case known.heard.IsZero():
+		return StrangerInterval
+	case c.role == RoleAgent && known.status.Role == RoleAgent:
+		return 0
+	case !known.heardLately(now):
+		return SilentInterval
+	case c.role == RoleBalancer && known.status.Role == RoleBalancer:
+		return max(balancerInterval, time.Duration(c.counts[RoleBalancer])*balancerPerPeer)
+	case !known.wants(now):
+		return max(helloInterval, time.Duration(c.counts[known.status.Role])*helloPerPeer)
+	case c.role == RoleBalancer:
+		return subscribeInterval
+	default:
+		return c.agentStatusInterval()
+	}
+}
+
+// agentStatusInterval is how often an agent tells its load to balancers that
+// place flows on it. Loads also ride on the answers to offers.
+func (c *Contacts) agentStatusInterval() time.Duration {
+	more := max(0, c.subscribed-agentStatusFree)
+	return min(AgentStatusInterval+time.Duration(more)*agentStatusPerPeer, maximumAgentStatus)
+}
--- /dev/null
+++ b/handshake/opening.go
@@ -0,0 +1,179 @@
+package handshake
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Openings: a caller's opening datagram is offered to one agent after the other until a
+// back end answers it, waits (hold.go), or its caller is told that the flow does not open.
+
+// open handles an opening datagram.
+func (b *Balancer) open(now time.Time, known *balancedFlow, datagram *Datagram) {
+	if known != nil && known.opening != nil && known.number == datagram.Number {
+		b.openAgain(now, known, datagram)
+		return
+	}
+	if known != nil {
+		b.forget(known)
+	}
+	known = b.add(now, datagram.Key)
+	known.number = datagram.Number
+	known.opening = bytes.Clone(datagram.Bytes)
+	known.copies = datagram.Copies
+	known.copyAt = now
+	b.notePause(now)
+	known.uncertain = datagram.Copies > 0 || !b.resumed.IsZero() && now.Sub(b.resumed) < CopyTime
+	b.place(now, known)
+}
+
+// notePause notes a pause of this process: datagrams that waited in its socket
+// meanwhile may be older than they look.
+func (b *Balancer) notePause(now time.Time) {
+	if now.Sub(b.lastTick) > CopyTime {
+		b.resumed = now
+	}
+}
+
+// takeCopy notes that a copy of an opening datagram has come.
+func (f *balancedFlow) takeCopy(now time.Time, copies uint32) {
+	if copies > f.copies+1 {
+		f.uncertain = true // the one between went elsewhere, or was lost
+	}
+	if copies > f.copies {
+		f.copies = copies
+		f.copyAt = now
+	}
+}
+
+// openAgain handles a copy of an opening datagram: the caller has had no answer,
+// so another agent is asked.
+func (b *Balancer) openAgain(now time.Time, known *balancedFlow, datagram *Datagram) {
+	known.takeCopy(now, datagram.Copies)
+	if known.agent.IsValid() || known.held || !known.deadline.IsZero() {
+		return
+	}
+	known.seen = now
+	known.opening = bytes.Clone(datagram.Bytes)
+	if _, outcome := b.board.choose(now, known.service, known.tried); outcome == nobodyElse {
+		known.tried, known.refused = nil, 0 // all were tried: once more
+	}
+	b.place(now, known)
+}
+
+// place finds the service of an opening by the configuration in force now, and
+// offers it.
+func (b *Balancer) place(now time.Time, known *balancedFlow) {
+	if b.table == nil {
+		b.keep(now, known)
+		return
+	}
+	route := b.table.Route(known.key.Service)
+	if route == nil {
+		b.act(Decision{Event: EventNoRoute, Key: known.key, Version: b.table.Version()})
+		b.refuse(now, known)
+		return
+	}
+	if !route.Has(known.service) {
+		known.service = b.splitter.Next(b.table, route)
+	}
+	b.offer(now, known)
+}
+
+// offer sends the opening datagram to the next agent.
+func (b *Balancer) offer(now time.Time, known *balancedFlow) {
+	agent, outcome := b.board.choose(now, known.service, known.tried)
+	switch outcome {
+	case allFull:
+		b.keep(now, known)
+		return
+	case nobodyElse:
+		b.runOut(now, known)
+		return
+	}
+	b.release(known)
+	known.tried = append(known.tried, agent.address)
+	known.sentAt = now
+	agent.unanswered++
+	b.await(known, now.Add(agent.patience()))
+	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(), Bytes: known.opening}})
+	b.act(Decision{Event: EventOffered, Key: known.key, Service: known.service, Peer: agent.address,
+		Version: b.table.Version(), Attempts: len(known.tried), Load: agent.load, Age: now.Sub(agent.loadHeard)})
+}
+
+// runOut handles an opening that no further agent can be asked to take. Where
+// every agent that was asked has refused, the caller is told at once; otherwise
+// an answer may still come. A balancer that hears nobody has just started or is
+// itself cut off: it keeps the opening and says nothing, so that the caller's next
+// copy may open the flow through another one.
+func (b *Balancer) runOut(now time.Time, known *balancedFlow) {
+	b.settle(known)
+	switch {
+	case !b.board.Hears(now) || b.young(now):
+		b.keep(now, known)
+	case known.refused >= len(known.tried) && len(known.accepts) == 0:
+		b.reject(now, known)
+	default:
+		b.release(known)
+	}
+}
+
+// reject tells the caller that its flow does not open.
+func (b *Balancer) reject(now time.Time, known *balancedFlow) {
+	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
+	b.refuse(now, known)
+}
+
+// refuse forgets an opening and resets its caller, unless the flow may be open: a
+// copy that is due by now may have opened it through another balancer.
+func (b *Balancer) refuse(now time.Time, known *balancedFlow) {
+	b.forget(known)
+	if !known.uncertain && now.Sub(known.copyAt) < CopyTime {
+		b.act(ResetCaller{Key: known.key})
+	}
+}
+
+func (b *Balancer) accepted(now time.Time, from netip.AddrPort, message Accepted) {
+	b.board.takeAnswer(now, from, message.Load)
+	known := b.flows[message.Key]
+	if known == nil || known.agent.IsValid() {
+		return
+	}
+	b.board.noteAnswer(from, now.Sub(known.sentAt))
+	same := func(a accept) bool { return a.agent == from }
+	known.accepts = append(slices.DeleteFunc(known.accepts, same), accept{from, message.Number})
+	if known.opening != nil {
+		b.settle(known)
+		b.release(known)
+	}
+	b.act(Decision{Event: EventAccepted, Key: known.key, Service: known.service, Peer: from, Attempts: len(known.tried),
+		Load: message.Load, Age: now.Sub(known.sentAt)})
+}
+
+func (b *Balancer) refused(now time.Time, from netip.AddrPort, message Refused) {
+	b.board.takeAnswer(now, from, message.Load)
+	known := b.flows[message.Key]
+	if known == nil || known.agent.IsValid() || !slices.Contains(known.tried, from) {
+		return
+	}
+	known.refused++
+	b.act(Decision{Event: EventRefused, Key: known.key, Service: known.service, Peer: from,
+		Reason: message.Reason.String(), Attempts: len(known.tried), Load: message.Load, Age: now.Sub(known.sentAt)})
+	if len(known.accepts) == 0 {
+		b.offer(now, known)
+	}
+}
+
+// unanswered handles an offer that an agent has not answered in time.
+func (b *Balancer) unanswered(now time.Time, known *balancedFlow) {
+	known.uncertain = true
+	silent := known.tried[len(known.tried)-1]
+	b.board.noteSilence(silent)
+	b.act(Decision{Event: EventUnanswered, Key: known.key, Service: known.service, Peer: silent,
+		Attempts: len(known.tried), Age: now.Sub(known.sentAt)})
+	if len(known.tried) < MaximumOffers {
+		b.offer(now, known)
+	}
+}
--- /dev/null
+++ b/handshake/selection.go
@@ -0,0 +1,78 @@
+package handshake
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Which agents a balancer places flows on.
+
+// SubscribedAgents is how many agents of one service a balancer places flows on.
+const SubscribedAgents = 24
+
+// selectionInterval is the time between two selections of agents.
+const selectionInterval = 500 * time.Millisecond
+
+// selectAgents counts the contacts and, at a balancer, renews the choice of the
+// agents that it places flows on: of each service those with the highest hash for
+// this balancer (rendezvous hashing), so that each agent is chosen by about as
+// many balancers and few change when one comes or goes.
+func (c *Contacts) selectAgents(now time.Time) {
+	if now.Before(c.nextSelection) {
+		return
+	}
+	c.nextSelection = now.Add(selectionInterval)
+	clear(c.counts)
+	c.subscribed = 0
+	services := map[catalog.ServiceName][]*contact{}
+	for _, known := range c.contacts {
+		if !known.heardLately(now) {
+			continue
+		}
+		c.counts[known.status.Role]++
+		if known.wants(now) {
+			c.subscribed++
+		}
+		if known.status.Role == RoleAgent {
+			services[known.status.Service] = append(services[known.status.Service], known)
+		}
+	}
+	if c.role != RoleBalancer {
+		return
+	}
+	for _, agents := range services {
+		for _, chosen := range c.highest(agents) {
+			if !chosen.wants(now) {
+				chosen.next = now
+			}
+			chosen.subscription = now.Add(SubscriptionTime)
+		}
+	}
+}
+
+// highest returns the agents of one service that this balancer places flows on.
+func (c *Contacts) highest(agents []*contact) []*contact {
+	if len(agents) <= SubscribedAgents {
+		return agents
+	}
+	slices.SortFunc(agents, func(a, b *contact) int {
+		return cmp.Compare(c.affinity(b.address), c.affinity(a.address))
+	})
+	return agents[:SubscribedAgents]
+}
+
+// affinity is the hash of a pair of processes.
+func (c *Contacts) affinity(other netip.AddrPort) uint64 {
+	var buffer [64]byte
+	encoded, _ := c.self.AppendBinary(buffer[:0])
+	encoded, _ = other.AppendBinary(encoded)
+	encoded = binary.BigEndian.AppendUint16(encoded, uint16(len(encoded)))
+	return xxhash.Sum64(encoded)
+}
--- /dev/null
+++ b/internal/relay/status.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/handshake"
+)
+
+// What a node tells other processes of itself, and takes in from them.
+
+// tellStatus sends the own status to all that are due. The lock is held.
+func (n *node) tellStatus(now time.Time) {
+	due := n.contacts.Due(now, n.urgent)
+	n.urgent = false
+	if len(due) == 0 {
+		return
+	}
+	told := n.ownStatus(now)
+	told.Peers = n.contacts.Tell(now)
+	for _, to := range due {
+		told.Interval = to.Interval
+		told.Subscribe = to.Subscribe
+		n.send(to.Address, told)
+	}
+}
+
+// ownStatus returns what this process tells of itself. The lock is held.
+func (n *node) ownStatus(now time.Time) handshake.Status {
+	own := n.decider.status(now)
+	own.ID = n.settings.Node.ID
+	own.Role = n.role
+	own.Zone = n.settings.Node.Zone
+	own.Region = n.settings.Node.Region
+	own.Incarnation = n.incarnation
+	own.Version = n.table.Version()
+	own.Leaving = n.leaving
+	own.StoreFresh = n.storeFresh(now)
+	return own
+}
+
+// send sends a message to another process. The lock is held.
+func (n *node) send(to netip.AddrPort, message handshake.Message) {
+	encoded, err := Encode(message)
+	if err != nil {
+		n.limited.Log(log.ErrorLevel, "encode-failed", log.Fields{"error": err})
+		return
+	}
+	n.sendBytes(encoded, to)
+}
+
+func (n *node) sendBytes(encoded []byte, to netip.AddrPort) {
+	if err := n.peers.Send(encoded, to); err != nil {
+		n.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
+	}
+}
+
+// receivePeer is called by the socket.
+func (n *node) receivePeer(datagram []byte, from netip.AddrPort) {
+	n.metrics.datagrams.WithLabelValues(sourcePeer).Inc()
+	message, err := Decode(datagram)
+	if err != nil {
+		n.metrics.invalid.WithLabelValues(sourcePeer).Inc()
+		n.limited.Log(log.WarnLevel, "message-invalid", log.Fields{"from": from, "error": err})
+		return
+	}
+	now := time.Now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.started {
+		return
+	}
+	if told, ok := message.(handshake.Status); ok {
+		n.heard(now, from, told)
+	}
+	n.decider.received(now, from, message)
+}
+
+// heard takes in another process's status. The lock is held.
+func (n *node) heard(now time.Time, from netip.AddrPort, told handshake.Status) {
+	if gap, known := n.contacts.Silence(now, from); known {
+		n.metrics.gaps.Observe(gap.Seconds())
+	}
+	if n.contacts.Heard(now, from, told) {
+		n.log.WithFields(log.Fields{"peer": from, "id": told.ID, "role": told.Role, "zone": told.Zone,
+			"service": told.Service, "version": told.Version}).Info("peer-heard")
+	}
+	if told.Version > n.table.Version() {
+		n.wantFetch()
+	}
+}
