Statuses: brief ones between whole ones, fewer of them

Change: after three whole statuses a process is told brief ones (37 bytes encoded: load, version, back end) and a whole one with 3 addresses every 6 s; agents tell their load at most 25 times a second in all; subscriptions are renewed every 2 s and ended at once. Whether all agents are out of reach is judged by how many of their statuses are missing (8), no longer by their number, so that a cut is still noticed within 0.3 s.

--- a/handshake/board.go
+++ b/handshake/board.go
@@ -16,8 +16,8 @@
 	maximumFreshTime = 2500 * time.Millisecond // the same whatever it promised
 	KnownTime        = 3 * time.Second         // silence after which an agent is not asked for flows
 	ForgetTime       = 60 * time.Second        // silence after which an agent is forgotten
-	CutTime          = 300 * time.Millisecond  // silence of all of many agents after which the balancer is cut off
-	manyAgents       = 4                       // whose statuses come often enough for CutTime
+	CutTime          = 300 * time.Millisecond  // silence of all agents after which the balancer is cut off, at least
+	missedByAll      = 8                       // statuses of all agents together that must be missing for that
 )
 
 // Weights of the load that decides where a new flow goes, in busy shares of a back end.
@@ -146,19 +146,28 @@
 	})
 }
 
-// Hears says whether any agent was heard of late. The more agents there are, the
-// less silence it takes to tell that all of them are out of reach.
+// Hears says whether any agent was heard of late. The more statuses were to come from
+// all agents together, the less silence it takes to tell that all are out of reach.
 func (b *Board) Hears(now time.Time) bool {
-	limit := FreshTime
-	if len(b.agents) >= manyAgents {
-		limit = CutTime
+	last := time.Time{}
+	for _, agent := range b.order {
+		if agent.heard.After(last) {
+			last = agent.heard
+		}
 	}
+	if last.IsZero() {
+		return false
+	}
+	perSecond, longest := 0.0, time.Duration(0)
 	for _, agent := range b.order {
-		if now.Sub(agent.heard) <= limit || agent.freshTime() > FreshTime && agent.usable(now) {
-			return true
+		if last.Sub(agent.heard) > KnownTime {
+			continue
 		}
+		perSecond += 1 / max(agent.status.Interval, AgentStatusInterval).Seconds()
+		longest = max(longest, agent.freshTime())
 	}
-	return false
+	missed := time.Duration(missedByAll / perSecond * float64(time.Second))
+	return now.Sub(last) <= max(CutTime, min(longest, missed))
 }
 
 // known returns the agents that may be asked for flows.
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -27,6 +27,8 @@
 	heard        time.Time // zero: never
 	added        time.Time
 	next         time.Time // when it is told the status again
+	whole        time.Time // when it was last told a whole one
+	wholes       int       // whole ones that it has been told since it was new
 	subscription time.Time // until when it wants the load, or is asked for it
 	seed         bool      // never forgotten
 	lost         bool      // noticed as no longer heard
@@ -50,6 +52,21 @@
 	known.seed = known.seed || seed
 }
 
+// Complete returns a status with what an earlier one of the same start of the process
+// has said. It says false where none was heard; the process sends whole ones again.
+func (c *Contacts) Complete(from netip.AddrPort, status Status) (Status, bool) {
+	if !status.IsBrief() {
+		return status, true
+	}
+	known := c.contacts[from]
+	if known == nil || known.heard.IsZero() || known.status.Incarnation != status.Incarnation {
+		return Status{}, false
+	}
+	whole := known.status
+	status.ID, status.Role, status.Zone, status.Region, status.Service = whole.ID, whole.Role, whole.Zone, whole.Region, whole.Service
+	return status, true
+}
+
 // Heard takes in a status. It says whether the process is new or has started anew.
 func (c *Contacts) Heard(now time.Time, from netip.AddrPort, status Status) (news bool) {
 	c.Add(now, from, false)
@@ -60,11 +77,15 @@
 	news = known.heard.IsZero() || known.status.Incarnation != status.Incarnation
 	if news {
 		known.next = now
+		known.wholes = 0
 		c.nextSelection = now
 	}
 	known.status = status
 	known.heard = now
 	known.lost = false
+	if c.role == RoleAgent {
+		known.subscription = time.Time{}
+	}
 	if status.Subscribe {
 		known.subscription = now.Add(SubscriptionTime)
 	}
@@ -145,8 +166,9 @@
 	return !known.seed && now.Sub(last) > ContactForgetTime
 }
 
-// Tell returns the addresses of some balancers heard of late, others each time.
-func (c *Contacts) Tell(now time.Time) []netip.AddrPort {
+// Tell returns the addresses of at most so many balancers heard of late, others each
+// time.
+func (c *Contacts) Tell(now time.Time, most int) []netip.AddrPort {
 	var balancers []netip.AddrPort
 	for address, known := range c.contacts {
 		if known.heardLately(now) && known.status.Role == RoleBalancer && !known.status.Leaving {
@@ -154,11 +176,11 @@
 		}
 	}
 	slices.SortFunc(balancers, netip.AddrPort.Compare)
-	if len(balancers) <= MaximumPeersTold {
+	if len(balancers) <= most {
 		return balancers
 	}
-	told := make([]netip.AddrPort, 0, MaximumPeersTold)
-	for range MaximumPeersTold {
+	told := make([]netip.AddrPort, 0, most)
+	for range most {
 		c.told = (c.told + 1) % len(balancers)
 		told = append(told, balancers[c.told])
 	}
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -24,11 +24,13 @@
 	contacts map[netip.AddrPort]*Contacts
 	statuses map[netip.AddrPort]Status
 	sent     map[netip.AddrPort]int
+	brief    map[netip.AddrPort]int // of them
+	peers    map[netip.AddrPort]int // addresses told
 }
 
 // newFleet returns balancers and agents of two services that know one balancer.
 func newFleet(balancers, agents int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), contacts: map[netip.AddrPort]*Contacts{}, statuses: map[netip.AddrPort]Status{}, sent: map[netip.AddrPort]int{}}
+	f := &fleet{now: time.Unix(1000, 0), contacts: map[netip.AddrPort]*Contacts{}, statuses: map[netip.AddrPort]Status{}, sent: map[netip.AddrPort]int{}, brief: map[netip.AddrPort]int{}, peers: map[netip.AddrPort]int{}}
 	add := func(role Role, i int) {
 		address := contactAddress(role, i)
 		f.contacts[address] = NewContacts(address, role)
@@ -49,16 +51,49 @@
 		for from, contacts := range f.contacts {
 			for _, due := range contacts.Due(f.now, false) {
 				f.sent[from]++
+				f.peers[from] += due.Peers
 				status := f.statuses[from]
-				status.Interval, status.Subscribe, status.Peers = due.Interval, due.Subscribe, contacts.Tell(f.now)
-				if other := f.contacts[due.Address]; other != nil {
-					other.Heard(f.now, from, status)
+				status.Interval, status.Subscribe, status.Peers = due.Interval, due.Subscribe, contacts.Tell(f.now, due.Peers)
+				if due.Brief {
+					f.brief[from]++
+					status = status.Brief()
 				}
+				f.deliver(from, due.Address, status)
 			}
 		}
 	}
 }
 
+func (f *fleet) deliver(from, to netip.AddrPort, status Status) {
+	other := f.contacts[to]
+	if other == nil {
+		return
+	}
+	if status, ok := other.Complete(from, status); ok {
+		other.Heard(f.now, from, status)
+	}
+}
+
+// TestBriefStatusNeedsAWholeOneBefore: of the same start of the process.
+func TestBriefStatusNeedsAWholeOneBefore(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	contacts := NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer)
+	agent := contactAddress(RoleAgent, 0)
+	whole := Status{ID: "agent", Role: RoleAgent, Zone: "a", Region: "r", Service: worldService, Incarnation: 1, Load: Load{Busy: 1}}
+	later := whole
+	later.Load.Busy = 2
+	_, ok := contacts.Complete(agent, later.Brief())
+	is.True(!ok)
+	contacts.Heard(now, agent, whole)
+	completed, ok := contacts.Complete(agent, later.Brief())
+	is.True(ok)
+	is.Equal(completed, later)
+	later.Incarnation = 2
+	_, ok = contacts.Complete(agent, later.Brief())
+	is.True(!ok)
+}
+
 // TestEveryAgentIsHeardByBalancers starts from one seed.
 func TestEveryAgentIsHeardByBalancers(t *testing.T) {
 	is := is.New(t)
@@ -82,15 +117,22 @@
 	const limit = 100 // statuses a second
 	for _, size := range []struct{ balancers, agents int }{{8, 22}, {25, 75}, {50, 150}} {
 		f := newFleet(size.balancers, size.agents)
-		f.run(4 * time.Second)
+		f.run(8 * time.Second)
 		clear(f.sent)
+		clear(f.brief)
+		clear(f.peers)
 		f.run(5 * time.Second)
-		most := 0
-		for _, sent := range f.sent {
-			most = max(most, sent)
+		for _, role := range []Role{RoleBalancer, RoleAgent} {
+			most, brief, peers := 0, 0, 0
+			for address, sent := range f.sent {
+				if f.statuses[address].Role == role && sent > most {
+					most, brief, peers = sent, f.brief[address], f.peers[address]
+				}
+			}
+			t.Logf("%d balancers, %d agents: at most %.1f statuses a second from one %v, %.1f of them brief, with at most %.1f addresses",
+				size.balancers, size.agents, float64(most)/5, role, float64(brief)/5, float64(peers)/5)
+			is.True(most <= 5*limit)
 		}
-		t.Logf("%d balancers, %d agents: at most %.1f statuses a second from one process", size.balancers, size.agents, float64(most)/5)
-		is.True(most <= 5*limit)
 	}
 }
 
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -12,11 +12,11 @@
 // not grow with the fleet.
 const (
 	AgentStatusInterval = 200 * time.Millisecond  // from an agent to a balancer that places flows on it, at least
-	agentStatusPerPeer  = 20 * time.Millisecond   // added for each such balancer above agentStatusFree
-	agentStatusFree     = 10                      // such balancers that cost no time
+	agentStatusPerPeer  = 40 * time.Millisecond   // added for each such balancer above agentStatusFree
+	agentStatusFree     = 5                       // such balancers that cost no time
 	maximumAgentStatus  = time.Second             // at most
-	subscribeInterval   = time.Second             // from a balancer to an agent it places flows on
-	SubscriptionTime    = 3 * time.Second         // for which one such status counts
+	subscribeInterval   = 2 * time.Second         // from a balancer to an agent it places flows on
+	SubscriptionTime    = 6 * time.Second         // for which one such status counts
 	helloInterval       = time.Second             // to those that need no more than to know of each other, at least
 	helloPerPeer        = 100 * time.Millisecond  // for each of them: the interval is the sum, if that is more
 	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
@@ -25,9 +25,12 @@
 	NewStrangerInterval = 100 * time.Millisecond  // the same while its address is new
 	NewStrangerTime     = 5 * time.Second         // for which an address is new
 	SilentInterval      = 1 * time.Second         // to a process that is no longer heard
+	firstWholes         = 3                       // whole statuses to a process that is new: one may be lost
+	wholeInterval       = 6 * time.Second         // between two whole statuses to a process that is heard; brief ones come between
 	ContactTime         = 1500 * time.Millisecond // silence after which a process is not heard, if it promised no slower status
 	ContactForgetTime   = 60 * time.Second        // silence after which a process is forgotten
-	MaximumPeersTold    = 16                      // addresses in one status
+	MaximumPeersTold    = 16                      // addresses in one of the first statuses
+	fewPeersTold        = 3                       // addresses in one of the later ones
 	missedStatuses      = 3.5                     // intervals of silence after which a process is not heard
 )
 
@@ -36,6 +39,8 @@
 	Address   netip.AddrPort
 	Interval  time.Duration // until it is told again
 	Subscribe bool          // it is asked to tell its load often
+	Brief     bool          // it has been told whole statuses, the latest not long ago
+	Peers     int           // how many addresses it is told; 0 with Brief
 }
 
 // Due returns whom to tell the status now. With urgent, all who need the news are
@@ -56,11 +61,28 @@
 			continue
 		}
 		known.next = now.Add(interval)
-		due = append(due, Due{Address: address, Interval: interval, Subscribe: c.role == RoleBalancer && known.wants(now)})
+		told := Due{Address: address, Interval: interval, Subscribe: c.role == RoleBalancer && known.wants(now)}
+		c.chooseForm(now, known, &told)
+		due = append(due, told)
 	}
 	return due
 }
 
+// chooseForm decides how much of the status a process is told.
+func (c *Contacts) chooseForm(now time.Time, known *contact, told *Due) {
+	introduced := known.heardLately(now) && known.wholes >= firstWholes
+	if introduced && now.Sub(known.whole) < wholeInterval {
+		told.Brief = true
+		return
+	}
+	known.whole = now
+	known.wholes++
+	told.Peers = MaximumPeersTold
+	if introduced {
+		told.Peers = fewPeersTold
+	}
+}
+
 func (k *contact) wants(now time.Time) bool { return now.Before(k.subscription) }
 
 // needs says whether a process must hear news at once: balancers that place flows
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -79,6 +79,16 @@
 	Peers       []netip.AddrPort    // some processes that the sender has heard lately
 }
 
+// Brief returns the status without what stays the same for the life of the process
+// and without peers. Whoever has heard a whole one completes it (Contacts.Complete).
+func (s Status) Brief() Status {
+	s.ID, s.Role, s.Zone, s.Region, s.Service, s.Peers = "", 0, "", "", "", nil
+	return s
+}
+
+// IsBrief says whether the status has to be completed.
+func (s Status) IsBrief() bool { return s.Role == 0 }
+
 // Message is what processes say to each other.
 type Message interface{ message() }
 
--- a/handshake/selection.go
+++ b/handshake/selection.go
@@ -52,7 +52,7 @@
 			if !chosen.wants(now) {
 				chosen.next = now
 			}
-			chosen.subscription = now.Add(SubscriptionTime)
+			chosen.subscription = now.Add(2 * selectionInterval)
 		}
 	}
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -98,7 +98,7 @@
 		Subscribe:   status.Subscribe,
 		StoreFresh:  status.StoreFresh,
 	}
-	if status.Role == handshake.RoleAgent {
+	if status.Load != (handshake.Load{}) {
 		encoded.Load = encodeLoad(status.Load)
 	}
 	for _, peer := range status.Peers {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -119,3 +119,22 @@
 		}
 	})
 }
+
+// TestSizeOfStatuses: what processes say most often is small.
+func TestSizeOfStatuses(t *testing.T) {
+	is := is.New(t)
+	whole := handshake.Status{ID: "side-hofdi-a-1", Role: handshake.RoleAgent, Zone: "hofdi-a", Region: "reykjavik",
+		Incarnation: 1 << 63, Service: "huvo11a", Backend: "i-7f3a91c2", Version: 7000, Interval: 240 * time.Millisecond,
+		Load: handshake.Load{Accepts: true, Busy: 3, Slots: 7}}
+	for i := range handshake.MaximumPeersTold {
+		whole.Peers = append(whole.Peers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7720))
+	}
+	size := func(status handshake.Status) int {
+		encoded, err := Encode(status)
+		is.NoErr(err)
+		return len(encoded)
+	}
+	t.Logf("whole status %d bytes, without peers %d, brief %d", size(whole), size(whole)-8*len(whole.Peers), size(whole.Brief()))
+	is.True(size(whole.Brief()) <= 50)
+	is.True(size(whole) <= 250)
+}
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -19,10 +19,14 @@
 		return
 	}
 	told := n.ownStatus(now)
-	told.Peers = n.contacts.Tell(now)
 	for _, to := range due {
 		told.Interval = to.Interval
 		told.Subscribe = to.Subscribe
+		if to.Brief {
+			n.send(to.Address, told.Brief())
+			continue
+		}
+		told.Peers = n.contacts.Tell(now, to.Peers)
 		n.send(to.Address, told)
 	}
 }
@@ -73,7 +77,12 @@
 		return
 	}
 	if told, ok := message.(handshake.Status); ok {
-		n.heard(now, from, told)
+		whole, ok := n.contacts.Complete(from, told)
+		if !ok {
+			return // a whole one comes soon
+		}
+		n.heard(now, from, whole)
+		message = whole
 	}
 	n.decider.received(now, from, message)
 }
