A process that cannot read a brief status says so at once

Change: a brief status that cannot be completed makes its sender a contact that is told at once. Test first: TestRestartedProcessIsToldWholeStatuses. Ruled out: routers, seeds.

--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -53,13 +53,18 @@
 }
 
 // Complete returns a status with what an earlier one of the same start of the process
-// has said. It says false where none was heard; the process sends whole ones again.
-func (c *Contacts) Complete(from netip.AddrPort, status Status) (Status, bool) {
+// has said. It says false where none was heard: then the process is told of this one,
+// and sees from the incarnation that it must send whole statuses again.
+func (c *Contacts) Complete(now time.Time, from netip.AddrPort, status Status) (Status, bool) {
 	if !status.IsBrief() {
 		return status, true
 	}
 	known := c.contacts[from]
 	if known == nil || known.heard.IsZero() || known.status.Incarnation != status.Incarnation {
+		c.Add(now, from, false)
+		if added := c.contacts[from]; added != nil {
+			added.next = now
+		}
 		return Status{}, false
 	}
 	whole := known.status
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -69,7 +69,7 @@
 	if other == nil {
 		return
 	}
-	if status, ok := other.Complete(from, status); ok {
+	if status, ok := other.Complete(f.now, from, status); ok {
 		other.Heard(f.now, from, status)
 	}
 }
@@ -83,17 +83,37 @@
 	whole := Status{ID: "agent", Role: RoleAgent, Zone: "a", Region: "r", Service: worldService, Incarnation: 1, Load: Load{Busy: 1}}
 	later := whole
 	later.Load.Busy = 2
-	_, ok := contacts.Complete(agent, later.Brief())
+	_, ok := contacts.Complete(now, agent, later.Brief())
 	is.True(!ok)
 	contacts.Heard(now, agent, whole)
-	completed, ok := contacts.Complete(agent, later.Brief())
+	completed, ok := contacts.Complete(now, agent, later.Brief())
 	is.True(ok)
 	is.Equal(completed, later)
 	later.Incarnation = 2
-	_, ok = contacts.Complete(agent, later.Brief())
+	_, ok = contacts.Complete(now, agent, later.Brief())
 	is.True(!ok)
 }
 
+// TestRestartedProcessIsToldWholeStatuses: it has no seeds, and the others tell it
+// brief statuses until they know that it has started anew.
+func TestRestartedProcessIsToldWholeStatuses(t *testing.T) {
+	for _, role := range []Role{RoleBalancer, RoleAgent} {
+		is := is.New(t)
+		f := newFleet(6, 11)
+		f.run(10 * time.Second)
+		restarted := contactAddress(role, 1)
+		f.contacts[restarted] = NewContacts(restarted, role)
+		status := f.statuses[restarted]
+		status.Incarnation++
+		f.statuses[restarted] = status
+		f.run(time.Second)
+		is.Equal(f.contacts[restarted].CountHeard(f.now) >= 6, true) // all balancers at least
+		if role == RoleBalancer {
+			is.Equal(f.contacts[restarted].CountHeard(f.now), 16)
+		}
+	}
+}
+
 // TestEveryAgentIsHeardByBalancers starts from one seed.
 func TestEveryAgentIsHeardByBalancers(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if told, ok := message.(handshake.Status); ok {
-		whole, ok := n.contacts.Complete(from, told)
+		whole, ok := n.contacts.Complete(now, from, told)
 		if !ok {
 			return // a whole one comes soon
 		}
