Flows that callers never confirm hold little room

Also 12 requests went at once to a host whose slots are not known yet after the agent's restart. Change: unconfirmed flows count for four times as long as callers here take to confirm (40 to 300 ms), looked at every tick; 8 requests where slots are not known. Test first: TestUnconfirmedFlowsHoldNoRoomForLong.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -13,11 +13,14 @@
 const (
 	HalfOpenTime = 3 * time.Second // after which a flow that was not confirmed is forgotten
 	BusyTime     = 5 * time.Second // after which a request without an answer no longer counts as work
-	// UnconfirmedBusyTime is the same for a flow that the caller has not confirmed:
-	// it may have opened at another back end.
-	UnconfirmedBusyTime = 300 * time.Millisecond
-	EndedTime           = 5 * time.Second // for which a flow that has ended is remembered
-	tentativeTTL        = 2 * time.Second // for which a datagram tried at the back end may be answered
+	// The same for a flow that the caller has not confirmed, which may have opened at
+	// another back end or not at all: some times as long as callers take to confirm.
+	leastUnconfirmedTime = 40 * time.Millisecond
+	mostUnconfirmedTime  = 300 * time.Millisecond
+	confirmPatience      = 4
+	confirmDecay         = 16              // by whose part the time follows a shorter one; a longer one at once
+	EndedTime            = 5 * time.Second // for which a flow that has ended is remembered
+	tentativeTTL         = 2 * time.Second // for which a datagram tried at the back end may be answered
 )
 
 // AgentOptions are what an agent's decider is made of.
@@ -36,8 +39,9 @@
 	options   AgentOptions
 	tracker   *instance.Tracker
 	flows     map[flow.Key]*heldFlow
-	busy      uint32 // flows whose back end owes an answer
+	owing     map[*heldFlow]bool // flows whose back end owes an answer: its work
 	leaving   bool
+	confirm   time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	refusals  uint64
 	toldFull  bool // balancers were told that the back end is full
 	started   time.Time
@@ -58,17 +62,17 @@
 
 // heldFlow is what an agent knows about one flow.
 type heldFlow struct {
-	key      flow.Key
-	state    flowState
-	balancer netip.AddrPort // that sent the latest datagram
-	opening  uint32         // number of the opening datagram
-	number   uint32         // of the back end
-	begun    time.Time      // when it became known here
-	seen     time.Time
-	owes     bool // the back end owes an answer
-	owedAt   time.Time
-	finished uint8 // ends that have finished, as bits
-	instance instance.ID
+	key        flow.Key
+	state      flowState
+	balancer   netip.AddrPort // that sent the latest datagram
+	opening    uint32         // number of the opening datagram
+	number     uint32         // of the back end
+	begun      time.Time      // when it became known here
+	seen       time.Time
+	owedAt     time.Time // since when the back end owes an answer, if it does
+	acceptedAt time.Time // when the back end's number came; zero: unknown
+	finished   uint8     // ends that have finished, as bits
+	instance   instance.ID
 }
 
 // Bits of heldFlow.finished.
@@ -84,6 +88,7 @@
 		options: options,
 		tracker: instance.NewTracker(options.Service, options.ReportInterval),
 		flows:   map[flow.Key]*heldFlow{},
+		owing:   map[*heldFlow]bool{},
 		started: now,
 	}
 }
@@ -133,7 +138,7 @@
 func (a *Agent) Load(now time.Time) Load {
 	return Load{
 		Accepts: a.accepts() == 0,
-		Busy:    a.busy,
+		Busy:    uint32(len(a.owing)),
 		Slots:   a.tracker.Latest().Slots,
 		Cold:    a.tracker.Cold(now),
 		Suspect: a.tracker.Outcomes().Suspect(now),
@@ -237,16 +242,8 @@
 // owe notes that the back end owes an answer on the flow.
 func (a *Agent) owe(now time.Time, held *heldFlow) {
 	held.owedAt = now
-	if !held.owes {
-		held.owes = true
-		a.busy++
-	}
+	a.owing[held] = true
 }
 
 // settle notes that the back end owes nothing on the flow.
-func (a *Agent) settle(held *heldFlow) {
-	if held.owes {
-		held.owes = false
-		a.busy--
-	}
-}
+func (a *Agent) settle(held *heldFlow) { delete(a.owing, held) }
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -31,6 +31,9 @@
 		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
 		return a.take()
 	case held.state == stateHalfOpen:
+		if !held.acceptedAt.IsZero() {
+			a.noteConfirm(now.Sub(held.acceptedAt))
+		}
 		held.state = stateOpen
 		a.act(Decision{Event: EventOpened, Key: held.key, Service: a.options.Service, Peer: from, Load: a.Load(now)})
 	}
@@ -154,7 +157,7 @@
 		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
 		a.act(Decision{Event: EventLocated, Key: held.key, Service: a.options.Service, Peer: held.balancer})
 	}
-	if held.owes && held.state == stateOpen {
+	if a.owing[held] && held.state == stateOpen {
 		a.judge(now, held, datagram)
 	}
 	if datagram.Payload > 0 {
@@ -187,6 +190,7 @@
 	held.number = number
 	if held.state == stateOffered {
 		held.state = stateHalfOpen
+		held.acceptedAt = now
 	}
 	if held.balancer.IsValid() {
 		load := a.Load(now)
@@ -216,28 +220,44 @@
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: gone, Bytes: datagram.Bytes}, datagram.Key)
 }
 
-// Tick forgets flows that are over.
+// Tick forgets work that is not answered, and flows that are over.
 func (a *Agent) Tick(now time.Time) {
+	for held := range a.owing {
+		if now.Sub(held.owedAt) > a.busyTime(held.state) {
+			a.settle(held)
+		}
+	}
 	if now.Before(a.nextSweep) {
 		return
 	}
 	a.nextSweep = now.Add(sweepInterval)
 	for _, held := range a.flows {
-		if held.owes && now.Sub(held.owedAt) > busyTime(held.state) {
-			a.settle(held)
-		}
 		if now.Sub(held.seen) > a.lifetime(held.state) {
 			a.drop(held)
 		}
 	}
 }
 
-// busyTime returns how long a flow counts as work without an answer.
-func busyTime(state flowState) time.Duration {
-	if state == stateOpen {
+// busyTime returns how long a flow counts as work without an answer. Callers that have
+// given up never confirm: in an overload most of a back end's room would go to them.
+func (a *Agent) busyTime(state flowState) time.Duration {
+	switch {
+	case state == stateOpen:
 		return BusyTime
+	case a.confirm == 0:
+		return mostUnconfirmedTime
+	default:
+		return min(max(leastUnconfirmedTime, confirmPatience*a.confirm), mostUnconfirmedTime)
+	}
+}
+
+// noteConfirm takes in how long a caller took to confirm the back end's number.
+func (a *Agent) noteConfirm(took time.Duration) {
+	if took >= a.confirm {
+		a.confirm = min(took, mostUnconfirmedTime)
+		return
 	}
-	return UnconfirmedBusyTime
+	a.confirm -= (a.confirm - took) / confirmDecay
 }
 
 // lifetime returns how long a flow without a datagram is remembered.
--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -222,3 +222,32 @@
 	is.True(!hasReset(b.Tick(now))) // the offer was not answered
 	is.True(!hasReset(b.FromCaller(now, &Datagram{Key: holdKey(3), Kind: Opening, Copies: 1, Bytes: []byte{3}})))
 }
+
+// TestUnconfirmedFlowsHoldNoRoomForLong: callers that have given up never confirm; what
+// they leave behind must not keep others out.
+func TestUnconfirmedFlowsHoldNoRoomForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := readyAgent(t, now)
+	open := func(port uint16) {
+		agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(port), Kind: Opening, Number: 7})
+		agent.FromBackend(now, &Datagram{Key: holdKey(port), Kind: Accept, Number: 50})
+	}
+	open(1)
+	now = now.Add(2 * time.Millisecond)
+	agent.Forwarded(now, holdAgent, false, &Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 10})
+	open(2)
+	open(3)
+	is.Equal(agent.Load(now).Busy, uint32(3))
+	now = now.Add(leastUnconfirmedTime + time.Millisecond)
+	agent.Tick(now)
+	is.Equal(agent.Load(now).Busy, uint32(1)) // the caller that has confirmed waits for its answer
+
+	open(4)
+	now = now.Add(100 * time.Millisecond) // a caller far away
+	agent.Forwarded(now, holdAgent, false, &Datagram{Key: holdKey(4), Kind: Data, Confirms: 50, Payload: 10})
+	open(5)
+	now = now.Add(mostUnconfirmedTime - time.Millisecond)
+	agent.Tick(now)
+	is.Equal(agent.Load(now).Busy, uint32(3))
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -45,8 +45,8 @@
 // Bounds of the work that a back end gets beyond its slots: it waits there for a
 // slot, so that none stands idle while the next flow is on its way.
 const (
-	minimumWaiting = 4  // requests
-	unknownLimit   = 12 // requests in all where the slots are not known
+	minimumWaiting = 4 // requests
+	unknownLimit   = 8 // requests in all where the slots are not known
 )
 
 // Limit returns how many requests the back end gets at once: as many again as it
