A process without a configuration does not wait for silent calls

Change: while no configuration is held, further reads begin every 0.4 s on average beside those that wait; the first answer, also a refusal, counts; one success serves all, since peers fetch from it. Bounded: at most 5 at once (a read has 1 s). Weighed: a shorter time for a call (a slow store answers after 0.8 s). Test first: first_document_test.go.

--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -143,7 +143,7 @@
 			n.sleep(readerLook)
 			continue
 		}
-		document, err := n.nextDocument(revision)
+		document, err := n.nextDocument(revision, health)
 		health.note(err)
 		switch {
 		case err == nil:
@@ -189,15 +189,24 @@
 	return !n.storeHeard.IsZero() && now.Sub(n.storeHeard) <= handshake.StoreFreshTime
 }
 
-func (n *node) nextDocument(revision uint64) (Document, error) {
-	begun := time.Now()
-	if revision == 0 {
-		document, err := n.adapter.Read(n.context)
-		n.metrics.called("read", begun, err)
+func (n *node) nextDocument(revision uint64, health *storeHealth) (Document, error) {
+	switch {
+	case revision == 0 && !n.holdsConfiguration():
+		return n.firstDocument(health)
+	case revision == 0:
+		return n.read(n.context)
+	default:
+		begun := time.Now()
+		document, err := n.adapter.Watch(n.context, revision)
+		n.metrics.called("watch", begun, err)
 		return document, err
 	}
-	document, err := n.adapter.Watch(n.context, revision)
-	n.metrics.called("watch", begun, err)
+}
+
+func (n *node) read(ctx context.Context) (Document, error) {
+	begun := time.Now()
+	document, err := n.adapter.Read(ctx)
+	n.metrics.called("read", begun, err)
 	return document, err
 }
 
--- /dev/null
+++ b/internal/relay/first_document_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// silentAdapter is a store that never answers the calls that it gets while silent.
+type silentAdapter struct {
+	Adapter
+	silent atomic.Int64 // calls that get no answer
+	calls  atomic.Int64
+	err    error
+}
+
+func (a *silentAdapter) Read(ctx context.Context) (Document, error) {
+	if a.calls.Add(1) <= a.silent.Load() {
+		<-ctx.Done()
+		return Document{}, ctx.Err()
+	}
+	return Document{Revision: 7}, a.err
+}
+
+func newReadingNode(t *testing.T, adapter Adapter) *node {
+	t.Helper()
+	s := settings.Settings{Node: settings.Node{ID: "balancer", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}}
+	n := newNode(s, adapter, handshake.RoleBalancer, logging.New(io.Discard, "error"))
+	t.Cleanup(func() {
+		n.cancel()
+		n.running.Wait()
+	})
+	return n
+}
+
+// TestFirstDocumentDoesNotWaitForASilentCall: calls that began while the store was
+// silent are never answered, also not when it speaks again.
+func TestFirstDocumentDoesNotWaitForASilentCall(t *testing.T) {
+	is := is.New(t)
+	adapter := &silentAdapter{}
+	adapter.silent.Store(2)
+	n := newReadingNode(t, adapter)
+	document, err := n.firstDocument(&storeHealth{node: n})
+	is.NoErr(err)
+	is.Equal(document.Revision, uint64(7))
+	is.Equal(adapter.calls.Load(), int64(3))
+}
+
+// TestFirstDocumentPassesARefusalOn: whoever retries backs off.
+func TestFirstDocumentPassesARefusalOn(t *testing.T) {
+	is := is.New(t)
+	refusal := errors.New("429")
+	adapter := &silentAdapter{err: refusal}
+	n := newReadingNode(t, adapter)
+	_, err := n.firstDocument(&storeHealth{node: n})
+	is.True(errors.Is(err, refusal))
+	is.Equal(adapter.calls.Load(), int64(1))
+}
+
+// TestFirstDocumentEndsWhenAPeerHasSentIt: or with the process.
+func TestFirstDocumentEndsWhenAPeerHasSentIt(t *testing.T) {
+	is := is.New(t)
+	adapter := &silentAdapter{}
+	adapter.silent.Store(1 << 30)
+	n := newReadingNode(t, adapter)
+	table, err := routing.New(routing.Content{Version: 1})
+	is.NoErr(err)
+	time.AfterFunc(10*time.Millisecond, func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.table = table
+	})
+	_, err = n.firstDocument(&storeHealth{node: n})
+	is.True(err != nil)
+
+	n = newReadingNode(t, adapter)
+	time.AfterFunc(10*time.Millisecond, n.cancel)
+	_, err = n.firstDocument(&storeHealth{node: n})
+	is.True(errors.Is(err, context.Canceled))
+}
