--- a/handshake/action.go
+++ b/handshake/action.go
@@ -53,8 +53,8 @@
 	EventRefused    Event = "flow-refused"    // an agent refused it
 	EventHeld       Event = "flow-held"       // an opening waits for an agent
 	EventUnanswered Event = "flow-unanswered" // an agent did not answer an offer in time
-	EventRejected   Event = "flow-rejected"   // no agent takes the flow: the caller was reset
-	EventNoRoute    Event = "flow-no-route"   // no route has the address: the caller was reset
+	EventRejected   Event = "flow-rejected"   // no agent takes the flow: the caller was reset, or the reason says why not
+	EventNoRoute    Event = "flow-no-route"   // no route has the address: the same
 	EventOpened     Event = "flow-opened"     // the caller confirmed a back end's number
 	EventLocating   Event = "flow-locating"   // agents are asked who holds the flow
 	EventLocated    Event = "flow-located"    // one of them said so
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -220,6 +220,9 @@
 	reasonUnheard = "nobody-holds-it"
 	reasonBackend = "back-end"
 	reasonAgent   = "agent"
+
+	reasonUncertain = "silent-may-be-open" // an earlier copy went elsewhere, or an offer was not answered
+	reasonCopyDue   = "silent-copy-due"    // a later copy may have gone elsewhere
 )
 
 // returnReason says who has given a datagram back.
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -72,7 +72,7 @@
 	}
 	route := b.table.Route(known.key.Service)
 	if route == nil {
-		b.act(Decision{Event: EventNoRoute, Key: known.key, Version: b.table.Version()})
+		b.act(Decision{Event: EventNoRoute, Key: known.key, Reason: known.silence(now), Version: b.table.Version()})
 		b.refuse(now, known)
 		return
 	}
@@ -122,7 +122,8 @@
 
 // reject tells the caller that its flow does not open.
 func (b *Balancer) reject(now time.Time, known *balancedFlow) {
-	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
+	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Reason: known.silence(now),
+		Version: b.table.Version(), Attempts: len(known.tried)})
 	b.refuse(now, known)
 }
 
@@ -130,11 +131,23 @@
 // copy that is due by now may have opened it through another balancer.
 func (b *Balancer) refuse(now time.Time, known *balancedFlow) {
 	b.forget(known)
-	if !known.uncertain && now.Sub(known.copyAt) < CopyTime {
+	if known.silence(now) == "" {
 		b.act(ResetCaller{Key: known.key})
 	}
 }
 
+// silence returns why the caller of an opening that is given up is not reset, "" if it is.
+func (f *balancedFlow) silence(now time.Time) string {
+	switch {
+	case f.uncertain:
+		return reasonUncertain
+	case now.Sub(f.copyAt) >= CopyTime:
+		return reasonCopyDue
+	default:
+		return ""
+	}
+}
+
 func (b *Balancer) accepted(now time.Time, from netip.AddrPort, message Accepted) {
 	b.board.takeAnswer(now, from, message.Load)
 	known := b.flows[message.Key]
