--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -13,14 +13,18 @@
 const (
 	HalfOpenTime = 3 * time.Second // after which a flow that was not confirmed is forgotten
 	BusyTime     = 5 * time.Second // after which a request without an answer no longer counts as work
-	// The same for a flow that the caller has not confirmed, which may have opened at
-	// another back end or not at all: some times as long as callers take to confirm.
+	EndedTime    = 5 * time.Second // for which a flow that has ended is remembered
+	tentativeTTL = 2 * time.Second // for which a datagram tried at the back end may be answered
+)
+
+// A flow that its caller has not confirmed counts as work for confirmPatience times as
+// long as callers take to confirm, within these bounds: it may have opened at another
+// back end, or not at all.
+const (
 	leastUnconfirmedTime = 40 * time.Millisecond
 	mostUnconfirmedTime  = 300 * time.Millisecond
 	confirmPatience      = 4
-	confirmDecay         = 16              // by whose part the time follows a shorter one; a longer one at once
-	EndedTime            = 5 * time.Second // for which a flow that has ended is remembered
-	tentativeTTL         = 2 * time.Second // for which a datagram tried at the back end may be answered
+	confirmDecay         = 16 // that time follows a longer one at once, a shorter one by this part
 )
 
 // AgentOptions are what an agent's decider is made of.
