Agents learn of new balancers within a second again

Change: a balancer's statuses to agents carry up to 16 addresses again, brief ones too, once a second (as before the brief statuses).

--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// TestAddedBalancerIsHeardByAgents: agents learn of it from the other balancers.
+func TestAddedBalancerIsHeardByAgents(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 11)
+	f.run(20 * time.Second)
+	added := contactAddress(RoleBalancer, 4)
+	f.contacts[added] = NewContacts(added, RoleBalancer)
+	f.contacts[added].Add(f.now, contactAddress(RoleBalancer, 0), true)
+	f.statuses[added] = Status{ID: "added", Role: RoleBalancer, Incarnation: 1}
+	f.run(1500 * time.Millisecond)
+	is.Equal(f.contacts[added].CountHeard(f.now), 15)
+}
+
 // TestEveryAgentIsHeardByBalancers starts from one seed.
 func TestEveryAgentIsHeardByBalancers(t *testing.T) {
 	is := is.New(t)
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -15,7 +15,7 @@
 	agentStatusPerPeer  = 40 * time.Millisecond   // added for each such balancer above agentStatusFree
 	agentStatusFree     = 5                       // such balancers that cost no time
 	maximumAgentStatus  = time.Second             // at most
-	subscribeInterval   = 2 * time.Second         // from a balancer to an agent it places flows on
+	subscribeInterval   = time.Second             // from a balancer to an agent it places flows on
 	SubscriptionTime    = 6 * time.Second         // for which one such status counts
 	helloInterval       = time.Second             // to those that need no more than to know of each other, at least
 	helloPerPeer        = 100 * time.Millisecond  // for each of them: the interval is the sum, if that is more
@@ -40,7 +40,7 @@
 	Interval  time.Duration // until it is told again
 	Subscribe bool          // it is asked to tell its load often
 	Brief     bool          // it has been told whole statuses, the latest not long ago
-	Peers     int           // how many addresses it is told; 0 with Brief
+	Peers     int           // how many addresses it is told at most
 }
 
 // Due returns whom to tell the status now. With urgent, all who need the news are
@@ -71,16 +71,19 @@
 // chooseForm decides how much of the status a process is told.
 func (c *Contacts) chooseForm(now time.Time, known *contact, told *Due) {
 	introduced := known.heardLately(now) && known.wholes >= firstWholes
+	if c.role == RoleBalancer && known.status.Role == RoleAgent {
+		told.Peers = MaximumPeersTold // agents learn of new balancers from others only
+	}
 	if introduced && now.Sub(known.whole) < wholeInterval {
 		told.Brief = true
 		return
 	}
 	known.whole = now
 	known.wholes++
-	told.Peers = MaximumPeersTold
-	if introduced {
-		told.Peers = fewPeersTold
+	if !introduced {
+		told.Peers = MaximumPeersTold
 	}
+	told.Peers = max(told.Peers, fewPeersTold)
 }
 
 func (k *contact) wants(now time.Time) bool { return now.Before(k.subscription) }
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -79,10 +79,10 @@
 	Peers       []netip.AddrPort    // some processes that the sender has heard lately
 }
 
-// Brief returns the status without what stays the same for the life of the process
-// and without peers. Whoever has heard a whole one completes it (Contacts.Complete).
+// Brief returns the status without what stays the same for the life of the process.
+// Whoever has heard a whole one completes it (Contacts.Complete).
 func (s Status) Brief() Status {
-	s.ID, s.Role, s.Zone, s.Region, s.Service, s.Peers = "", 0, "", "", "", nil
+	s.ID, s.Role, s.Zone, s.Region, s.Service = "", 0, "", "", ""
 	return s
 }
 
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -22,11 +22,11 @@
 	for _, to := range due {
 		told.Interval = to.Interval
 		told.Subscribe = to.Subscribe
+		told.Peers = n.contacts.Tell(now, to.Peers)
 		if to.Brief {
 			n.send(to.Address, told.Brief())
 			continue
 		}
-		told.Peers = n.contacts.Tell(now, to.Peers)
 		n.send(to.Address, told)
 	}
 }
