--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -55,16 +55,6 @@
 	inbox   []func() // what has come while it was frozen
 }
 
-// worldCaller is one caller's flow.
-type worldCaller struct {
-	key      flow.Key
-	opening  uint32
-	openAt   *worldBackend // back end whose number it acknowledged
-	number   uint32
-	answered int  // datagrams of its back end
-	reset    bool // by the system
-}
-
 // world is everything.
 type world struct {
 	now       time.Time
@@ -203,13 +193,6 @@
 	return true
 }
 
-// fromCaller sends a caller's datagram through any balancer that is up.
-func (w *world) fromCaller(datagram Datagram) {
-	datagram.Bytes = encodeWorld(datagram)
-	balancer := w.balancers[w.random.IntN(len(w.balancers))]
-	w.reach(balancer, func() { w.performBalancer(balancer, balancer.decider.FromCaller(w.now, &datagram)) })
-}
-
 // reach lets a balancer handle something that is on its way to it; a frozen one does
 // so once it runs again.
 func (w *world) reach(balancer *worldBalancer, handle func()) {
@@ -244,20 +227,6 @@
 	}
 }
 
-// resetCaller notes a reset of the system's own. It breaks the promise when the
-// flow is open at a back end that lives.
-func (w *world) resetCaller(key flow.Key) {
-	caller := w.callers[key]
-	if caller == nil {
-		return
-	}
-	w.resets++
-	caller.reset = true
-	if caller.openAt != nil && caller.openAt.alive && caller.openAt.open[key] {
-		w.violation = fmt.Sprintf("flow %v was reset while its back end %s held it", key, caller.openAt.id)
-	}
-}
-
 func (w *world) toAgent(from *worldBalancer, send Send) {
 	for _, agent := range w.agents {
 		if agent.address != send.To {
@@ -347,69 +316,3 @@
 		w.performAgent(agent, agent.decider.FromBackend(w.now, &answer))
 	}
 }
-
-// toCaller delivers a back end's datagram: the caller opens its flow at the first
-// back end that accepts it.
-func (w *world) toCaller(backend *worldBackend, datagram Datagram) {
-	caller := w.callers[datagram.Key]
-	w.later(func() {
-		switch {
-		case datagram.Kind == Accept && caller.openAt == nil && !caller.reset:
-			caller.openAt, caller.number = backend, datagram.Number
-			w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
-		case datagram.Kind == Data && caller.openAt == backend:
-			caller.answered++
-		case datagram.Kind == Data:
-			w.violation = fmt.Sprintf("flow %v got data of back end %s, which does not hold it", caller.key, backend.id)
-		}
-	})
-}
-
-// call lets a caller open a flow and exchange one datagram. It says whether it was answered.
-func (w *world) call(port uint16) bool {
-	caller := &worldCaller{key: flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress},
-		opening: w.random.Uint32()}
-	w.callers[caller.key] = caller
-	for copies := range uint32(4) {
-		if caller.openAt == nil && !caller.reset {
-			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening, Copies: copies})
-		}
-		w.pass(callerPause)
-		if caller.answered > 0 {
-			return true
-		}
-	}
-	return w.exchange(caller)
-}
-
-// exchange sends a datagram on an open flow until it is answered.
-func (w *world) exchange(caller *worldCaller) bool {
-	if caller.openAt == nil {
-		return false
-	}
-	before := caller.answered
-	for range callerPatience {
-		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
-		w.pass(callerPause)
-		if caller.answered > before {
-			return true
-		}
-	}
-	return false
-}
-
-// worldBytes keeps the datagrams of the test world by the bytes that stand for them.
-var worldBytes = map[string]Datagram{}
-
-func encodeWorld(datagram Datagram) []byte {
-	datagram.Bytes = nil
-	bytes := fmt.Appendf(nil, "%+v", datagram)
-	worldBytes[string(bytes)] = datagram
-	return bytes
-}
-
-func decodeWorld(bytes []byte) Datagram {
-	datagram := worldBytes[string(bytes)]
-	datagram.Bytes = bytes
-	return datagram
-}
