A datagram that waited unread is not taken for fresh; the lease on being alive is read without waiting

It stamped their arrival when it handled them, not when they can have come, and trusted everything 500 ms after the pause. A datagram held at the very time of the last unconfirmed look kept its marks, too.

Change: wire.Socket tells each receiver the earliest time at which a datagram can have come (the latest time at which the socket was seen empty); flow trusts marks only of datagrams that came after the pause, and holds what it must not trust until the socket has been emptied since. The lease is published as the time at which it ends (membership.ConfirmedUntil).

--- a/flow/action.go
+++ b/flow/action.go
@@ -12,7 +12,8 @@
 	Route   Route
 	Payload []byte // read only for a QUIC connection id
 
-	// Arrived is when the datagram came, for one that was held; zero: now.
+	// Arrived is the earliest time at which the datagram can have come to this
+	// process, its wait in the socket included; zero: it comes now.
 	Arrived time.Time
 }
 
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -210,6 +210,7 @@
 // Handle decides on one datagram.
 func (d *Decider) Handle(now time.Time, packet Packet) Action {
 	d.Observe(now)
+	d.trust.noteArrival(now, packet.Arrived)
 	if packet.Route.Hops > MaximumHops {
 		return Action{Kind: Drop, Reason: DropLoop}
 	}
--- a/flow/row_test.go
+++ b/flow/row_test.go
@@ -203,6 +203,62 @@
 	is.Equal(handle(settled, chosen).Kind, Deliver)
 }
 
+// TestBacklogReadLateIsNotTrusted checks that an agent which reads what waited
+// in its socket slowly, after a pause, does not take it for fresh: the flow may
+// be open elsewhere by then (seen once in TestPartitions of the integration
+// tests: a flow at two back ends).
+func TestBacklogReadLateIsNotTrusted(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{IdleTimeout: time.Minute})
+	decider.SetSnapshot(snapshot)
+	chosen := Route{Revision: 1, Step: StepAdmit, Chosen: 0}
+	handle := func(now, arrived time.Time, caller int) Action {
+		key := Key{Caller: address("198.51.100.7:%d", caller), Service: service.Address}
+		return decider.Handle(now, Packet{Key: key, Route: chosen, Arrived: arrived})
+	}
+	paused := time.Unix(0, 0)
+	decider.Observe(paused)
+	resumed := paused.Add(5 * time.Second)
+	decider.Observe(resumed)
+	late := resumed.Add(950 * time.Millisecond)
+	decider.Observe(late)
+	is.Equal(handle(late, paused, 1).Kind, Hold) // more may wait in the socket
+
+	settled := late.Add(50 * time.Millisecond)
+	is.Equal(handle(settled, late, 2).Kind, Deliver) // the socket was empty after the pause
+	action := handle(settled, paused, 1)
+	is.Equal(action.Kind, Forward)
+	is.Equal(action.Hop.Route.Step, StepSearch)
+}
+
+// TestDatagramHeldWhileUnconfirmedIsSearchedAgain checks that a datagram which
+// came at the very time at which the agent was last unconfirmed does not keep
+// its marks.
+func TestDatagramHeldWhileUnconfirmedIsSearchedAgain(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	confirmed := false
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{
+		IdleTimeout: time.Minute,
+		Confirmed:   func(time.Time) bool { return confirmed },
+	})
+	decider.SetSnapshot(snapshot)
+	arrived := time.Unix(0, 0)
+	packet := Packet{
+		Key:     Key{Caller: address("198.51.100.7:1"), Service: service.Address},
+		Route:   Route{Revision: 1, Step: StepAdmit, Chosen: 0},
+		Arrived: arrived,
+	}
+	is.Equal(decider.Handle(arrived, packet).Kind, Hold)
+	confirmed = true
+	is.True(decider.Handle(arrived.Add(50*time.Millisecond), packet).Kind != Deliver)
+}
+
 // TestNewConnectionLeavesALeavingBackend checks that the first datagram of a new
 // QUIC connection is not kept by a leaving back end because an older connection
 // of the same caller's address is there, and that the older one is.
--- a/flow/trust.go
+++ b/flow/trust.go
@@ -18,7 +18,8 @@
 // searched for everywhere, which no longer holds, so its search starts again.
 type trust struct {
 	observed time.Time // latest observation
-	since    time.Time // datagrams that arrived before are out of date
+	since    time.Time // datagrams that may have arrived before are out of date
+	drained  time.Time // what arrived before has been read
 }
 
 func (t *trust) observe(now time.Time, confirmed bool) {
@@ -31,13 +32,27 @@
 	t.observed = now
 }
 
-// isStale says whether the marks of a datagram that arrived then are out of date.
+// isStale says whether the marks of a datagram may be out of date, given the
+// earliest time at which it can have arrived.
 func (t *trust) isStale(now, arrived time.Time) bool {
+	if arrived.IsZero() {
+		return now.Before(t.since)
+	}
+	return !arrived.After(t.since)
+}
+
+// noteArrival notes that all datagrams have been read that came before this one
+// can have arrived.
+func (t *trust) noteArrival(now, arrived time.Time) {
 	if arrived.IsZero() {
 		arrived = now
 	}
-	return arrived.Before(t.since)
+	if arrived.After(t.drained) {
+		t.drained = arrived
+	}
 }
 
-// isPending says whether datagrams of before may still arrive.
-func (t *trust) isPending(now time.Time) bool { return now.Before(t.since) }
+// isPending says whether datagrams of before may still wait to be read.
+func (t *trust) isPending(now time.Time) bool {
+	return now.Before(t.since) || !t.drained.After(t.since)
+}
--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -15,14 +15,14 @@
 type selfAddress = netip.AddrPort
 
 // handle takes one received datagram.
-func (o *owner) handle(now time.Time, datagram *buffer.Buffer) {
+func (o *owner) handle(now time.Time, datagram receivedDatagram) {
 	o.metrics.received.Inc()
-	o.decide(now, now, datagram)
+	o.decide(now, waitingDatagram{datagram, now})
 }
 
-// decide does what the decider says about a datagram that has waited since then.
-// It takes the buffer over.
-func (o *owner) decide(now, since time.Time, datagram *buffer.Buffer) {
+// decide does what the decider says about a datagram. It takes the buffer over.
+func (o *owner) decide(now time.Time, entry waitingDatagram) {
+	datagram := entry.Buffer
 	envelope, headerLength, err := o.decoder.Decode(datagram.Bytes)
 	if err == nil && !envelope.HasRoute {
 		err = fault.New(fault.Invalid, "datagram of %v without a route", envelope.Key.Caller)
@@ -36,7 +36,7 @@
 		Key:     envelope.Key,
 		Route:   envelope.Route,
 		Payload: datagram.Bytes[headerLength:],
-		Arrived: since,
+		Arrived: entry.arrived,
 	}
 	action := o.decider.Handle(now, packet)
 	switch action.Kind {
@@ -48,9 +48,9 @@
 		o.forward(action.Hop, packet)
 		datagram.Release()
 	case flow.Wait:
-		o.wait(packet.Route.Revision, waitingDatagram{datagram, since})
+		o.wait(packet.Route.Revision, entry)
 	case flow.Hold:
-		o.hold(waitingDatagram{datagram, since})
+		o.hold(entry)
 	case flow.Absorb:
 		datagram.Release()
 	default:
@@ -122,7 +122,7 @@
 // hold keeps the datagram for a later look, and says whether there was room.
 func (o *owner) hold(entry waitingDatagram) bool {
 	if !o.waiting.put(entry) {
-		entry.datagram.Release()
+		entry.Release()
 		o.drop(dropWaitingFull, nil)
 		return false
 	}
--- a/internal/agent/owner.go
+++ b/internal/agent/owner.go
@@ -9,7 +9,6 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/flow"
-	"github.com/burlmill/burlmill/internal/agent/buffer"
 	"github.com/burlmill/burlmill/internal/agent/returnpath"
 	"github.com/burlmill/burlmill/internal/agent/tcpflow"
 	"github.com/burlmill/burlmill/internal/agent/udpflow"
@@ -44,7 +43,7 @@
 	leaving      bool
 	limitPassed  bool // the drain limit has passed
 
-	inbox   chan *buffer.Buffer
+	inbox   chan receivedDatagram
 	changed chan struct{} // a newer snapshot is in force
 }
 
@@ -97,7 +96,7 @@
 // lookAgain decides once more on the datagrams that wait.
 func (o *owner) lookAgain(now time.Time) {
 	for _, entry := range o.waiting.takeAll() {
-		o.decide(now, entry.since, entry.datagram)
+		o.decide(now, entry)
 	}
 }
 
@@ -148,7 +147,7 @@
 
 func (o *owner) dropExpiredWaiting(now time.Time) {
 	for _, entry := range o.waiting.takeExpired(now) {
-		entry.datagram.Release()
+		entry.Release()
 		o.drop(dropWaitedLong, nil)
 	}
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -51,7 +51,7 @@
 // open starts the parts one by one, each with those it needs.
 func (p *process) open(options Options) (err error) {
 	metrics := newMetrics()
-	inbox := make(chan *buffer.Buffer, inboxCapacity)
+	inbox := make(chan receivedDatagram, inboxCapacity)
 	ready := new(atomic.Bool)
 	if p.observations, err = observability.Serve(options.Metrics, metrics.registry, ready.Load); err != nil {
 		return err
@@ -131,12 +131,12 @@
 
 // receiver copies each datagram for the owner. If the owner cannot keep up, the
 // datagram is dropped, as by a full socket buffer.
-func receiver(inbox chan<- *buffer.Buffer, metrics *metrics) wire.Receiver {
+func receiver(inbox chan<- receivedDatagram, metrics *metrics) wire.Receiver {
 	full := metrics.dropped.WithLabelValues(string(dropInboxFull))
-	return func(datagram []byte, _ netip.AddrPort) {
+	return func(datagram []byte, _ netip.AddrPort, arrived time.Time) {
 		copied := buffer.Join(datagram)
 		select {
-		case inbox <- copied:
+		case inbox <- receivedDatagram{copied, arrived}:
 		default:
 			copied.Release()
 			full.Inc()
--- a/internal/agent/waiting.go
+++ b/internal/agent/waiting.go
@@ -13,11 +13,16 @@
 	maximumWait         = 2 * time.Second
 )
 
-// waitingDatagram is a datagram that was sent by a newer configuration than the
-// one in force here.
+// receivedDatagram is a datagram on its way to the decider.
+type receivedDatagram struct {
+	*buffer.Buffer
+	arrived time.Time // the earliest time at which it can have come, as in flow.Packet
+}
+
+// waitingDatagram is a datagram that the decider has put off.
 type waitingDatagram struct {
-	datagram *buffer.Buffer
-	since    time.Time
+	receivedDatagram
+	since time.Time // when it was handled first
 }
 
 // waitingQueue holds datagrams in the order in which they began to wait.
@@ -29,7 +34,7 @@
 // put takes the datagram over and says whether there was room; if not, it stays
 // with the caller.
 func (w *waitingQueue) put(entry waitingDatagram) bool {
-	size := len(entry.datagram.Bytes)
+	size := len(entry.Bytes)
 	if len(w.entries) >= maximumWaiting || w.bytes+size > maximumWaitingBytes {
 		return false
 	}
@@ -49,7 +54,7 @@
 func (w *waitingQueue) takeExpired(now time.Time) []waitingDatagram {
 	count := 0
 	for count < len(w.entries) && now.Sub(w.entries[count].since) >= maximumWait {
-		w.bytes -= len(w.entries[count].datagram.Bytes)
+		w.bytes -= len(w.entries[count].Bytes)
 		count++
 	}
 	expired := w.entries[:count:count]
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -113,7 +113,7 @@
 }
 
 // receive is called by the socket.
-func (b *balancer) receive(datagram []byte, from netip.AddrPort) {
+func (b *balancer) receive(datagram []byte, from netip.AddrPort, _ time.Time) {
 	b.received.Add(1)
 	if forwarder := b.forwarder.Load(); forwarder != nil {
 		forwarder.receive(datagram, from)
--- a/internal/balancer/forwarder_bench_test.go
+++ b/internal/balancer/forwarder_bench_test.go
@@ -46,9 +46,9 @@
 	datagrams := benchmarkDatagrams(b, &service, size)
 
 	var plain, balancing *measuredSocket
-	plain = listenMeasured(b, func(datagram []byte, _ netip.AddrPort) { _ = plain.socket.Send(datagram, sink) })
+	plain = listenMeasured(b, func(datagram []byte, _ netip.AddrPort, _ time.Time) { _ = plain.socket.Send(datagram, sink) })
 	var handler *forwarder
-	balancing = listenMeasured(b, func(datagram []byte, from netip.AddrPort) { handler.receive(datagram, from) })
+	balancing = listenMeasured(b, func(datagram []byte, from netip.AddrPort, _ time.Time) { handler.receive(datagram, from) })
 	handler = newTestForwarder(configuration, balancing.socket, 2*benchmarkSenders*benchmarkFlows)
 
 	plain.round(b, datagrams)
@@ -92,8 +92,8 @@
 
 func listenMeasured(b *testing.B, receive wire.Receiver) *measuredSocket {
 	measured := &measuredSocket{}
-	socket, err := wire.Listen(anyLoopback, func(datagram []byte, from netip.AddrPort) {
-		receive(datagram, from)
+	socket, err := wire.Listen(anyLoopback, func(datagram []byte, from netip.AddrPort, arrived time.Time) {
+		receive(datagram, from, arrived)
 		measured.handled.Add(1)
 	})
 	is.New(b).NoErr(err)
@@ -142,7 +142,7 @@
 
 // startSink returns the address of a socket that reads and forgets.
 func startSink(b *testing.B) netip.AddrPort {
-	socket, err := wire.Listen(anyLoopback, func([]byte, netip.AddrPort) {})
+	socket, err := wire.Listen(anyLoopback, func([]byte, netip.AddrPort, time.Time) {})
 	is.New(b).NoErr(err)
 	b.Cleanup(func() { _ = socket.Close() })
 	return socket.LocalAddress()
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -54,8 +54,10 @@
 	stop    context.CancelFunc
 	workers sync.WaitGroup
 	view    atomic.Pointer[view]
-	reading atomic.Bool  // this node is a reader of the store
-	pulled  atomic.Int64 // Unix time in nanoseconds of the latest Pull that asked
+	// confirmedUntil is when the lease on being alive ends; never nil.
+	confirmedUntil atomic.Pointer[time.Time]
+	reading        atomic.Bool  // this node is a reader of the store
+	pulled         atomic.Int64 // Unix time in nanoseconds of the latest Pull that asked
 
 	subscribersMutex sync.Mutex
 	subscribers      []func(*catalog.Snapshot)
@@ -86,6 +88,7 @@
 		context: ctx,
 		stop:    stop,
 	}
+	node.confirmedUntil.Store(new(time.Time))
 	node.view.Store(node.buildView())
 	node.reader = newReader(node)
 	node.server = newServer(node, listener)
@@ -127,6 +130,7 @@
 			n.apply(n.decider.Tick(time.Now()))
 			n.reader.update()
 		}
+		n.publishLease(time.Now())
 		n.publish()
 	}
 }
@@ -189,18 +193,10 @@
 func (n *Node) ControlAddress() netip.AddrPort { return n.options.Node.ControlAddress }
 
 // SelfConfirmed says whether this process's lease on being alive is current:
-// nobody can have declared it dead by now.
+// nobody can have declared it dead by now. The data path asks for each datagram,
+// so it does not wait for the owner of the decider.
 func (n *Node) SelfConfirmed() bool {
-	answer := make(chan bool, 1)
-	if !n.post(func(now time.Time) { answer <- n.decider.Members().SelfConfirmed(now) }) {
-		return false
-	}
-	select {
-	case confirmed := <-answer:
-		return confirmed
-	case <-n.context.Done():
-		return false
-	}
+	return n.context.Err() == nil && time.Now().Before(*n.confirmedUntil.Load())
 }
 
 // Pull asks neighbours at once for the configuration if the revision is above
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/membership"
@@ -36,6 +37,14 @@
 // may have changed.
 func (n *Node) MembershipVersion() uint64 { return n.view.Load().version }
 
+// publishLease makes the end of the lease on being alive known.
+func (n *Node) publishLease(now time.Time) {
+	until := n.decider.Members().ConfirmedUntil(now)
+	if !until.Equal(*n.confirmedUntil.Load()) {
+		n.confirmedUntil.Store(&until)
+	}
+}
+
 // publish replaces the view if the decider's state has changed.
 func (n *Node) publish() {
 	current := n.view.Load()
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -58,7 +58,7 @@
 	if err := a.open(); err != nil {
 		return err
 	}
-	data, err := wire.Listen(a.settings.Node.DataAddress, func([]byte, netip.AddrPort) {})
+	data, err := wire.Listen(a.settings.Node.DataAddress, func([]byte, netip.AddrPort, time.Time) {})
 	if err != nil {
 		return err
 	}
@@ -116,7 +116,7 @@
 }
 
 // receiveBackend is called by the socket.
-func (a *agent) receiveBackend(bytes []byte, from netip.AddrPort) {
+func (a *agent) receiveBackend(bytes []byte, from netip.AddrPort, _ time.Time) {
 	if a.outbound.Load() == nil {
 		return
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -116,7 +116,7 @@
 }
 
 // receiveCaller is called by the socket.
-func (b *balancer) receiveCaller(bytes []byte, from netip.AddrPort) {
+func (b *balancer) receiveCaller(bytes []byte, from netip.AddrPort, _ time.Time) {
 	if b.socket.Load() == nil {
 		return
 	}
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -62,7 +62,7 @@
 }
 
 // receivePeer is called by the socket.
-func (n *node) receivePeer(datagram []byte, from netip.AddrPort) {
+func (n *node) receivePeer(datagram []byte, from netip.AddrPort, _ time.Time) {
 	n.metrics.datagrams.WithLabelValues(sourcePeer).Inc()
 	message, err := Decode(datagram)
 	if err != nil {
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 
@@ -20,7 +21,9 @@
 )
 
 // Receiver takes one received datagram. The bytes are valid only during the call.
-type Receiver func(datagram []byte, from netip.AddrPort)
+// arrived is the earliest time at which the datagram can have come, however long
+// it has waited to be read: the latest one known at which none was waiting.
+type Receiver func(datagram []byte, from netip.AddrPort, arrived time.Time)
 
 // Socket is a UDP socket driven by nbio. Send may be called from any goroutine.
 type Socket struct {
@@ -31,12 +34,14 @@
 	engine     *nbio.Engine // watches this socket alone
 	reader     datagramReader
 	open       atomic.Bool // also orders Listen's writes before the poller's reads
+	emptied    time.Time   // no datagram that came before is unread; written by the poller alone
 	close      sync.Once
 }
 
 // Listen opens a UDP socket at the address; port 0 takes a free port. receive is
 // called from one goroutine, which serves no other socket. Errors are of kind fault.Unavailable.
 func Listen(address netip.AddrPort, receive Receiver) (*Socket, error) {
+	opened := time.Now() // before the first datagram can arrive
 	connection, err := net.ListenUDP(network(address), net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "listen on %v", address)
@@ -48,6 +53,7 @@
 		local:      canonical(connection.LocalAddr().(*net.UDPAddr).AddrPort()),
 		receive:    receive,
 		connection: connection,
+		emptied:    opened,
 	}
 	if err := socket.attach(); err != nil {
 		_ = connection.Close()
@@ -151,14 +157,16 @@
 	if !ok {
 		return
 	}
+	began := time.Now()
 	for range readsPerEvent {
 		if !socket.open.Load() {
 			return
 		}
 		datagram, from, ok := socket.reader.next()
 		if !ok {
+			socket.emptied = began
 			return
 		}
-		socket.receive(datagram, from)
+		socket.receive(datagram, from, socket.emptied)
 	}
 }
--- a/internal/wire/socket_test.go
+++ b/internal/wire/socket_test.go
@@ -29,7 +29,7 @@
 func listen(t testing.TB, address string) (*Socket, chan received) {
 	t.Helper()
 	channel := make(chan received, 1000)
-	socket, err := Listen(netip.MustParseAddrPort(address), func(datagram []byte, from netip.AddrPort) {
+	socket, err := Listen(netip.MustParseAddrPort(address), func(datagram []byte, from netip.AddrPort, _ time.Time) {
 		channel <- received{bytes.Clone(datagram), from}
 	})
 	is.New(t).NoErr(err)
@@ -94,7 +94,7 @@
 
 func exchangeOnce(t *testing.T, sent []byte) {
 	arrived := make(chan received, 10)
-	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(datagram []byte, from netip.AddrPort) {
+	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(datagram []byte, from netip.AddrPort, _ time.Time) {
 		arrived <- received{bytes.Clone(datagram), from}
 	})
 	if err != nil {
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Heard notes proof of life: a request or a response from the member itself.
 func (m *Machine) Heard(now time.Time, id string) {
@@ -31,20 +35,27 @@
 	}
 }
 
-// SelfConfirmed says whether the member's lease on being alive is current: two
-// monitors have heard it within the suspicion time, so that two of three cannot
-// suspect it. In a region of two or three members one is enough. A member that
-// has lost everyone it knew is not confirmed; one that never knew anyone is. It
-// does not exclude that members on the other side of a partition within the
-// region have declared the member dead.
+// SelfConfirmed says whether the member's lease on being alive is current.
 func (m *Machine) SelfConfirmed(now time.Time) bool {
-	fresh := 0
-	for _, sent := range m.confirmations {
-		if now.Sub(sent) < SuspicionTime {
-			fresh++
-		}
+	return now.Before(m.ConfirmedUntil(now))
+}
+
+// ConfirmedUntil returns when the member's lease on being alive ends, by what is
+// known now: two monitors have heard it within the suspicion time before, so that
+// two of three cannot suspect it. In a region of two or three members one is
+// enough. A member that has lost everyone it knew is not confirmed; one that
+// never knew anyone is. It does not exclude that members on the other side of a
+// partition within the region have declared the member dead.
+func (m *Machine) ConfirmedUntil(now time.Time) time.Time {
+	needed := min(2, (m.othersInRegion()+1)/2)
+	if needed == 0 {
+		return now.Add(SuspicionTime)
+	}
+	if len(m.confirmations) < needed {
+		return time.Time{}
 	}
-	return fresh >= min(2, (m.othersInRegion()+1)/2)
+	latestFirst := slices.SortedFunc(maps.Values(m.confirmations), func(a, b time.Time) int { return b.Compare(a) })
+	return latestFirst[needed-1].Add(SuspicionTime)
 }
 
 // othersInRegion counts the members of the own region that have not said that
