A reset that was lost is sent again

If the reset was lost, the caller's next copy looked like one whose first datagram had gone elsewhere, which is never reset: the caller waited for its patience to end. Where a copy is missing the caller still gets silence. Openings without a route are forgotten as before. Test first: handshake.TestLostResetIsSentAgain.

--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// TestLostResetIsSentAgain: a caller whose reset was lost sends its next copy. If
+// every copy came here, no other balancer can have opened the flow meanwhile, so
+// the caller is told again. It used to be met with silence.
+func TestLostResetIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b.Configure(holdTable(t, 1))
+	now = advance(b, now, YoungTime)
+	leaving := Status{Role: RoleAgent, Service: worldService}
+	open := func(copies uint32) []Action {
+		b.Tick(now)
+		b.TakeStatus(now, holdAgent, leaving)
+		return b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Copies: copies, Bytes: []byte{1}})
+	}
+	is.True(hasReset(open(0)))
+	now = advance(b, now, 200*time.Millisecond)
+	is.True(hasReset(open(1)))
+	now = advance(b, now, 800*time.Millisecond)
+	is.True(!hasReset(open(3))) // one went elsewhere
+}
+
 // TestOpeningThatWaitedThroughAPauseIsNotReset: a process that was frozen reads what
 // came meanwhile; the caller's copies may have opened the flow through others.
 func TestOpeningThatWaitedThroughAPauseIsNotReset(t *testing.T) {
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -120,11 +120,21 @@
 	}
 }
 
-// reject tells the caller that its flow does not open.
+// reject tells the caller that its flow does not open. The opening is remembered for
+// a while: if the reset is lost, the next copy is offered again, and its caller told
+// again.
 func (b *Balancer) reject(now time.Time, known *balancedFlow) {
-	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Reason: known.silence(now),
+	reason := known.silence(now)
+	b.act(Decision{Event: EventRejected, Key: known.key, Service: known.service, Reason: reason,
 		Version: b.table.Version(), Attempts: len(known.tried)})
-	b.refuse(now, known)
+	if reason != "" {
+		b.forget(known)
+		return
+	}
+	b.act(ResetCaller{Key: known.key})
+	b.settle(known)
+	b.release(known)
+	known.beginAgain()
 }
 
 // refuse forgets an opening and resets its caller, unless the flow may be open: a
@@ -136,6 +146,12 @@
 	}
 }
 
+// beginAgain lets a remembered opening be offered as if it had just come.
+func (f *balancedFlow) beginAgain() {
+	f.tried, f.refused = nil, 0
+	f.heldAt = time.Time{}
+}
+
 // silence returns why the caller of an opening that is given up is not reset, "" if it is.
 func (f *balancedFlow) silence(now time.Time) string {
 	switch {
