Agents are told of new balancers only; fewer and smaller statuses

Change: addresses of balancers that appeared within the last 3.5 statuses go to agents on which flows are placed; whole statuses come once a minute, and a whole status from a process that was told brief ones is answered by a whole one (it may have forgotten this process: TestForgottenProcessIsToldWholeStatusesSoon); intervals to agents grow above 17 of them. Most that one balancer sends, deciders alone (go test ./handshake -run Grow -v, before: at 8 s, now in the steady state after 45 s): 30 processes 5.8 -> 1.6 KB/s, 100: 12.8 -> 2.2, 200: 15.6 -> 2.4; agents 1.5 -> 1.5, 2.1 -> 1.9, 3.0 -> 2.0. The test now holds 3,000 bytes a second.

--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -25,6 +25,7 @@
 	address      netip.AddrPort
 	status       Status
 	heard        time.Time // zero: never
+	appeared     time.Time // when it was first heard, or heard to have started anew
 	added        time.Time
 	next         time.Time // when it is told the status again
 	whole        time.Time // when it was last told a whole one
@@ -56,10 +57,13 @@
 // has said. It says false where none was heard: then the process is told of this one,
 // and sees from the incarnation that it must send whole statuses again.
 func (c *Contacts) Complete(now time.Time, from netip.AddrPort, status Status) (Status, bool) {
+	known := c.contacts[from]
 	if !status.IsBrief() {
+		if known != nil && now.Sub(known.whole) > answerWhole {
+			known.whole = time.Time{} // it may have forgotten this process
+		}
 		return status, true
 	}
-	known := c.contacts[from]
 	if known == nil || known.heard.IsZero() || known.status.Incarnation != status.Incarnation {
 		c.Add(now, from, false)
 		if added := c.contacts[from]; added != nil {
@@ -82,6 +86,7 @@
 	news = known.heard.IsZero() || known.status.Incarnation != status.Incarnation
 	if news {
 		known.next = now
+		known.appeared = now
 		known.wholes = 0
 		c.nextSelection = now
 	}
@@ -171,25 +176,35 @@
 	return !known.seed && now.Sub(last) > ContactForgetTime
 }
 
-// Tell returns the addresses of at most so many balancers heard of late, others each
-// time.
-func (c *Contacts) Tell(now time.Time, most int) []netip.AddrPort {
-	var balancers []netip.AddrPort
+// Tell returns the addresses of balancers heard of late that a process is to be told:
+// those that appeared within its time of news, and so many others, others each time.
+func (c *Contacts) Tell(now time.Time, due Due) []netip.AddrPort {
+	var news, others []netip.AddrPort
 	for address, known := range c.contacts {
-		if known.heardLately(now) && known.status.Role == RoleBalancer && !known.status.Leaving {
-			balancers = append(balancers, address)
+		switch {
+		case !known.heardLately(now) || known.status.Role != RoleBalancer || known.status.Leaving:
+		case now.Sub(known.appeared) <= due.News:
+			news = append(news, address)
+		case due.Peers > 0:
+			others = append(others, address)
 		}
 	}
-	slices.SortFunc(balancers, netip.AddrPort.Compare)
-	if len(balancers) <= most {
-		return balancers
+	told := c.pick(news, MaximumPeersTold)
+	return append(told, c.pick(others, due.Peers-len(told))...)
+}
+
+// pick returns at most so many of the addresses, others each time.
+func (c *Contacts) pick(addresses []netip.AddrPort, most int) []netip.AddrPort {
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	if len(addresses) <= most {
+		return addresses
 	}
-	told := make([]netip.AddrPort, 0, most)
+	picked := make([]netip.AddrPort, 0, max(0, most))
 	for range most {
-		c.told = (c.told + 1) % len(balancers)
-		told = append(told, balancers[c.told])
+		c.told = (c.told + 1) % len(addresses)
+		picked = append(picked, addresses[c.told])
 	}
-	return told
+	return picked
 }
 
 // Contact is one process that is known, for operators.
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -51,9 +51,9 @@
 		for from, contacts := range f.contacts {
 			for _, due := range contacts.Due(f.now, false) {
 				f.sent[from]++
-				f.peers[from] += due.Peers
 				status := f.statuses[from]
-				status.Interval, status.Subscribe, status.Peers = due.Interval, due.Subscribe, contacts.Tell(f.now, due.Peers)
+				status.Interval, status.Subscribe, status.Peers = due.Interval, due.Subscribe, contacts.Tell(f.now, due)
+				f.peers[from] += len(status.Peers)
 				if due.Brief {
 					f.brief[from]++
 					status = status.Brief()
@@ -127,6 +127,21 @@
 	is.Equal(f.contacts[added].CountHeard(f.now), 15)
 }
 
+// TestForgottenProcessIsToldWholeStatusesSoon: a process that was cut off one way for
+// so long that another has forgotten it does not know that, and tells it brief
+// statuses.
+func TestForgottenProcessIsToldWholeStatusesSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 4)
+	f.run(40 * time.Second)
+	agent, balancer := contactAddress(RoleAgent, 1), contactAddress(RoleBalancer, 1)
+	delete(f.contacts[balancer].contacts, agent)
+	f.run(subscribeInterval + 2*AgentStatusInterval)
+	silence, known := f.contacts[balancer].Silence(f.now, agent)
+	is.True(known)
+	is.True(silence <= subscribeInterval)
+}
+
 // TestEveryAgentIsHeardByBalancers starts from one seed.
 func TestEveryAgentIsHeardByBalancers(t *testing.T) {
 	is := is.New(t)
@@ -143,18 +158,33 @@
 	}
 }
 
+// Bytes of statuses as package relay encodes them (TestSizeOfStatuses there), with the
+// headers of UDP and IP.
+const (
+	headerBytes  = 28
+	wholeBytes   = 85
+	addressBytes = 8
+)
+
+var briefBytes = map[Role]int{RoleBalancer: 21, RoleAgent: 37}
+
 // TestStatusesDoNotGrowWithTheFleet counts what each process sends once all know
 // each other.
 func TestStatusesDoNotGrowWithTheFleet(t *testing.T) {
 	is := is.New(t)
-	const limit = 100 // statuses a second
+	const (
+		limit      = 100   // statuses a second
+		limitBytes = 3_000 // a second
+		seconds    = 15    // in which they are counted
+		window     = seconds * time.Second
+	)
 	for _, size := range []struct{ balancers, agents int }{{8, 22}, {25, 75}, {50, 150}} {
 		f := newFleet(size.balancers, size.agents)
-		f.run(8 * time.Second)
+		f.run(45 * time.Second) // two whole statuses to each, the rarest every 22 s
 		clear(f.sent)
 		clear(f.brief)
 		clear(f.peers)
-		f.run(5 * time.Second)
+		f.run(window)
 		for _, role := range []Role{RoleBalancer, RoleAgent} {
 			most, brief, peers := 0, 0, 0
 			for address, sent := range f.sent {
@@ -162,9 +192,11 @@
 					most, brief, peers = sent, f.brief[address], f.peers[address]
 				}
 			}
-			t.Logf("%d balancers, %d agents: at most %.1f statuses a second from one %v, %.1f of them brief, with at most %.1f addresses",
-				size.balancers, size.agents, float64(most)/5, role, float64(brief)/5, float64(peers)/5)
-			is.True(most <= 5*limit)
+			bytes := most*headerBytes + brief*briefBytes[role] + (most-brief)*wholeBytes + peers*addressBytes
+			t.Logf("%d balancers, %d agents: at most %.1f statuses a second from one %v, %.1f of them brief, with %.1f addresses, %.1f KB",
+				size.balancers, size.agents, float64(most)/seconds, role, float64(brief)/seconds, float64(peers)/seconds, float64(bytes)/1000/seconds)
+			is.True(most <= limit*seconds)
+			is.True(bytes <= limitBytes*seconds)
 		}
 	}
 }
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -15,23 +15,26 @@
 	agentStatusPerPeer  = 40 * time.Millisecond   // added for each such balancer above agentStatusFree
 	agentStatusFree     = 5                       // such balancers that cost no time
 	maximumAgentStatus  = time.Second             // at most
-	subscribeInterval   = time.Second             // from a balancer to an agent it places flows on
-	SubscriptionTime    = 6 * time.Second         // for which one such status counts
+	subscribeInterval   = time.Second             // from a balancer to an agent it places flows on, at least
+	subscribePerAgent   = 60 * time.Millisecond   // for each of them: the interval is the sum, if that is more
+	SubscriptionTime    = 10 * time.Second        // for which one such status counts
 	helloInterval       = time.Second             // to those that need no more than to know of each other, at least
-	helloPerPeer        = 100 * time.Millisecond  // for each of them: the interval is the sum, if that is more
+	helloPerPeer        = 150 * time.Millisecond  // for each of them: the interval is the sum, if that is more
 	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
 	balancerPerPeer     = 40 * time.Millisecond   // for each of them: the interval is the sum, if that is more
 	StrangerInterval    = 500 * time.Millisecond  // to a process that has not been heard
 	NewStrangerInterval = 100 * time.Millisecond  // the same while its address is new
 	NewStrangerTime     = 5 * time.Second         // for which an address is new
 	SilentInterval      = 1 * time.Second         // to a process that is no longer heard
-	firstWholes         = 3                       // whole statuses to a process that is new: one may be lost
-	wholeInterval       = 6 * time.Second         // between two whole statuses to a process that is heard; brief ones come between
+	firstWholes         = 2                       // whole statuses to a process that is new: one may be lost
+	wholeInterval       = time.Minute             // between two whole statuses to a process that is heard; brief ones come between
+	answerWhole         = wholeInterval / 2       // after a whole status to a process, its own whole one is answered by another
 	ContactTime         = 1500 * time.Millisecond // silence after which a process is not heard, if it promised no slower status
 	ContactForgetTime   = 60 * time.Second        // silence after which a process is forgotten
-	MaximumPeersTold    = 16                      // addresses in one of the first statuses
+	MaximumPeersTold    = 16                      // addresses in one of the first statuses, or of balancers that are new
 	fewPeersTold        = 3                       // addresses in one of the later ones
 	missedStatuses      = 3.5                     // intervals of silence after which a process is not heard
+	newsStatuses        = 3.5                     // intervals for which a balancer that appeared is told of to agents: one may be lost
 )
 
 // Due is a process that is to be told the status now.
@@ -40,7 +43,8 @@
 	Interval  time.Duration // until it is told again
 	Subscribe bool          // it is asked to tell its load often
 	Brief     bool          // it has been told whole statuses, the latest not long ago
-	Peers     int           // how many addresses it is told at most
+	Peers     int           // how many addresses it is told at most, beside news
+	News      time.Duration // balancers that appeared no longer ago are told to it in any case
 }
 
 // Due returns whom to tell the status now. With urgent, all who need the news are
@@ -71,8 +75,9 @@
 // chooseForm decides how much of the status a process is told.
 func (c *Contacts) chooseForm(now time.Time, known *contact, told *Due) {
 	introduced := known.heardLately(now) && known.wholes >= firstWholes
-	if c.role == RoleBalancer && known.status.Role == RoleAgent {
-		told.Peers = MaximumPeersTold // agents learn of new balancers from others only
+	if c.role == RoleBalancer && known.wants(now) {
+		// Agents learn of new balancers from others only.
+		told.News = time.Duration(newsStatuses * float64(told.Interval))
 	}
 	if introduced && now.Sub(known.whole) < wholeInterval {
 		told.Brief = true
@@ -113,7 +118,7 @@
 	case !known.wants(now):
 		return max(helloInterval, time.Duration(c.counts[known.status.Role])*helloPerPeer)
 	case c.role == RoleBalancer:
-		return subscribeInterval
+		return max(subscribeInterval, time.Duration(c.subscribed)*subscribePerAgent)
 	default:
 		return c.agentStatusInterval()
 	}
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -137,6 +137,9 @@
 	brief := whole.Brief()
 	brief.Peers = nil
 	t.Logf("whole status %d bytes, without peers %d, brief %d", size(whole), size(whole)-8*len(whole.Peers), size(brief))
+	balancer := handshake.Status{Incarnation: 1 << 63, Version: 7000, Interval: 2 * time.Second, Subscribe: true, StoreFresh: true}
+	t.Logf("brief status of a balancer %d bytes", size(balancer))
+	is.True(size(balancer) <= 37)
 	is.True(size(brief) <= 50)
 	is.True(size(whole) <= 250)
 }
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -22,7 +22,7 @@
 	for _, to := range due {
 		told.Interval = to.Interval
 		told.Subscribe = to.Subscribe
-		told.Peers = n.contacts.Tell(now, to.Peers)
+		told.Peers = n.contacts.Tell(now, to)
 		if to.Brief {
 			n.send(to.Address, told.Brief())
 			continue
