A connection id that a caller made up is not taken for an agent's

Ruled out: lost datagrams (the fabric and the agents' inboxes dropped none), the store outage, restarts of other agents. Change: an id in a long header counts only if it names a back end of the service; a server's generation is read only from an id of its own back end. Tests first: flow.TestMadeUpConnectionIDBeginsAConnection, quicserver.TestGenerationOfAMadeUpID.

--- a/flow/connection_id.go
+++ b/flow/connection_id.go
@@ -41,8 +41,10 @@
 )
 
 // ServerIDOf returns the server id in the destination connection id of a QUIC
-// datagram. It is not ok if the id was not made by NewConnectionID: the first
-// datagrams of a connection carry an id that the caller made up.
+// datagram. It is not ok if the id has not the form of NewConnectionID's. The first
+// datagrams of a connection carry an id that the caller made up, and one in some
+// thousand of those has that form: in a datagram with a long header only a server id
+// that some back end has says that the id is not made up.
 func ServerIDOf(payload []byte) (serverID uint32, ok bool) {
 	id := connectionIDOf(payload)
 	if id == nil {
@@ -51,18 +53,18 @@
 	return binary.BigEndian.Uint32(id[1:]), true
 }
 
-// NonceOf returns the nonce of the connection id that ServerIDOf reads, nil if
-// there is none. It lies in the payload.
-func NonceOf(payload []byte) []byte {
+// NonceOf returns the nonce of a connection id that names the back end with the
+// server id, nil if the datagram's does not. It lies in the payload.
+func NonceOf(payload []byte, serverID uint32) []byte {
 	id := connectionIDOf(payload)
-	if id == nil {
+	if id == nil || binary.BigEndian.Uint32(id[1:]) != serverID {
 		return nil
 	}
 	return id[1+ServerIDLength : ConnectionIDLength]
 }
 
-// connectionIDOf returns the destination connection id, nil if NewConnectionID did
-// not make it.
+// connectionIDOf returns the destination connection id, nil if it has not the form
+// of NewConnectionID's.
 func connectionIDOf(payload []byte) []byte {
 	offset := shortIDOffset
 	if isLongHeader(payload) {
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -235,10 +235,24 @@
 	if record.service.Protocol != catalog.ProtocolHTTP {
 		return false
 	}
-	if serverID, named := ServerIDOf(payload); named {
-		return serverID != record.backend.ServerID()
+	serverID, named := ServerIDOf(payload)
+	switch {
+	case named && serverID == record.backend.ServerID():
+		return false
+	case !isLongHeader(payload):
+		return named
+	case d.namesBackend(record.service, payload):
+		return true
+	default:
+		return d.leaving || d.isLeaving(record)
 	}
-	return isLongHeader(payload) && (d.leaving || d.isLeaving(record))
+}
+
+// namesBackend says whether the connection id names a back end that the service has
+// now, so that the caller has not made it up.
+func (d *Decider) namesBackend(service *catalog.Service, payload []byte) bool {
+	current := d.snapshot.Service(service.Name)
+	return current != nil && backendByServerID(current, payload) != NoBackend
 }
 
 // isLeaving says whether the flow's back end takes no new work.
--- a/flow/row_test.go
+++ b/flow/row_test.go
@@ -294,6 +294,33 @@
 	is.Equal(handle(search, append(handshake, make([]byte, 20)...)).Kind, Deliver)
 }
 
+// TestMadeUpConnectionIDBeginsAConnection checks that a connection id which the
+// caller made up, and which happens to have the form of an agent's, is not taken
+// for one: its connection could never open (1 in 3,328 did not).
+func TestMadeUpConnectionIDBeginsAConnection(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"))
+	service.Protocol = catalog.ProtocolHTTP
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{IdleTimeout: time.Minute})
+	decider.SetSnapshot(snapshot)
+	key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+	handle := func(route Route, payload []byte) Action {
+		return decider.Handle(time.Unix(0, 0), Packet{Key: key, Route: route, Payload: payload})
+	}
+	withID := func(serverID uint32) []byte {
+		id := NewConnectionID(serverID, [NonceLength]byte{1, 2, 3})
+		return append(append([]byte{0xc0, 0, 0, 0, 1, ConnectionIDLength}, id[:]...), make([]byte, 40)...)
+	}
+	madeUp := withID(0xdeadbeef)
+	is.Equal(handle(Route{Revision: 1, Step: StepAdmit, Chosen: 0}, madeUp).Kind, Deliver)
+	search := Route{Revision: 1, Step: StepSearch, Chosen: NoBackend}
+	is.Equal(handle(search, madeUp).Kind, Deliver) // the copy goes where the first one went
+	is.Equal(handle(search, withID(service.Backends[0].ServerID())).Kind, Deliver)
+	is.Equal(handle(search, withID(service.Backends[1].ServerID())).Kind, Forward)
+}
+
 // TestRefusalEndsWithItsRevision checks that a back end which refused a flow
 // while it was leaving admits it once it is active again. It used to refuse for
 // 10 s more.
--- a/internal/agent/http_backends.go
+++ b/internal/agent/http_backends.go
@@ -100,7 +100,7 @@
 // when the back end takes no new work, one that still holds the caller's flow and
 // refuses.
 func (h *httpBackends) serverFor(held *httpBackend, action flow.Action, key flow.Key, payload []byte) (*quicserver.Server, error) {
-	if generation, ok := quicserver.GenerationOf(payload); ok {
+	if generation, ok := quicserver.GenerationOf(payload, action.Backend.ServerID()); ok {
 		return held.ofGeneration(generation, action)
 	}
 	if held.leaving || h.stopping {
--- a/internal/agent/quicserver/connection_id.go
+++ b/internal/agent/quicserver/connection_id.go
@@ -12,9 +12,10 @@
 const generationOffset = 0
 
 // GenerationOf returns the generation of the server that made the connection id
-// of a datagram. It is not ok for a datagram that begins a connection.
-func GenerationOf(payload []byte) (generation uint8, ok bool) {
-	nonce := flow.NonceOf(payload)
+// of a datagram, if it is one of the back end with the server id. It is not ok for
+// a datagram that begins a connection.
+func GenerationOf(payload []byte, serverID uint32) (generation uint8, ok bool) {
+	nonce := flow.NonceOf(payload, serverID)
 	if nonce == nil {
 		return 0, false
 	}
--- /dev/null
+++ b/internal/agent/quicserver/connection_id_test.go
@@ -0,0 +1,25 @@
+package quicserver
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/flow"
+)
+
+// TestGenerationOfAMadeUpID: a caller's first datagrams carry an id that it made
+// up. One in some thousand looks like an agent's, but names no back end of ours.
+func TestGenerationOfAMadeUpID(t *testing.T) {
+	is := is.New(t)
+	const serverID = 7
+	initial := func(serverID uint32) []byte {
+		id := flow.NewConnectionID(serverID, [flow.NonceLength]byte{3})
+		return append(append([]byte{0xc0, 0, 0, 0, 1, flow.ConnectionIDLength}, id[:]...), make([]byte, 40)...)
+	}
+	generation, ok := GenerationOf(initial(serverID), serverID)
+	is.True(ok)
+	is.Equal(generation, uint8(3))
+	_, ok = GenerationOf(initial(serverID+1), serverID)
+	is.True(!ok)
+}
