--- a/flow/decider.go
+++ b/flow/decider.go
@@ -227,44 +227,6 @@
 	return Action{Kind: Deliver, Service: record.service, Backend: record.backend, Hint: d.hintFor(now, packet, record)}
 }
 
-// isOfOtherConnection says whether a QUIC datagram of a flow held here belongs to
-// a connection that is not: its connection id names another back end, or it
-// begins a connection although the back end takes no new work. A caller may open
-// connection after connection from one address.
-func (d *Decider) isOfOtherConnection(record *flowRecord, payload []byte) bool {
-	if record.service.Protocol != catalog.ProtocolHTTP {
-		return false
-	}
-	serverID, named := ServerIDOf(payload)
-	switch {
-	case named && serverID == record.backend.ServerID():
-		return false
-	case !isLongHeader(payload):
-		return named
-	case d.namesBackend(record.service, payload):
-		return true
-	default:
-		return d.leaving || d.isLeaving(record)
-	}
-}
-
-// namesBackend says whether the connection id names a back end that the service has
-// now, so that the caller has not made it up.
-func (d *Decider) namesBackend(service *catalog.Service, payload []byte) bool {
-	current := d.snapshot.Service(service.Name)
-	return current != nil && backendByServerID(current, payload) != NoBackend
-}
-
-// isLeaving says whether the flow's back end takes no new work.
-func (d *Decider) isLeaving(record *flowRecord) bool {
-	service := d.snapshot.Service(record.service.Name)
-	if service == nil {
-		return true
-	}
-	index := indexOf(service, identityOf(record.service, record.backend))
-	return index == NoBackend || service.Backends[index].State == catalog.BackendLeaving
-}
-
 // handleUnheld decides on a datagram that does not belong to a flow held here.
 func (d *Decider) handleUnheld(now time.Time, packet Packet) Action {
 	service := d.snapshot.ServiceAt(packet.Key.Service)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -192,6 +192,13 @@
 		"slots":   load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
 }
 
+// tellChange notes a change of the back end and tells at once those who need it. The
+// lock is held.
+func (a *agent) tellChange(now time.Time) {
+	a.noteChange(now)
+	a.tellStatus(now)
+}
+
 // defaultHealthPath is asked for while no configuration is known.
 const defaultHealthPath = "/health"
 
@@ -214,8 +221,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.flows.Tracker().Checked(now, result)
-	a.noteChange(now)
-	a.tellStatus(now)
+	a.tellChange(now)
 }
 
 // Report takes in a report of the back end.
@@ -228,8 +234,7 @@
 		a.metrics.reports.Observe(now.Sub(heard).Seconds())
 	}
 	tracker.Report(now, report)
-	a.noteChange(now)
-	a.tellStatus(now)
+	a.tellChange(now)
 }
 
 // Remove takes in that the back end leaves for good.
@@ -238,8 +243,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.flows.Tracker().Remove(id)
-	a.noteChange(now)
-	a.tellStatus(now)
+	a.tellChange(now)
 }
 
 // received handles a message of another process. The lock is held.
