--- a/test/days/rules.py
+++ b/test/days/rules.py
@@ -1,13 +1,17 @@
 #!/usr/bin/env python3
 """Says what the journal tells of days: broken rules, faults, exits, worst windows.
 
-usage: rules.py JOURNAL_ENTRY.json ...
+usage: rules.py [--table] JOURNAL_ENTRY.json ...
 
 One line for each day; a last one with the numbers of days and of those on which a
-rule was broken, a fault occurred or a process ended by itself.
+rule was broken, a fault occurred or a process ended by itself. With --table a
+Markdown table of the days that generate.py has made: kinds by sites, each with
+worth, worst windows and what spoilt the day.
 """
 import json
+import re
 import sys
+from collections import defaultdict
 
 WINDOWS, SERVED = "worst windows", "served"
 
@@ -23,17 +27,46 @@
     return found
 
 
-def main():
-    days = spoilt = 0
-    for path in sys.argv[1:]:
+def read(paths):
+    """Yields the site's name and each day of the entries."""
+    for path in paths:
         with open(path) as entry:
             content = json.load(entry)
         for day in content.get("days") or []:
-            days += 1
-            found = problems(day)
-            spoilt += bool(found)
-            windows = dict((name, value) for name, _, value in day["parts"]).get(WINDOWS)
-            print(f"{content['site']} | {day['name']} | worth {day['G']} | served {day[SERVED]} | {WINDOWS} {windows} | {'; '.join(found) or 'no rule broken'}")
+            yield content["site"], day
+
+
+def windows(day):
+    """Returns the share served in the worst windows."""
+    return dict((name, value) for name, _, value in day["parts"]).get(WINDOWS)
+
+
+def table(days):
+    """Prints kinds by sites. Kinds that were played twice have two values."""
+    cells, sites = defaultdict(list), []
+    for site, day in days:
+        kind = re.sub(r"^\d+-", "", day["name"])
+        if site not in sites:
+            sites.append(site)
+        cells[kind, site].append(f"{day['G']:.3f}, {windows(day):.2f}" + "".join(f", **{problem}**" for problem in problems(day)))
+    print("| kind | " + " | ".join(sites) + " |")
+    print("|---" * (len(sites) + 1) + "|")
+    for kind in sorted({kind for kind, _ in cells}):
+        print(f"| `{kind}` | " + " | ".join(" / ".join(cells[kind, site]) or "not played" for site in sites) + " |")
+
+
+def main():
+    paths = sys.argv[1:]
+    if "--table" in paths:
+        paths.remove("--table")
+        table(read(paths))
+        return
+    days = spoilt = 0
+    for site, day in read(paths):
+        days += 1
+        found = problems(day)
+        spoilt += bool(found)
+        print(f"{site} | {day['name']} | worth {day['G']} | served {day[SERVED]} | {WINDOWS} {windows(day)} | {'; '.join(found) or 'no rule broken'}")
     print(f"{days} days, {spoilt} with a broken rule, a fault or an exit")
 
 
