A process that cannot read brief statuses gets a whole one at once

Change: a whole status is answered by a whole one at once, unless one was sent within the last second; so no answer is answered. Test first: handshake.TestLostIntroductionIsMadeUpAtOnce.

--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -60,7 +60,10 @@
 	known := c.contacts[from]
 	if !status.IsBrief() {
 		if known != nil && now.Sub(known.whole) > answerWhole {
-			known.whole = time.Time{} // it may have forgotten this process
+			// It may not know this process: an answer at once, so that the
+			// answer to the answer would come too early and is not sent.
+			known.whole = time.Time{}
+			known.next = now
 		}
 		return status, true
 	}
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -28,8 +28,9 @@
 	contacts map[netip.AddrPort]*Contacts
 	statuses map[netip.AddrPort]Status
 	sent     map[netip.AddrPort]int
-	brief    map[netip.AddrPort]int // of them
-	peers    map[netip.AddrPort]int // addresses told
+	brief    map[netip.AddrPort]int                            // of them
+	peers    map[netip.AddrPort]int                            // addresses told
+	lost     func(from, to netip.AddrPort, status Status) bool // which are lost; nil: none
 }
 
 // newFleet returns balancers and agents of two services that know one balancer.
@@ -70,7 +71,7 @@
 
 func (f *fleet) deliver(from, to netip.AddrPort, status Status) {
 	other := f.contacts[to]
-	if other == nil {
+	if other == nil || f.lost != nil && f.lost(from, to, status) {
 		return
 	}
 	if status, ok := other.Complete(f.now, from, status); ok {
@@ -146,6 +147,27 @@
 	is.True(silence <= subscribeInterval)
 }
 
+// TestLostIntroductionIsMadeUpAtOnce: the first whole statuses of one process to
+// another are lost, as when very many start at the same time. The other one cannot
+// read the brief ones that follow, and must not wait a minute for the next whole one.
+func TestLostIntroductionIsMadeUpAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 4)
+	agent, balancer := contactAddress(RoleAgent, 1), contactAddress(RoleBalancer, 1)
+	f.contacts[balancer].Add(f.now, agent, false) // told by others
+	f.lost = func(from, to netip.AddrPort, status Status) bool {
+		return from == agent && to == balancer && !status.IsBrief()
+	}
+	f.run(3 * time.Second)
+	_, known := f.contacts[balancer].Silence(f.now, agent)
+	is.True(!known)
+	f.lost = nil
+	f.run(subscribeInterval + 2*AgentStatusInterval)
+	silence, known := f.contacts[balancer].Silence(f.now, agent)
+	is.True(known)
+	is.True(silence <= subscribeInterval)
+}
+
 // TestEveryAgentIsHeardByBalancers starts from one seed.
 func TestEveryAgentIsHeardByBalancers(t *testing.T) {
 	is := is.New(t)
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -28,7 +28,7 @@
 	SilentInterval      = 1 * time.Second         // to a process that is no longer heard
 	firstWholes         = 2                       // whole statuses to a process that is new: one may be lost
 	wholeInterval       = time.Minute             // between two whole statuses to a process that is heard; brief ones come between
-	answerWhole         = wholeInterval / 2       // after a whole status to a process, its own whole one is answered by another
+	answerWhole         = time.Second             // after a whole status to a process, its own whole one is answered by another
 	ContactTime         = 1500 * time.Millisecond // silence after which a process is not heard, if it promised no slower status
 	ContactForgetTime   = 60 * time.Second        // silence after which a process is forgotten
 	MaximumPeersTold    = 16                      // addresses in one of the first statuses, or of balancers that are new
