TestWatch waits until a tick has been handled before it changes the file

The watcher, which had taken the tick but not looked yet, saw the change, loaded, and waited for the test to take the settings, while the test waited for it to take the next tick. The goroutines' stacks show both waits. The product is right either way. Change: the test sends a signal after the tick, which is taken only once the tick has been handled, and fails at once if the tick gave settings; one load more is counted.

--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -32,14 +32,20 @@
 	signals <- nil
 	is.Equal((<-changes).Node.ID, "1")
 	ticks <- time.Time{} // nothing has changed
+	select {
+	case signals <- nil: // taken once the tick has been handled
+	case changed := <-changes:
+		t.Fatalf("settings %q although nothing has changed", changed.Node.ID)
+	}
+	is.Equal((<-changes).Node.ID, "2")
 	is.NoErr(os.WriteFile(path, []byte("longer"), 0o600))
 	ticks <- time.Time{}
-	is.Equal((<-changes).Node.ID, "2")
+	is.Equal((<-changes).Node.ID, "3")
 	failure = errors.New("not valid")
 	signals <- nil
 	ticks <- time.Time{} // it still runs
 	cancel()
 	<-done
-	is.Equal(loads, 3)
+	is.Equal(loads, 4)
 	is.Equal(refusals, 1)
 }
