--- /dev/null
+++ b/handshake/departure_test.go
@@ -0,0 +1,103 @@
+package handshake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+const departureLimit = 4500 * time.Millisecond
+
+// departing is a balancer of zone a that stops, with what it has heard of others.
+type departing struct {
+	now       time.Time
+	contacts  *Contacts
+	departure *Departure
+}
+
+// newDeparting returns a balancer that begins to stop and hears others all the time.
+func newDeparting() *departing {
+	now := time.Unix(1000, 0)
+	return &departing{now: now, contacts: NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer),
+		departure: NewDeparture(now, "a", departureLimit)}
+}
+
+// hear takes in a status of another balancer.
+func (d *departing) hear(i int, zone catalog.ZoneName, leaving bool) {
+	d.contacts.Heard(d.now, contactAddress(RoleBalancer, i), Status{Role: RoleBalancer, Zone: zone, Incarnation: 1, Leaving: leaving})
+}
+
+// run steps until the balancer ends, and returns for how long it was ready and how long
+// it took. The balancers in serving are heard all the time; callers' datagrams come
+// until quietAfter.
+func (d *departing) run(quietAfter time.Duration, serving ...int) (ready, took time.Duration) {
+	const step = 50 * time.Millisecond
+	begun := d.now
+	for {
+		for _, i := range serving {
+			d.hear(i, "a", false)
+		}
+		lastCaller := begun.Add(min(d.now.Sub(begun), quietAfter))
+		if d.departure.Step(d.now, d.contacts, lastCaller) {
+			return ready, d.now.Sub(begun)
+		}
+		d.now = d.now.Add(step)
+		if d.departure.Ready() {
+			ready = d.now.Sub(begun)
+		}
+	}
+}
+
+func TestDepartureOfOneOfThreeIsNotReadyAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeparting()
+	ready, took := d.run(500*time.Millisecond, 1, 2)
+	is.Equal(ready, time.Duration(0))
+	is.Equal(took, departureLeast)
+}
+
+// Routers count a balancer that has left among its zone's for some time: with one of
+// three in, they would send a third of the datagrams to the one that is gone.
+func TestDepartureAfterAnotherStaysReadyWhileItsZoneNeedsIt(t *testing.T) {
+	is := is.New(t)
+	d := newDeparting()
+	d.hear(1, "a", true)
+	d.now = d.now.Add(time.Second)
+	d.departure = NewDeparture(d.now, "a", departureLimit)
+	ready, took := d.run(departureLimit-departureLeast, 2)
+	is.True(ready >= departureLimit-departureLeast-100*time.Millisecond) // as long as the stop allows
+	is.True(took <= departureLimit)
+}
+
+func TestDepartureIsNotNeededOnceTheOtherIsForgotten(t *testing.T) {
+	is := is.New(t)
+	d := newDeparting()
+	d.hear(1, "a", true)
+	d.now = d.now.Add(departureLimit - time.Second)
+	d.departure = NewDeparture(d.now, "a", departureLimit)
+	ready, _ := d.run(0, 2)
+	is.True(ready >= time.Second && ready <= 1200*time.Millisecond)
+}
+
+// With none ready, routers use the nearest zones.
+func TestDepartureOfTheLastIsNotReadyAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeparting()
+	d.hear(1, "a", true)
+	d.hear(2, "b", false)
+	ready, _ := d.run(0)
+	is.Equal(ready, time.Duration(0))
+}
+
+func TestDepartureWaitsUntilNoDatagramsCome(t *testing.T) {
+	is := is.New(t)
+	d := newDeparting()
+	_, took := d.run(2*time.Second, 1, 2)
+	is.Equal(took, 2*time.Second+departureQuiet)
+	d = newDeparting()
+	_, took = d.run(time.Minute, 1, 2)
+	is.Equal(took, departureLimit) // in any case
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -16,14 +16,10 @@
 	"github.com/burlmill/burlmill/routing"
 )
 
-// Times of a balancer that stops. It goes on forwarding until the platform sends
-// it no more datagrams: that needs up to two of the platform's questions whether
-// it is ready, and longer while too few other balancers are.
+// Times of a balancer that stops (handshake.Departure).
 const (
-	lingerLeast  = 1100 * time.Millisecond
-	lingerQuiet  = 250 * time.Millisecond // without a datagram
-	lingerLook   = 50 * time.Millisecond
-	lingerMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
+	departureLook   = 50 * time.Millisecond   // between two looks whether it ends
+	departureMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
 )
 
 // balancer is a running balancer.
@@ -32,7 +28,8 @@
 	flows      *handshake.Balancer
 	socket     atomic.Pointer[wire.Socket]
 	wasReady   bool
-	lastCaller time.Time // when the latest datagram of a caller came
+	lastCaller time.Time            // when the latest datagram of a caller came
+	departure  *handshake.Departure // nil: it does not stop
 }
 
 // RunBalancer serves until the context ends and then stops cleanly. Errors at the
@@ -80,25 +77,21 @@
 // forwarding until callers' datagrams go elsewhere.
 func (b *balancer) stop() {
 	b.log.Info("leaving")
+	now := time.Now()
 	b.mutex.Lock()
 	b.leaving = true
 	b.urgent = true
+	b.departure = handshake.NewDeparture(now, b.settings.Node.Zone, b.settings.Flows.DrainLimit-departureMargin)
 	b.mutex.Unlock()
-	begun := time.Now()
-	limit := max(lingerLeast, b.settings.Flows.DrainLimit-lingerMargin)
-	for b.sleep(lingerLook) {
-		lingered := time.Since(begun)
-		if lingered >= limit || lingered >= lingerLeast && b.quiet() {
-			return
-		}
+	for b.sleep(departureLook) && !b.departed() {
 	}
 }
 
-// quiet says whether callers' datagrams go elsewhere by now.
-func (b *balancer) quiet() bool {
+// departed says whether the balancer may end.
+func (b *balancer) departed() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return time.Since(b.lastCaller) >= lingerQuiet
+	return b.departure.Step(time.Now(), b.contacts, b.lastCaller)
 }
 
 func (b *balancer) closeAll() error {
@@ -112,7 +105,13 @@
 func (b *balancer) ready() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return !b.leaving && b.flows.Ready(time.Now())
+	return b.wantsCallers(time.Now())
+}
+
+// wantsCallers says whether the balancer can serve and is not about to end. The lock
+// is held.
+func (b *balancer) wantsCallers(now time.Time) bool {
+	return b.flows.Ready(now) && (b.departure == nil || b.departure.Ready())
 }
 
 // receiveCaller is called by the socket.
@@ -175,7 +174,7 @@
 
 // noteReadiness logs when the balancer becomes ready and when it ceases to be.
 func (b *balancer) noteReadiness(now time.Time) {
-	ready := !b.leaving && b.flows.Ready(now)
+	ready := b.wantsCallers(now)
 	if ready == b.wasReady {
 		return
 	}
