An instance that answers is not displaced by an old report of another

Cause, found by reading: an agent that has restarted has forgotten which instances its back end has had. If it finds instance b at work and then a report comes late that instance a sent before it ended, b counted as replaced: its reports were ignored from then on, the health check named b where a was expected, and the back end got no new flows for the rest of b's life. Change: what is believed of the displaced instance is kept for a second; a health check that it answers makes it the present one again and retires the other. Nothing is ready meanwhile, one that has said that it leaves is never recalled. Ruled out: ignoring reports of other instances while one is ready (after a lost first report the new one would get no flows, and its 'draining' would be acknowledged while flows go on to it).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	CheckTimeout  = 800 * time.Millisecond // for one health check
 	missedReports = 3                      // reports missed in a row after which the instance is checked
 	rememberLimit = 64                     // ids of instances that are gone
+	recallTime    = time.Second            // after a report of another instance, in which the one before it may prove that it is still there
 	firstReports  = 1                      // sequence of the report with which an instance begins
 )
 
@@ -68,16 +69,23 @@
 type Tracker struct {
 	service   catalog.ServiceName
 	interval  time.Duration // between reports
+	present                 // the instance that is believed to be there
+	displaced *present      // the one before it, while that may prove that it is still there
+	recallEnd time.Time     // of that time
+	gone      map[ID]bool   // instances that have left or were replaced
+	goneOrder []ID
+	nextCheck time.Time
+	checking  bool
+}
+
+// present is what is believed of one instance.
+type present struct {
 	latest    Report
-	first     uint64 // sequence of the present instance's first report here; 0: none yet
+	first     uint64 // sequence of its first report here; 0: none yet
 	state     State
 	heard     time.Time // last sign of life
 	coldUntil time.Time
-	gone      map[ID]bool // instances that have left or were replaced
-	goneOrder []ID
-	nextCheck time.Time
-	checking  bool
-	outcomes  Outcomes // of the present instance, and crashes of those before it
+	outcomes  Outcomes // of it, and crashes of those before it
 }
 
 // NewTracker returns a tracker of a back end of the service that knows no
@@ -109,11 +117,15 @@
 // Report takes in a report. It says whether the report was news.
 func (t *Tracker) Report(now time.Time, report Report) bool {
 	if t.gone[report.ID] {
+		if report.Leaving {
+			t.forgetDisplaced(report.ID)
+		}
 		return false
 	}
 	if report.ID == t.latest.ID {
 		return t.update(now, report)
 	}
+	t.displace(now)
 	t.succeed(now)
 	t.retire(t.latest.ID)
 	t.latest = report
@@ -128,6 +140,40 @@
 	return true
 }
 
+// displace keeps what is believed of the present instance for a while: the report of
+// another one may be an old one that comes late.
+func (t *Tracker) displace(now time.Time) {
+	t.displaced = nil
+	if t.state != Ready && t.state != Unverified {
+		return
+	}
+	before := t.present
+	t.displaced = &before
+	t.recallEnd = now.Add(recallTime)
+}
+
+// recall makes the displaced instance the present one again, since it has answered.
+func (t *Tracker) recall(now time.Time) {
+	t.retire(t.latest.ID)
+	delete(t.gone, t.displaced.latest.ID)
+	t.present = *t.displaced
+	t.displaced = nil
+	t.state = Ready
+	t.heard = now
+}
+
+// forgetDisplaced lets the displaced instance not come back if it is this one: it leaves.
+func (t *Tracker) forgetDisplaced(id ID) {
+	if t.displaced != nil && t.displaced.latest.ID == id {
+		t.displaced = nil
+	}
+}
+
+// recallable says whether the instance that answered is the displaced one.
+func (t *Tracker) recallable(check Check) bool {
+	return t.displaced != nil && check.Well && check.ID != "" && check.ID == t.displaced.latest.ID
+}
+
 // succeed begins to judge another instance than the present one.
 func (t *Tracker) succeed(now time.Time) {
 	switch {
@@ -164,6 +210,7 @@
 // Remove takes in that the instance has left for good.
 func (t *Tracker) Remove(id ID) {
 	t.retire(id)
+	t.forgetDisplaced(id)
 	if id == t.latest.ID {
 		t.state = Leaving // it may serve on for a while
 	}
@@ -193,7 +240,8 @@
 	}
 	silent := t.state == Ready && now.Sub(t.heard) > missedReports*t.interval
 	unheard := t.state == Absent && t.latest.ID == ""
-	if t.state != Unverified && !silent && !unheard {
+	recalling := t.displaced != nil && now.Before(t.recallEnd)
+	if t.state != Unverified && !silent && !unheard && !recalling {
 		return false
 	}
 	t.checking = true
@@ -211,6 +259,10 @@
 	t.checking = false
 	t.nextCheck = now.Add(CheckInterval)
 	before := t.state
+	if t.recallable(check) {
+		t.recall(now)
+		return true
+	}
 	if t.state == Absent && check.Well && check.ID != "" && !t.gone[check.ID] {
 		t.latest = Report{ID: check.ID, Service: t.service} // its reports will say the rest
 		t.state = Ready
@@ -222,6 +274,7 @@
 	case t.state == Unverified && check.Well && sameInstance:
 		t.state = Ready
 		t.heard = now
+		t.displaced = nil
 	case t.state == Ready && check.Well && sameInstance:
 		t.heard = now
 	case t.state == Ready:
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -137,3 +137,53 @@
 		}
 	})
 }
+
+// TestLateReportOfAnEarlierInstance: the agent has restarted, has found instance b at
+// work, and then gets a report that an earlier instance sent long ago.
+func TestLateReportOfAnEarlierInstance(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		is := is.New(t)
+		tracker := NewTracker("lessons", time.Second)
+		is.True(tracker.CheckDue(start))
+		is.True(tracker.Checked(start, Check{Well: true, ID: "b"}))
+		is.True(tracker.Report(start, Report{ID: "b", Service: "lessons", Sequence: 4, Slots: 7}))
+		is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 9, Slots: 3, Leaving: leaving}))
+		is.True(tracker.State() != Ready) // until it is known who is there
+		is.True(tracker.CheckDue(start))
+		is.True(tracker.Checked(start, Check{Well: true, ID: "b"}))
+		is.Equal(tracker.State(), Ready)
+		is.Equal(tracker.Latest().Slots, uint32(7))
+		is.True(tracker.Report(start, Report{ID: "b", Service: "lessons", Sequence: 5, Slots: 7}))
+		is.True(!tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 10}))
+		is.Equal(tracker.State(), Ready)
+		is.True(!tracker.Outcomes().Suspect(start)) // nothing has crashed
+	}
+}
+
+// TestReplacedInstanceIsNotAskedForLong: its successor leaves at once and answers no check.
+func TestReplacedInstanceIsNotAskedForLong(t *testing.T) {
+	is := is.New(t)
+	tracker := ready(t)
+	is.True(tracker.Report(start, Report{ID: "b", Sequence: 2, Leaving: true}))
+	checks := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(CheckInterval) {
+		if tracker.CheckDue(now) {
+			checks++
+			tracker.Checked(now, Check{})
+		}
+	}
+	is.Equal(tracker.State(), Leaving)
+	is.True(checks > 0 && checks <= int(recallTime/CheckInterval))
+}
+
+// TestDisplacedInstanceThatLeavesIsNotRecalled: it says so while another is believed to
+// be there, and a check that began before is answered after.
+func TestDisplacedInstanceThatLeavesIsNotRecalled(t *testing.T) {
+	is := is.New(t)
+	tracker := ready(t)
+	is.True(tracker.Report(start, Report{ID: "old", Sequence: 9}))
+	is.True(tracker.CheckDue(start))
+	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 3, Leaving: true}))
+	is.True(!tracker.Checked(start, Check{Well: true, ID: "a"}))
+	is.True(tracker.State() != Ready)
+}
