--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -41,6 +41,7 @@
 // Balancer decides for one balancer.
 type Balancer struct {
 	board     *Board
+	neighbors *neighbors
 	table     *routing.Table
 	splitter  *routing.Splitter
 	flows     map[flow.Key]*balancedFlow
@@ -96,12 +97,13 @@
 // NewBalancer returns a decider that knows nothing yet.
 func NewBalancer(now time.Time, options BalancerOptions) *Balancer {
 	return &Balancer{
-		board:    NewBoard(options.Zone, options.Region, options.Random),
-		splitter: routing.NewSplitter(),
-		flows:    map[flow.Key]*balancedFlow{},
-		waiting:  map[flow.Key]*balancedFlow{},
-		started:  now,
-		lastTick: now,
+		board:     NewBoard(options.Zone, options.Region, options.Random),
+		neighbors: newNeighbors(options.Zone),
+		splitter:  routing.NewSplitter(),
+		flows:     map[flow.Key]*balancedFlow{},
+		waiting:   map[flow.Key]*balancedFlow{},
+		started:   now,
+		lastTick:  now,
 	}
 }
 
@@ -174,8 +176,8 @@
 	delete(b.waiting, known.key)
 }
 
-// FromAgent handles a message of an agent, statuses apart.
-func (b *Balancer) FromAgent(now time.Time, from netip.AddrPort, message Message) []Action {
+// FromPeer handles a message of an agent or another balancer, statuses apart.
+func (b *Balancer) FromPeer(now time.Time, from netip.AddrPort, message Message) []Action {
 	switch message := message.(type) {
 	case Accepted:
 		b.accepted(now, from, message)
@@ -183,13 +185,22 @@
 		b.refused(now, from, message)
 	case Located:
 		b.located(now, from, message)
+	case Locate:
+		b.asked(from, message)
+	case Hint:
+		b.hinted(now, from, message)
 	}
 	return b.take()
 }
 
-// TakeStatus takes in an agent's status.
+// TakeStatus takes in the status of an agent or another balancer.
 func (b *Balancer) TakeStatus(now time.Time, from netip.AddrPort, status Status) {
-	b.board.Take(now, from, status)
+	switch status.Role {
+	case RoleAgent:
+		b.board.Take(now, from, status)
+	case RoleBalancer:
+		b.neighbors.take(now, from, status)
+	}
 }
 
 // Tick handles deadlines that have passed.
@@ -231,6 +242,7 @@
 	}
 	b.nextSweep = now.Add(sweepInterval)
 	b.board.Forget(now)
+	b.neighbors.forget(now)
 	for _, known := range b.flows {
 		limit := RestTime
 		if !known.agent.IsValid() {
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -68,19 +68,26 @@
 	b.ask(now, known)
 }
 
-// ask asks all agents that may hold the flow.
+// ask asks all agents that may hold the flow, and other balancers.
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
 	agents := b.board.known(now)
 	known.asked, known.answers, known.perhaps = nil, 0, nil
 	for _, agent := range agents {
-		known.asked = append(known.asked, agent.address)
-		b.act(Send{To: agent.address, Message: Locate{Key: known.key, Confirms: known.confirms}})
+		b.askOne(known, agent.address)
+	}
+	for _, other := range b.neighbors.nearest(now) {
+		b.askOne(known, other)
 	}
 	known.sentAt = now
 	b.await(known, now.Add(b.locateTime(agents)))
 	b.act(Decision{Event: EventLocating, Key: known.key, Attempts: len(known.asked)})
 }
 
+func (b *Balancer) askOne(known *balancedFlow, address netip.AddrPort) {
+	known.asked = append(known.asked, address)
+	b.act(Send{To: address, Message: Locate{Key: known.key, Confirms: known.confirms}})
+}
+
 // locateTime returns how long the agents may take to answer.
 func (b *Balancer) locateTime(agents []*agentState) time.Duration {
 	longest := LocateTime
@@ -110,6 +117,11 @@
 	case HoldsPerhaps:
 		known.perhaps = append(known.perhaps, from)
 	}
+	b.answered(now, known)
+}
+
+// answered notes that one of those who were asked does not say that it holds the flow.
+func (b *Balancer) answered(now time.Time, known *balancedFlow) {
 	known.answers++
 	if known.answers == len(known.asked) {
 		b.locateEnded(now, known)
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -158,7 +158,8 @@
 	Bytes []byte
 }
 
-// Locate asks an agent whether its back end holds a flow.
+// Locate asks an agent whether its back end holds a flow, or another balancer which
+// agent does.
 type Locate struct {
 	Key      flow.Key
 	Confirms uint32 // of the datagram that is to be delivered
@@ -191,12 +192,18 @@
 	}
 }
 
-// Located answers Locate.
+// Located is an agent's answer to Locate.
 type Located struct {
 	Key     flow.Key
 	Holding Holding
 }
 
+// Hint is a balancer's answer to Locate.
+type Hint struct {
+	Key   flow.Key
+	Agent netip.AddrPort // that holds the flow as far as the balancer knows; zero: none is known
+}
+
 func (Status) message()   {}
 func (Offer) message()    {}
 func (Accepted) message() {}
@@ -205,3 +212,4 @@
 func (NotHeld) message()  {}
 func (Locate) message()   {}
 func (Located) message()  {}
+func (Hint) message()     {}
--- /dev/null
+++ b/handshake/neighbors.go
@@ -0,0 +1,108 @@
+package handshake
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// Other balancers know where the flows are that routers have moved away from them: a
+// balancer that has just started may not know the agent yet, and no agent needs to be
+// asked that surely does not hold the flow.
+
+// MaximumNeighborsAsked is how many other balancers are asked for one flow at most.
+const MaximumNeighborsAsked = 16
+
+// neighbors is what a balancer knows of the others.
+type neighbors struct {
+	zone  catalog.ZoneName
+	known map[netip.AddrPort]*neighbor
+}
+
+// neighbor is another balancer.
+type neighbor struct {
+	address  netip.AddrPort
+	zone     catalog.ZoneName
+	heard    time.Time
+	patience time.Duration // silence after which it is not asked
+}
+
+func newNeighbors(zone catalog.ZoneName) *neighbors {
+	return &neighbors{zone: zone, known: map[netip.AddrPort]*neighbor{}}
+}
+
+// take takes in another balancer's status.
+func (n *neighbors) take(now time.Time, from netip.AddrPort, status Status) {
+	n.known[from] = &neighbor{address: from, zone: status.Zone, heard: now, patience: max(KnownTime, patience(status))}
+}
+
+// forget drops balancers that are no longer heard.
+func (n *neighbors) forget(now time.Time) {
+	for address, other := range n.known {
+		if now.Sub(other.heard) > other.patience {
+			delete(n.known, address)
+		}
+	}
+}
+
+// nearest returns the balancers to ask for a flow, those of the own zone first: routers
+// move flows within a zone while it has balancers.
+func (n *neighbors) nearest(now time.Time) []netip.AddrPort {
+	var heard []*neighbor
+	for _, other := range n.known {
+		if now.Sub(other.heard) <= other.patience {
+			heard = append(heard, other)
+		}
+	}
+	slices.SortFunc(heard, func(a, b *neighbor) int {
+		return cmp.Or(cmp.Compare(n.distance(a), n.distance(b)), a.address.Compare(b.address))
+	})
+	heard = heard[:min(len(heard), MaximumNeighborsAsked)]
+	addresses := make([]netip.AddrPort, 0, len(heard))
+	for _, other := range heard {
+		addresses = append(addresses, other.address)
+	}
+	return addresses
+}
+
+func (n *neighbors) distance(other *neighbor) int {
+	if other.zone == n.zone {
+		return 0
+	}
+	return 1
+}
+
+// asked answers another balancer's question who holds a flow.
+func (b *Balancer) asked(from netip.AddrPort, question Locate) {
+	hint := Hint{Key: question.Key}
+	if known := b.flows[question.Key]; known != nil {
+		hint.Agent = known.holder(question.Confirms)
+	}
+	b.act(Send{To: from, Message: hint})
+}
+
+// holder returns the agent that holds the flow as far as is known here, zero if none is.
+func (f *balancedFlow) holder(confirms uint32) netip.AddrPort {
+	if f.agent.IsValid() {
+		return f.agent
+	}
+	agent, _ := f.confirmed(confirms)
+	return agent
+}
+
+// hinted handles another balancer's answer. The agent that it names is asked itself:
+// what a balancer remembers may be of an earlier flow with the same key.
+func (b *Balancer) hinted(now time.Time, from netip.AddrPort, hint Hint) {
+	known := b.flows[hint.Key]
+	if known == nil || known.agent.IsValid() || !slices.Contains(known.asked, from) {
+		return
+	}
+	if hint.Agent.IsValid() && !slices.Contains(known.asked, hint.Agent) {
+		b.askOne(known, hint.Agent)
+		b.await(known, now.Add(LocateTime))
+	}
+	b.answered(now, known)
+}
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -22,7 +22,10 @@
 // fromCaller sends a caller's datagram through any balancer that is up.
 func (w *world) fromCaller(datagram Datagram) {
 	datagram.Bytes = encodeWorld(datagram)
-	balancer := w.balancers[w.random.IntN(len(w.balancers))]
+	balancer := w.router
+	if balancer == nil {
+		balancer = w.balancers[w.random.IntN(len(w.balancers))]
+	}
 	w.reach(balancer, func() { w.performBalancer(balancer, balancer.decider.FromCaller(w.now, &datagram)) })
 }
 
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -44,6 +44,7 @@
 	backend *worldBackend
 	up      bool
 	started int
+	heardBy *worldBalancer // the only one that hears its statuses; nil: all do
 }
 
 // worldBalancer is a balancer.
@@ -61,6 +62,7 @@
 	random    *rand.Rand
 	table     *routing.Table
 	balancers []*worldBalancer
+	router    *worldBalancer // that gets callers' datagrams; nil: any
 	agents    []*worldAgent
 	callers   map[flow.Key]*worldCaller
 	queue     []worldEvent
@@ -159,6 +161,7 @@
 	for _, balancer := range w.balancers {
 		if balancer.up && !balancer.frozen {
 			w.performBalancer(balancer, balancer.decider.Tick(w.now))
+			w.tellBalancers(balancer)
 		}
 	}
 	for _, agent := range w.agents {
@@ -177,7 +180,18 @@
 	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: "a", Incarnation: uint64(agent.started),
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now)}
 	for _, balancer := range w.balancers {
-		w.reach(balancer, func() { balancer.decider.TakeStatus(w.now, agent.address, status) })
+		if agent.heardBy == nil || agent.heardBy == balancer {
+			w.reach(balancer, func() { balancer.decider.TakeStatus(w.now, agent.address, status) })
+		}
+	}
+}
+
+// tellBalancers sends a balancer's status to the others.
+func (w *world) tellBalancers(from *worldBalancer) {
+	for _, to := range w.balancers {
+		if to != from {
+			w.reach(to, func() { to.decider.TakeStatus(w.now, from.address, Status{Role: RoleBalancer, Zone: "a"}) })
+		}
 	}
 }
 
@@ -221,6 +235,7 @@
 		switch action := action.(type) {
 		case Send:
 			w.toAgent(from, action)
+			w.toBalancer(from.address, action)
 		case ResetCaller:
 			w.resetCaller(action.Key)
 		}
@@ -258,7 +273,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case Send:
-			w.toBalancer(agent, action)
+			w.toBalancer(agent.address, action)
 		case Deliver:
 			w.toBackend(agent, decodeWorld(action.Bytes))
 		case Reply:
@@ -267,7 +282,7 @@
 	}
 }
 
-func (w *world) toBalancer(agent *worldAgent, send Send) {
+func (w *world) toBalancer(from netip.AddrPort, send Send) {
 	for _, balancer := range w.balancers {
 		if balancer.address != send.To {
 			continue
@@ -275,10 +290,10 @@
 		w.reach(balancer, func() {
 			if notHeld, ok := send.Message.(NotHeld); ok {
 				datagram := decodeWorld(notHeld.Bytes)
-				w.performBalancer(balancer, balancer.decider.Returned(w.now, agent.address, &datagram, notHeld))
+				w.performBalancer(balancer, balancer.decider.Returned(w.now, from, &datagram, notHeld))
 				return
 			}
-			w.performBalancer(balancer, balancer.decider.FromAgent(w.now, agent.address, send.Message))
+			w.performBalancer(balancer, balancer.decider.FromPeer(w.now, from, send.Message))
 		})
 	}
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -187,9 +187,7 @@
 func (b *balancer) received(now time.Time, from netip.AddrPort, message handshake.Message) {
 	switch message := message.(type) {
 	case handshake.Status:
-		if message.Role == handshake.RoleAgent {
-			b.flows.TakeStatus(now, from, message)
-		}
+		b.flows.TakeStatus(now, from, message)
 	case handshake.NotHeld:
 		datagram, err := b.adapter.ParseCaller(message.Bytes)
 		if err != nil {
@@ -198,6 +196,6 @@
 		}
 		b.perform(b.flows.Returned(now, from, &datagram, message))
 	default:
-		b.perform(b.flows.FromAgent(now, from, message))
+		b.perform(b.flows.FromPeer(now, from, message))
 	}
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -45,6 +45,8 @@
 	case handshake.Located:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Located{Located: &burlmillv1.HandshakeLocated{
 			Key: encodeKey(m.Key), Holding: uint32(m.Holding)}}}
+	case handshake.Hint:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: encodeHint(m)}}
 	default:
 		return &burlmillv1.HandshakeMessage{}
 	}
@@ -78,6 +80,8 @@
 	case *burlmillv1.HandshakeMessage_Located:
 		key, err := decodeKey(body.Located.GetKey())
 		return handshake.Located{Key: key, Holding: handshake.Holding(body.Located.GetHolding())}, err
+	case *burlmillv1.HandshakeMessage_Hint:
+		return decodeHint(body.Hint)
 	default:
 		return nil, fault.New(fault.Invalid, "message of %d bytes without a known body", len(encoded))
 	}
@@ -166,6 +170,23 @@
 	return flow.Key{Caller: caller, Service: service}, err
 }
 
+func encodeHint(hint handshake.Hint) *burlmillv1.HandshakeHint {
+	encoded := &burlmillv1.HandshakeHint{Key: encodeKey(hint.Key)}
+	if hint.Agent.IsValid() {
+		encoded.Agent = encodeAddress(hint.Agent)
+	}
+	return encoded
+}
+
+func decodeHint(encoded *burlmillv1.HandshakeHint) (handshake.Message, error) {
+	key, err := decodeKey(encoded.GetKey())
+	if err != nil || len(encoded.GetAgent()) == 0 {
+		return handshake.Hint{Key: key}, err
+	}
+	agent, err := decodeAddress(encoded.GetAgent())
+	return handshake.Hint{Key: key, Agent: agent}, err
+}
+
 func encodeAddress(address netip.AddrPort) []byte {
 	encoded, _ := address.MarshalBinary() // has no error to return
 	return encoded
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -59,7 +59,7 @@
 
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
@@ -74,6 +74,10 @@
 		return handshake.NotHeld{Tried: rapid.Bool().Draw(t, "tried"), Gone: rapid.Bool().Draw(t, "gone"), Bytes: datagram}
 	case 6:
 		return handshake.Locate{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms")}
+	case 7:
+		return handshake.Hint{Key: drawKey(t)}
+	case 8:
+		return handshake.Hint{Key: drawKey(t), Agent: addresses.Draw(t, "agent")}
 	default:
 		return handshake.Located{Key: drawKey(t), Holding: handshake.HeldByGone}
 	}
