--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -14,7 +14,7 @@
 	self          netip.AddrPort
 	role          Role
 	contacts      map[netip.AddrPort]*contact
-	told          int // where the next list of peers begins
+	told          toldAddresses
 	counts        map[Role]int
 	subscribed    int // contacts in subscriptions, or those who have subscribed here
 	nextSelection time.Time
@@ -37,7 +37,7 @@
 
 // NewContacts returns the contacts of a process that knows nobody.
 func NewContacts(self netip.AddrPort, role Role) *Contacts {
-	return &Contacts{self: self, role: role, contacts: map[netip.AddrPort]*contact{}, counts: map[Role]int{}}
+	return &Contacts{self: self, role: role, contacts: map[netip.AddrPort]*contact{}, counts: map[Role]int{}, told: newToldAddresses(self)}
 }
 
 // Add takes in the address of another process. A seed is never forgotten.
@@ -179,37 +179,6 @@
 	return !known.seed && now.Sub(last) > ContactForgetTime
 }
 
-// Tell returns the addresses of balancers heard of late that a process is to be told:
-// those that appeared within its time of news, and so many others, others each time.
-func (c *Contacts) Tell(now time.Time, due Due) []netip.AddrPort {
-	var news, others []netip.AddrPort
-	for address, known := range c.contacts {
-		switch {
-		case !known.heardLately(now) || known.status.Role != RoleBalancer || known.status.Leaving:
-		case now.Sub(known.appeared) <= due.News:
-			news = append(news, address)
-		case due.Peers > 0:
-			others = append(others, address)
-		}
-	}
-	told := c.pick(news, MaximumPeersTold)
-	return append(told, c.pick(others, due.Peers-len(told))...)
-}
-
-// pick returns at most so many of the addresses, others each time.
-func (c *Contacts) pick(addresses []netip.AddrPort, most int) []netip.AddrPort {
-	slices.SortFunc(addresses, netip.AddrPort.Compare)
-	if len(addresses) <= most {
-		return addresses
-	}
-	picked := make([]netip.AddrPort, 0, max(0, most))
-	for range most {
-		c.told = (c.told + 1) % len(addresses)
-		picked = append(picked, addresses[c.told])
-	}
-	return picked
-}
-
 // Contact is one process that is known, for operators.
 type Contact struct {
 	Address netip.AddrPort
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -300,3 +300,57 @@
 	is.Equal(count(), 40)
 	is.True(f.contacts[contactAddress(RoleBalancer, 0)].ShouldRead(f.now, 0)) // whoever knows nothing reads
 }
+
+// restart starts a process anew: it knows the seed only.
+func (f *fleet) restart(address netip.AddrPort) {
+	role := f.statuses[address].Role
+	f.contacts[address] = NewContacts(address, role)
+	f.contacts[address].Add(f.now, contactAddress(RoleBalancer, 0), true)
+	status := f.statuses[address]
+	status.Incarnation++
+	f.statuses[address] = status
+}
+
+// agentsHeard returns the fewest agents that any of the balancers hears.
+func (f *fleet) agentsHeard(balancers []netip.AddrPort) int {
+	fewest := len(f.contacts)
+	for _, address := range balancers {
+		heard := 0
+		for _, known := range f.contacts[address].contacts {
+			if known.heardLately(f.now) && known.status.Role == RoleAgent {
+				heard++
+			}
+		}
+		fewest = min(fewest, heard)
+	}
+	return fewest
+}
+
+// TestRestartedBalancersHearAllAgentsSoon: agents greet balancers on which nothing
+// depends every some seconds only, so balancers tell each other of agents. What a
+// balancer does not know it cannot ask for flows.
+func TestRestartedBalancersHearAllAgentsSoon(t *testing.T) {
+	const (
+		balancers = 40
+		agents    = 120
+	)
+	all := make([]netip.AddrPort, balancers)
+	for i := range all {
+		all[i] = contactAddress(RoleBalancer, i)
+	}
+	for _, restarted := range [][]netip.AddrPort{all[1:2], all} {
+		is := is.New(t)
+		f := newFleet(balancers, agents)
+		f.run(30 * time.Second)
+		is.Equal(f.agentsHeard(all), agents)
+		for _, address := range restarted {
+			f.restart(address)
+		}
+		begun := f.now
+		for f.agentsHeard(restarted) < agents && f.now.Sub(begun) < 10*time.Second {
+			f.run(f.step)
+		}
+		t.Logf("%d of %d balancers restarted: all agents heard after %v", len(restarted), balancers, f.now.Sub(begun))
+		is.True(f.now.Sub(begun) <= 2*time.Second)
+	}
+}
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -31,10 +31,10 @@
 	answerWhole         = time.Second             // after a whole status to a process, its own whole one is answered by another
 	ContactTime         = 1500 * time.Millisecond // silence after which a process is not heard, if it promised no slower status
 	ContactForgetTime   = 60 * time.Second        // silence after which a process is forgotten
-	MaximumPeersTold    = 16                      // addresses in one of the first statuses, or of balancers that are new
+	MaximumPeersTold    = 16                      // addresses of one role in one of the first statuses, or of processes that are new
 	fewPeersTold        = 3                       // addresses in one of the later ones
 	missedStatuses      = 3.5                     // intervals of silence after which a process is not heard
-	newsStatuses        = 3.5                     // intervals for which a balancer that appeared is told of to agents: one may be lost
+	newsStatuses        = 3.5                     // intervals for which a process that appeared is told of: one may be lost
 )
 
 // Due is a process that is to be told the status now.
@@ -43,8 +43,9 @@
 	Interval  time.Duration // until it is told again
 	Subscribe bool          // it is asked to tell its load often
 	Brief     bool          // it has been told whole statuses, the latest not long ago
-	Peers     int           // how many addresses it is told at most, beside news
-	News      time.Duration // balancers that appeared no longer ago are told to it in any case
+	Peers     int           // how many addresses of one role it is told at most, beside news
+	News      time.Duration // processes that appeared no longer ago are told to it in any case
+	Agents    bool          // it is told of agents too, not of balancers alone
 }
 
 // Due returns whom to tell the status now. With urgent, all who need the news are
@@ -75,8 +76,10 @@
 // chooseForm decides how much of the status a process is told.
 func (c *Contacts) chooseForm(now time.Time, known *contact, told *Due) {
 	introduced := known.heardLately(now) && known.wholes >= firstWholes
-	if c.role == RoleBalancer && known.wants(now) {
-		// Agents learn of new balancers from others only.
+	told.Agents = c.role == RoleBalancer && known.status.Role == RoleBalancer
+	if c.role == RoleBalancer && known.wants(now) || told.Agents {
+		// Agents learn of new balancers from balancers only, and these soon enough
+		// of agents from each other only.
 		told.News = time.Duration(newsStatuses * float64(told.Interval))
 	}
 	if introduced && now.Sub(known.whole) < wholeInterval {
--- a/handshake/readers.go
+++ b/handshake/readers.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/burlmill/burlmill/routing"
 )
 
@@ -22,7 +24,7 @@
 	if version == 0 {
 		return true
 	}
-	own := c.rank(c.self)
+	own := hashOf(c.self)
 	above, fresh := 0, 0
 	for address, known := range c.contacts {
 		if known.status.Role != RoleBalancer || known.status.Leaving || !known.heardLately(now) {
@@ -31,15 +33,16 @@
 		if known.status.StoreFresh {
 			fresh++
 		}
-		if c.rank(address) > own {
+		if hashOf(address) > own {
 			above++
 		}
 	}
 	return above < Readers || fresh < Readers/2
 }
 
-// rank orders balancers as readers, alike everywhere.
-func (c *Contacts) rank(address netip.AddrPort) uint64 {
-	ranked := Contacts{self: address}
-	return ranked.affinity(address)
+// hashOf orders processes, alike everywhere.
+func hashOf(address netip.AddrPort) uint64 {
+	var buffer [32]byte
+	encoded, _ := address.AppendBinary(buffer[:0]) // has no error to return
+	return xxhash.Sum64(encoded)
 }
