--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -48,8 +49,8 @@
 	Agents    bool          // it is told of agents too, not of balancers alone
 }
 
-// Due returns whom to tell the status now. With urgent, all who need the news are
-// told at once.
+// Due returns whom to tell the status now, in order of address. With urgent, all who
+// need the news are told at once.
 func (c *Contacts) Due(now time.Time, urgent bool) []Due {
 	c.selectAgents(now)
 	var due []Due
@@ -70,6 +71,7 @@
 		c.chooseForm(now, known, &told)
 		due = append(due, told)
 	}
+	slices.SortFunc(due, func(a, b Due) int { return a.Address.Compare(b.Address) })
 	return due
 }
 
