--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -26,8 +25,6 @@
 	fetchPause          = 50 * time.Millisecond  // after a fetch, before the next
 	agentFetchDelay     = 300 * time.Millisecond // on average: agents need it less than balancers, from whom they then take it
 	maximumDocument     = 8 << 20                // bytes
-	storeRetryFirst     = 100 * time.Millisecond
-	storeRetryMost      = 2 * time.Second
 	readerLook          = 250 * time.Millisecond // between two looks whether to read the store
 	directoryInterval   = 2 * time.Second        // between two looks for balancers in the store
 	directoryFirstDelay = 150 * time.Millisecond
@@ -135,7 +132,7 @@
 // watchLoop keeps the configuration in step with the store.
 func (n *node) watchLoop() {
 	health := &storeHealth{node: n}
-	retry := storeRetryFirst
+	var retry backoff
 	var revision uint64
 	for n.context.Err() == nil {
 		if !n.shouldRead() {
@@ -148,7 +145,7 @@
 		switch {
 		case err == nil:
 			n.noteStore()
-			retry = storeRetryFirst
+			retry.reset()
 			revision = max(revision, document.Revision)
 			if document.Bytes != nil {
 				_ = n.configure(document.Bytes, "store") // logged there
@@ -157,10 +154,9 @@
 		case fault.Of(err) == fault.Stale:
 			revision = 0
 		}
-		if !n.sleep(jitter(retry)) {
+		if !n.sleep(retry.next()) {
 			return
 		}
-		retry = min(2*retry, storeRetryMost)
 	}
 }
 
@@ -210,15 +206,11 @@
 	return document, err
 }
 
-// jitter spreads a pause over half to one and a half of it.
-func jitter(pause time.Duration) time.Duration {
-	return pause/2 + time.Duration(rand.Int64N(int64(pause)))
-}
-
 // publish notes in the store where this balancer is, so that others find it when
 // their seeds are of no use.
 func (n *node) publish() {
-	for pause := storeRetryFirst; ; pause = min(2*pause, storeRetryMost) {
+	var retry backoff
+	for {
 		begun := time.Now()
 		err := n.adapter.Publish(n.context, n.settings.Node.ID, n.settings.Node.PeerAddress)
 		n.metrics.called("publish", begun, err)
@@ -226,7 +218,7 @@
 			return
 		}
 		n.limited.Log(log.WarnLevel, "publish-failed", log.Fields{"error": err})
-		if !n.sleep(jitter(pause)) {
+		if !n.sleep(retry.next()) {
 			return
 		}
 	}
--- a/test/days/vary.py
+++ b/test/days/vary.py
@@ -29,10 +29,27 @@
     return text[:zones.start(1)] + "\n".join(lines) + "\n" + text[zones.end(1):]
 
 
+def large(text):
+    """Makes ten balancers and thirty agents of each zone."""
+    def more(line):
+        count = 10 if 'class = "front"' in line else 22 if 'app = "' + services[0] in line else 8
+        return re.sub(r"count = \d+", f"count = {count}", line)
+    services = re.findall(r'^  \{ name = "([^"]+)", servers', text, flags=re.M)
+    head, bracket, rest = text.partition("machines = [\n")
+    machines, end, tail = rest.partition("\n]")
+    return head + bracket + "\n".join(more(line) for line in machines.split("\n")) + end + tail
+
+
 VARIANTS = {
     "mod": replace(r'^hash = "steady"', 'hash = "mod"'),
     "regions": two_regions,
     "slow-heartbeats": replace(r"^beat_ms = \d+", "beat_ms = 3000"),
+    "large": large,
+    "wide": replace(r"^cross_zone_ms = [\d.]+", "cross_zone_ms = 12.0"),
+    "several-cores": replace(r"cores = 1\b", "cores = 4"),
+    "short-bounds": replace(r"^(drain_ms|config_ms|touch_ms) = \d+", r"\1 = 1500"),
+    "few-slots": replace(r"slots = \d+, queue = \d+", "slots = 2, queue = 4"),
+    "far-clients": replace(r"^client_ms = [\d.]+", "client_ms = 25.0"),
     "small-machines": replace(r"cpu_share = 0\.(24|4)\b", "cpu_share = 0.12"),
     "throttled-store": replace(r"^writes_per_s = [\d.]+\nreads_per_s = [\d.]+", "writes_per_s = 20.0\nreads_per_s = 40.0"),
 }
