--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -24,6 +24,7 @@
 	fetchTimeout        = time.Second
 	fetchPause          = 50 * time.Millisecond  // after a fetch, before the next
 	agentFetchDelay     = 300 * time.Millisecond // on average: agents need it less than balancers, from whom they then take it
+	agentFetchInterval  = 4 * time.Second        // on average, between two fetches of an agent: it needs the path of health checks only, and keeps the rest for balancers that start while the store is down
 	maximumDocument     = 8 << 20                // bytes
 	readerLook          = 250 * time.Millisecond // between two looks whether to read the store
 	directoryInterval   = 2 * time.Second        // between two looks for balancers in the store
@@ -79,12 +80,22 @@
 			return
 		}
 		n.fetchNewest(client)
-		if !n.sleep(fetchPause) {
+		if !n.sleep(n.pauseAfterFetch()) {
 			return
 		}
 	}
 }
 
+// pauseAfterFetch returns how long to wait before the next fetch. Many changes in quick
+// succession would otherwise cost every agent the whole document each time, and the
+// balancers, of which there are fewer, the sending.
+func (n *node) pauseAfterFetch() time.Duration {
+	if n.role == handshake.RoleAgent && n.holdsConfiguration() {
+		return jitter(agentFetchInterval)
+	}
+	return fetchPause
+}
+
 func (n *node) fetchNewest(client *http.Client) {
 	n.mutex.Lock()
 	held := n.table.Version()
--- /dev/null
+++ b/internal/relay/configuration_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// TestAgentsFetchSeldom: an agent that holds a configuration leaves out versions that come
+// in quick succession; one that holds none, and a balancer, do not wait.
+func TestAgentsFetchSeldom(t *testing.T) {
+	is := is.New(t)
+	table, err := routing.New(routing.Content{Version: 1})
+	is.NoErr(err)
+	n := newReadingNode(t, &silentAdapter{})
+	for _, role := range []handshake.Role{handshake.RoleBalancer, handshake.RoleAgent} {
+		n.role, n.table = role, nil
+		is.Equal(n.pauseAfterFetch(), fetchPause)
+	}
+	n.table = table
+	is.True(n.pauseAfterFetch() >= agentFetchInterval/2)
+	n.role = handshake.RoleBalancer
+	is.Equal(n.pauseAfterFetch(), fetchPause)
+}
