--- a/cmd/burlmill/processes.go
+++ b/cmd/burlmill/processes.go
@@ -54,6 +54,7 @@
 
 // runWithQueue runs a process whose log never holds it up.
 func runWithQueue(ctx context.Context, loaded settings.Settings, path string, load func() (settings.Settings, error), run relayProcess) error {
+	limitHeapGrowth()
 	queue := logging.NewQueue(os.Stdout)
 	defer queue.Close(logCloseTime)
 	logger := logging.New(queue, loaded.Log.Level)
