--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -46,7 +46,7 @@
 	splitter  *routing.Splitter
 	flows     map[flow.Key]*balancedFlow
 	waiting   map[flow.Key]*balancedFlow // those with a deadline
-	held      []*balancedFlow            // openings that wait for an agent, oldest first; some may have been released
+	held      []*balancedFlow            // openings that wait for an agent; some may have been released
 	started   time.Time
 	lastTick  time.Time
 	resumed   time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
@@ -70,6 +70,7 @@
 	sentAt  time.Time
 	held    bool // in Balancer.held
 	heldAt  time.Time
+	begun   time.Time // when the caller sent the first copy of the opening datagram, as far as can be told
 	copies  uint32    // number of the latest copy of the opening datagram
 	copyAt  time.Time // when it came
 	// uncertain says that the flow may have opened without this balancer's
--- a/handshake/datagram.go
+++ b/handshake/datagram.go
@@ -11,6 +11,8 @@
 package handshake
 
 import (
+	"time"
+
 	"github.com/burlmill/burlmill/flow"
 )
 
@@ -55,7 +57,9 @@
 	Confirms uint32
 	// Copies is, in an opening datagram, how many copies the caller has sent
 	// before: an earlier one may have opened the flow elsewhere.
-	Copies   uint32
+	Copies uint32
+	// Age is, in an opening datagram, how long ago the caller sent the first copy.
+	Age      time.Duration
 	Payload  int    // bytes of the flow's content
 	Failed   bool   // from a back end: its content begins an answer by which the back end says that it failed
 	Finish   bool   // the sender has nothing more to send
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -9,8 +9,8 @@
 
 // Openings wait at the balancer while every back end of their service has as much
 // work as it gets, while the balancer does not know the configuration yet, and
-// while it hears no agent. The youngest is served first: its caller may still be
-// answered in time, while the oldest have missed that already.
+// while it hears no agent. The youngest is served first, by when its caller began:
+// that one may still be answered in time, while the oldest have missed that already.
 
 // keep lets an opening wait for an agent.
 func (b *Balancer) keep(now time.Time, known *balancedFlow) {
@@ -41,6 +41,7 @@
 	}
 	held := b.held
 	b.held = nil
+	slices.SortStableFunc(held, func(x, y *balancedFlow) int { return x.begun.Compare(y.begun) })
 	full := map[catalog.ServiceName]bool{}
 	var still []*balancedFlow
 	for _, known := range slices.Backward(held) {
@@ -57,8 +58,7 @@
 			full[known.service] = known.held
 		}
 	}
-	slices.Reverse(still)
-	b.held = append(still, b.held...)
+	b.held = append(b.held, still...)
 }
 
 // endHold ends the wait of an opening that has found no agent. A balancer that
--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -276,3 +276,29 @@
 	agent.Tick(now)
 	is.Equal(agent.Load(now).Busy, uint32(3))
 }
+
+// TestLateCopiesAreNotTheYoungest: after an outage the first datagram that a balancer
+// sees of many callers is a late copy. It comes last and is yet the oldest.
+func TestLateCopiesAreNotTheYoungest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b.Configure(holdTable(t, 1))
+	now = advance(b, now, YoungTime)
+	limit := Load{Slots: 3}.Limit()
+	status := func(busy uint32) {
+		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: busy}})
+	}
+	status(limit)
+	ports := map[string]uint16{}
+	for i, age := range []time.Duration{0, 600 * time.Millisecond, 200 * time.Millisecond} {
+		bytes := []byte{byte(i + 1)}
+		ports[string(bytes)] = uint16(i + 1)
+		b.FromCaller(now, &Datagram{Key: holdKey(uint16(i + 1)), Kind: Opening, Number: 7, Copies: uint32(i), Age: age, Bytes: bytes})
+		now = now.Add(10 * time.Millisecond)
+	}
+	status(limit - 2)
+	is.Equal(offersIn(b.Tick(now), ports), []uint16{1, 3})
+	status(limit - 1)
+	is.Equal(offersIn(b.Tick(now.Add(time.Millisecond)), ports), []uint16{2})
+}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -24,6 +24,7 @@
 	known.opening = bytes.Clone(datagram.Bytes)
 	known.copies = datagram.Copies
 	known.copyAt = now
+	known.begun = now.Add(-datagram.Age)
 	b.notePause(now)
 	known.uncertain = datagram.Copies > 0 || !b.resumed.IsZero() && now.Sub(b.resumed) < CopyTime
 	b.place(now, known)
