--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -46,8 +46,8 @@
 	owing     map[*heldFlow]bool // flows whose back end owes an answer: its work
 	leaving   bool
 	confirm   time.Duration // that callers take to confirm a back end's number; 0: not known yet
+	places    places
 	refusals  uint64
-	toldFull  bool // balancers were told that the back end is full
 	started   time.Time
 	nextSweep time.Time
 	actions   []Action
@@ -93,6 +93,7 @@
 		tracker: instance.NewTracker(options.Service, options.ReportInterval),
 		flows:   map[flow.Key]*heldFlow{},
 		owing:   map[*heldFlow]bool{},
+		places:  newPlaces(),
 		started: now,
 	}
 }
@@ -138,30 +139,17 @@
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
-// Load returns how busy the back end is.
+// Load returns how busy the back end is. Places that are kept count as work.
 func (a *Agent) Load(now time.Time) Load {
 	return Load{
 		Accepts: a.accepts() == 0,
-		Busy:    uint32(len(a.owing)),
+		Busy:    uint32(len(a.owing) + len(a.places.kept)),
 		Slots:   a.tracker.Latest().Slots,
 		Cold:    a.tracker.Cold(now),
 		Suspect: a.tracker.Outcomes().Suspect(now),
 	}
 }
 
-// HasRoomAgain says, once, that balancers were told that the back end is full and
-// that it no longer is: flows may be waiting for it.
-func (a *Agent) HasRoomAgain(now time.Time) bool {
-	again := a.toldFull && !a.Load(now).Full()
-	if again {
-		a.toldFull = false
-	}
-	return again
-}
-
-// NoteTold notes that balancers are told the load.
-func (a *Agent) NoteTold(load Load) { a.toldFull = a.toldFull || load.Full() }
-
 // accepts returns why the back end gets no new flows, 0 if it does.
 func (a *Agent) accepts() RefusalReason {
 	switch {
@@ -187,8 +175,13 @@
 // Offered handles a balancer's offer of a new flow.
 func (a *Agent) Offered(now time.Time, from netip.AddrPort, offer Offer, datagram *Datagram) []Action {
 	held := a.flows[datagram.Key]
+	a.places.use(from)
+	if offer.Waiting && offer.Service == a.options.Service {
+		a.places.join(from)
+	}
 	if reason := a.refusal(now, held, offer); reason != 0 {
 		a.refuse(now, from, datagram.Key, reason)
+		a.invite(now)
 		return a.take()
 	}
 	if held != nil && held.opening == datagram.Number && held.state == stateOpen {
@@ -204,6 +197,7 @@
 	held.seen = now
 	a.act(Decision{Event: EventAdmitted, Key: held.key, Service: offer.Service, Peer: from, Version: offer.Version, Load: a.Load(now)})
 	a.act(Deliver{Bytes: datagram.Bytes})
+	a.invite(now)
 	return a.take()
 }
 
@@ -222,10 +216,11 @@
 }
 
 func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
-	load := a.Load(now)
-	a.toldFull = a.toldFull || load.Full()
+	if reason == RefusedBusy || reason == RefusedFull {
+		a.places.join(to)
+	}
 	a.refusals++
-	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: load}})
+	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: a.Load(now)}})
 	a.act(Decision{Event: EventRefused, Key: key, Service: a.options.Service, Peer: to, Reason: reason.String()})
 }
 
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -127,6 +127,7 @@
 	held := a.flows[datagram.Key]
 	if datagram.Returned {
 		a.returned(now, held, datagram)
+		a.invite(now)
 		return a.take()
 	}
 	if held == nil {
@@ -135,6 +136,7 @@
 	held.seen = now
 	a.fromHolder(now, held, datagram)
 	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
+	a.invite(now)
 	return a.take()
 }
 
@@ -193,9 +195,7 @@
 		held.acceptedAt = now
 	}
 	if held.balancer.IsValid() {
-		load := a.Load(now)
-		a.toldFull = a.toldFull || load.Full()
-		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: load}})
+		a.act(Send{To: held.balancer, Message: Accepted{Key: held.key, Number: number, Load: a.Load(now)}})
 	}
 }
 
@@ -220,13 +220,21 @@
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: gone, Bytes: datagram.Bytes}, datagram.Key)
 }
 
-// Tick forgets work that is not answered, and flows that are over.
-func (a *Agent) Tick(now time.Time) {
+// Tick forgets work that is not answered, places that are not used, and flows that are over.
+func (a *Agent) Tick(now time.Time) []Action {
+	a.places.expire(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held.state) {
 			a.settle(held)
 		}
 	}
+	a.sweep(now)
+	a.invite(now)
+	return a.take()
+}
+
+// sweep forgets flows that are over.
+func (a *Agent) sweep(now time.Time) {
 	if now.Before(a.nextSweep) {
 		return
 	}
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -45,8 +45,9 @@
 	table     *routing.Table
 	splitter  *routing.Splitter
 	flows     map[flow.Key]*balancedFlow
-	waiting   map[flow.Key]*balancedFlow // those with a deadline
-	held      []*balancedFlow            // openings that wait for an agent; some may have been released
+	waiting   map[flow.Key]*balancedFlow        // those with a deadline
+	held      []*balancedFlow                   // openings that wait for an agent; some may have been released
+	nextAwait map[catalog.ServiceName]time.Time // when agents may be asked for room again
 	started   time.Time
 	lastTick  time.Time
 	resumed   time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
@@ -102,6 +103,7 @@
 		neighbors: newNeighbors(options.Zone),
 		splitter:  routing.NewSplitter(),
 		flows:     map[flow.Key]*balancedFlow{},
+		nextAwait: map[catalog.ServiceName]time.Time{},
 		waiting:   map[flow.Key]*balancedFlow{},
 		started:   now,
 		lastTick:  now,
@@ -186,6 +188,8 @@
 		b.refused(now, from, message)
 	case Located:
 		b.located(now, from, message)
+	case Room:
+		b.room(now, from, message)
 	case Locate:
 		b.asked(from, message)
 	case Hint:
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -220,6 +220,27 @@
 	return best, outcome
 }
 
+// leastBusy returns at most so many agents of the service that take new flows, those with
+// the lowest load first.
+func (b *Board) leastBusy(now time.Time, service catalog.ServiceName, most int) []*agentState {
+	type rated struct {
+		agent *agentState
+		score float64
+	}
+	var usable []rated
+	for _, agent := range b.order {
+		if agent.status.Service == service && agent.usable(now) {
+			usable = append(usable, rated{agent, b.score(agent)})
+		}
+	}
+	slices.SortFunc(usable, func(x, y rated) int { return cmp.Compare(x.score, y.score) })
+	var agents []*agentState
+	for _, one := range usable[:min(len(usable), most)] {
+		agents = append(agents, one.agent)
+	}
+	return agents
+}
+
 // full says whether the agent's back end has as much work as it gets, counting
 // offers under way.
 func (a *agentState) full() bool {
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -1,6 +1,7 @@
 package handshake
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -30,6 +31,66 @@
 	b.act(Decision{Event: EventHeld, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
 }
 
+// Bounds of asking for room.
+const (
+	awaitInterval  = 100 * time.Millisecond // between two rounds of asking for one service
+	maximumAwaited = 8                      // agents asked in one round
+)
+
+// awaitRoom asks agents of a service whose back ends are all full for word of room.
+func (b *Balancer) awaitRoom(now time.Time, service catalog.ServiceName) {
+	if now.Before(b.nextAwait[service]) {
+		return
+	}
+	b.nextAwait[service] = now.Add(awaitInterval)
+	for _, agent := range b.board.leastBusy(now, service, maximumAwaited) {
+		b.act(Send{To: agent.address, Message: Await{Service: service}})
+	}
+}
+
+// room offers the youngest opening that waits for the agent's service to it.
+func (b *Balancer) room(now time.Time, from netip.AddrPort, message Room) {
+	b.board.takeAnswer(now, from, message.Load)
+	agent := b.board.agents[from]
+	if agent == nil || b.table == nil {
+		return
+	}
+	for {
+		known := b.takeYoungest(agent.status.Service)
+		if known == nil {
+			b.act(Send{To: from, Message: Declined{}})
+			return
+		}
+		known.tried, known.refused = nil, 0 // what was not answered is noted as uncertain
+		if route := b.table.Route(known.key.Service); route != nil && route.Has(known.service) {
+			b.offerTo(now, known, agent)
+			return
+		}
+		b.place(now, known)
+	}
+}
+
+// takeYoungest takes the youngest of the openings that wait for a service, nil if none
+// does.
+func (b *Balancer) takeYoungest(service catalog.ServiceName) *balancedFlow {
+	var youngest *balancedFlow
+	for _, known := range b.held {
+		if known.held && known.service == service && (youngest == nil || known.begun.After(youngest.begun)) {
+			youngest = known
+		}
+	}
+	if youngest != nil {
+		b.release(youngest)
+		b.held = slices.DeleteFunc(b.held, func(known *balancedFlow) bool { return known == youngest })
+	}
+	return youngest
+}
+
+// waits says whether any opening waits for the service.
+func (b *Balancer) waits(service catalog.ServiceName) bool {
+	return slices.ContainsFunc(b.held, func(known *balancedFlow) bool { return known.held && known.service == service })
+}
+
 // release lets an opening wait no more.
 func (b *Balancer) release(known *balancedFlow) { known.held = false }
 
--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -175,8 +175,8 @@
 	is.True(hasReset(b.FromCaller(now, &Datagram{Key: holdKey(3), Kind: Opening, Bytes: []byte{1}})))
 }
 
-// TestFullAgentRefuses: it counts what all balancers send, and says once when it
-// has room again.
+// TestFullAgentRefuses: it counts what all balancers send, and tells the one that it
+// refused, once, when it has room again.
 func TestFullAgentRefuses(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -187,10 +187,9 @@
 	}
 	actions := agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
 	is.Equal(actions[0].(Send).Message.(Refused).Reason, RefusedBusy)
-	is.True(!agent.HasRoomAgain(now))
-	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})
-	is.True(agent.HasRoomAgain(now))
-	is.True(!agent.HasRoomAgain(now))
+	is.Equal(len(roomsIn(agent.Tick(now))), 0)
+	is.Equal(roomsIn(agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})), []netip.AddrPort{holdAgent})
+	is.Equal(len(roomsIn(agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset}))), 0)
 }
 
 // TestOpeningWaitsForTheFirstConfiguration: a balancer that has just started gets
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -96,9 +96,21 @@
 type Offer struct {
 	Service catalog.ServiceName // that the flow is for
 	Version routing.Version     // of the configuration that said so
+	Waiting bool                // further openings for the service wait at the balancer
 	Bytes   []byte
 }
 
+// Await asks an agent for a Room as soon as its back end has room: openings for the
+// service wait at the balancer.
+type Await struct{ Service catalog.ServiceName }
+
+// Room tells a balancer whose openings wait that a place is kept for one of them for
+// PlaceTime. The load counts the places that are kept for others.
+type Room struct{ Load Load }
+
+// Declined gives the place of a Room back: nothing waits any more.
+type Declined struct{}
+
 // Accepted tells the balancer of an offer that the back end has answered it.
 type Accepted struct {
 	Key    flow.Key
@@ -206,6 +218,9 @@
 
 func (Status) message()   {}
 func (Offer) message()    {}
+func (Await) message()    {}
+func (Room) message()     {}
+func (Declined) message() {}
 func (Accepted) message() {}
 func (Refused) message()  {}
 func (Forward) message()  {}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -89,17 +89,23 @@
 	switch outcome {
 	case allFull:
 		b.keep(now, known)
-		return
+		b.awaitRoom(now, known.service)
 	case nobodyElse:
 		b.runOut(now, known)
-		return
+	default:
+		b.offerTo(now, known, agent)
 	}
+}
+
+// offerTo sends the opening datagram to the agent.
+func (b *Balancer) offerTo(now time.Time, known *balancedFlow, agent *agentState) {
 	b.release(known)
 	known.tried = append(known.tried, agent.address)
 	known.sentAt = now
 	agent.unanswered++
 	b.await(known, now.Add(agent.patience()))
-	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(), Bytes: known.opening}})
+	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(),
+		Waiting: b.waits(known.service), Bytes: known.opening}})
 	b.act(Decision{Event: EventOffered, Key: known.key, Service: known.service, Peer: agent.address,
 		Version: b.table.Version(), Attempts: len(known.tried), Load: agent.load, Age: now.Sub(agent.loadHeard)})
 }
--- /dev/null
+++ b/handshake/places_test.go
@@ -0,0 +1,161 @@
+package handshake
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// roomsIn returns to whom the actions tell of room.
+func roomsIn(actions []Action) []netip.AddrPort {
+	var told []netip.AddrPort
+	for _, action := range actions {
+		if send, ok := action.(Send); ok {
+			if _, ok := send.Message.(Room); ok {
+				told = append(told, send.To)
+			}
+		}
+	}
+	return told
+}
+
+// sentTo returns the messages among the actions that go to the process.
+func sentTo(actions []Action, to netip.AddrPort) []Message {
+	var messages []Message
+	for _, action := range actions {
+		if send, ok := action.(Send); ok && send.To == to {
+			messages = append(messages, send.Message)
+		}
+	}
+	return messages
+}
+
+// fullAgent returns an agent whose back end has as much work as it gets, on flows of
+// the ports from 1 on.
+func fullAgent(t *testing.T, now time.Time) *Agent {
+	t.Helper()
+	agent := readyAgent(t, now)
+	for port := range uint16(agent.Load(now).Limit()) {
+		agent.Offered(now, contactAddress(RoleBalancer, 99), Offer{Service: worldService}, &Datagram{Key: holdKey(port + 1), Kind: Opening})
+	}
+	return agent
+}
+
+// end lets the agent's back end end a flow.
+func end(agent *Agent, now time.Time, port uint16) []Action {
+	return agent.FromBackend(now, &Datagram{Key: holdKey(port), Kind: Reset})
+}
+
+// TestRoomIsOfferedToAsManyAsThereArePlaces, in the order in which they came, and is kept
+// for them for a while.
+func TestRoomIsOfferedToAsManyAsThereArePlaces(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := fullAgent(t, now)
+	limit := agent.Load(now).Limit()
+	balancers := make([]netip.AddrPort, 4)
+	for i := range balancers {
+		balancers[i] = contactAddress(RoleBalancer, i)
+		is.Equal(len(roomsIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0)
+		is.Equal(len(roomsIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0) // waits once
+	}
+	told := end(agent, now, 1)
+	is.Equal(roomsIn(told), balancers[:1])
+	is.Equal(sentTo(told, balancers[0])[0].(Room).Load.Busy, limit-1) // one place
+	is.True(agent.Load(now).Full())                                   // for all others
+
+	refused := agent.Offered(now, balancers[3], Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
+	is.Equal(sentTo(refused, balancers[3])[0].(Refused).Reason, RefusedBusy)
+	is.True(delivers(agent.Offered(now, balancers[0], Offer{Service: worldService, Waiting: true}, &Datagram{Key: holdKey(901), Kind: Opening})))
+
+	is.Equal(roomsIn(end(agent, now, 2)), balancers[1:2])
+	is.Equal(roomsIn(agent.PlaceDeclined(now, balancers[1])), balancers[2:3])
+	is.Equal(len(roomsIn(agent.Tick(now.Add(PlaceTime-time.Millisecond)))), 0)
+	is.Equal(roomsIn(agent.Tick(now.Add(PlaceTime))), balancers[3:])                     // the third has not used it
+	is.Equal(roomsIn(agent.Tick(now.Add(2*PlaceTime))), balancers[:1])                   // further openings wait there
+	is.Equal(len(roomsIn(agent.Tick(now.Add(3*PlaceTime)))), 0)                          // nobody waits
+	is.True(!agent.Load(now.Add(3 * PlaceTime)).Full())                                  // and nothing is kept
+	is.Equal(len(roomsIn(agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
+}
+
+// TestLeavingAgentTellsOfNoRoom: nothing new reaches its back end.
+func TestLeavingAgentTellsOfNoRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := fullAgent(t, now)
+	agent.Awaited(now, contactAddress(RoleBalancer, 1), Await{Service: worldService})
+	agent.Leave()
+	is.Equal(len(roomsIn(end(agent, now, 1))), 0)
+}
+
+// TestRoomGoesToTheYoungestOpening: at once, and at the agent that has it.
+func TestRoomGoesToTheYoungestOpening(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b.Configure(holdTable(t, 1))
+	now = advance(b, now, YoungTime)
+	limit := Load{Slots: 3}.Limit()
+	full := Load{Accepts: true, Slots: 3, Busy: limit}
+	b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: full})
+	ports := map[string]uint16{}
+	asked := 0
+	for port := uint16(1); port <= 3; port++ {
+		bytes := []byte{byte(port)}
+		ports[string(bytes)] = port
+		actions := b.FromCaller(now, &Datagram{Key: holdKey(port), Kind: Opening, Number: 7, Bytes: bytes})
+		for _, message := range sentTo(actions, holdAgent) {
+			is.Equal(message, Await{Service: worldService})
+			asked++
+		}
+		now = now.Add(time.Millisecond)
+	}
+	is.Equal(asked, 1) // once in a while
+	room := Room{Load: Load{Accepts: true, Slots: 3, Busy: limit - 1}}
+	for _, c := range []struct {
+		port    uint16
+		waiting bool
+	}{{3, true}, {2, true}, {1, false}} {
+		actions := b.FromPeer(now, holdAgent, room)
+		is.Equal(offersIn(actions, ports), []uint16{c.port})
+		is.Equal(sentTo(actions, holdAgent)[0].(Offer).Waiting, c.waiting)
+	}
+	is.Equal(sentTo(b.FromPeer(now, holdAgent, room), holdAgent), []Message{Declined{}})
+	is.Equal(len(offersIn(b.Tick(now.Add(worldRest)), ports)), 0) // none is offered twice
+}
+
+// TestCrowdIsRefusedSeldom: many balancers place on few back ends that are all full for a
+// while. Each place is offered to one of them.
+func TestCrowdIsRefusedSeldom(t *testing.T) {
+	is := is.New(t)
+	const (
+		callers = 1200
+		atOnce  = 8                      // callers that begin between two rounds
+		place   = 100 * time.Millisecond // that a back end works on a request
+	)
+	w := startWorld(t, 41, 12, 4)
+	w.work = place
+	offers, accepted := 0, 0
+	w.sent = func(message Message) {
+		switch message.(type) {
+		case Offer:
+			offers++
+		case Accepted:
+			accepted++
+		}
+	}
+	for port := range uint16(callers) {
+		w.begin(1000 + port)
+		if port%atOnce == 0 {
+			w.pass(worldRest)
+		}
+	}
+	w.pass(2 * time.Second)
+	is.Equal(w.violation, "")
+	t.Logf("%d callers: %d offers, %d accepted", callers, offers, accepted)
+	is.True(accepted >= callers/4)
+	is.True(offers <= 2*accepted)
+}
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -60,11 +60,22 @@
 	})
 }
 
-// call lets a caller open a flow and exchange one datagram. It says whether it was answered.
-func (w *world) call(port uint16) bool {
+func (w *world) newCaller(port uint16) *worldCaller {
 	caller := &worldCaller{key: flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress},
 		opening: w.random.Uint32()}
 	w.callers[caller.key] = caller
+	return caller
+}
+
+// begin lets a caller send its first opening datagram.
+func (w *world) begin(port uint16) {
+	caller := w.newCaller(port)
+	w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening})
+}
+
+// call lets a caller open a flow and exchange one datagram. It says whether it was answered.
+func (w *world) call(port uint16) bool {
+	caller := w.newCaller(port)
 	for copies := range uint32(4) {
 		if caller.openAt == nil && !caller.reset {
 			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening, Copies: copies})
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -69,7 +69,9 @@
 	loss      float64
 	violation string
 	resets    int
-	reports   uint64 // by which a report's sequence grows
+	work      time.Duration // that a back end takes to answer a request
+	sent      func(Message) // sees what processes send each other; nil: nobody does
+	reports   uint64        // by which a report's sequence grows
 }
 
 // worldEvent is something on its way.
@@ -173,7 +175,7 @@
 	if !agent.up {
 		return
 	}
-	agent.decider.Tick(w.now)
+	w.performAgent(agent, agent.decider.Tick(w.now))
 	if agent.decider.Tracker().CheckDue(w.now) {
 		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
 	}
@@ -234,6 +236,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case Send:
+			w.note(action.Message)
 			w.toAgent(from, action)
 			w.toBalancer(from.address, action)
 		case ResetCaller:
@@ -242,6 +245,12 @@
 	}
 }
 
+func (w *world) note(message Message) {
+	if w.sent != nil {
+		w.sent(message)
+	}
+}
+
 func (w *world) toAgent(from *worldBalancer, send Send) {
 	for _, agent := range w.agents {
 		if agent.address != send.To {
@@ -265,6 +274,10 @@
 		return agent.decider.Forwarded(w.now, from, message.Try, &datagram)
 	case Locate:
 		return agent.decider.Asked(w.now, from, message)
+	case Await:
+		return agent.decider.Awaited(w.now, from, message)
+	case Declined:
+		return agent.decider.PlaceDeclined(w.now, from)
 	}
 	return nil
 }
@@ -273,6 +286,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case Send:
+			w.note(action.Message)
 			w.toBalancer(agent.address, action)
 		case Deliver:
 			w.toBackend(agent, decodeWorld(action.Bytes))
@@ -327,6 +341,15 @@
 		w.violation = "a back end returned a flow that it holds"
 	}
 	answer.Bytes = encodeWorld(answer)
+	if w.work == 0 || answer.Kind != Data || answer.Returned {
+		w.fromBackend(agent, answer)
+		return
+	}
+	w.queue = append(w.queue, worldEvent{w.now.Add(w.work), func() { w.fromBackend(agent, answer) }})
+}
+
+// fromBackend hands a back end's datagram to its agent.
+func (w *world) fromBackend(agent *worldAgent, answer Datagram) {
 	if agent.up {
 		w.performAgent(agent, agent.decider.FromBackend(w.now, &answer))
 	}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -155,12 +155,10 @@
 }
 
 func (a *agent) status(now time.Time) handshake.Status {
-	load := a.flows.Load(now)
-	a.flows.NoteTold(load)
 	return handshake.Status{
 		Service: a.settings.Backend.Service,
 		Backend: string(a.flows.Tracker().Latest().ID),
-		Load:    load,
+		Load:    a.flows.Load(now),
 	}
 }
 
@@ -168,9 +166,8 @@
 
 // tick looks at the clock. The lock is held.
 func (a *agent) tick(now time.Time) {
-	a.flows.Tick(now)
+	a.perform(a.flows.Tick(now))
 	a.noteChange(now)
-	a.urgent = a.urgent || a.flows.HasRoomAgain(now)
 	if a.flows.Tracker().CheckDue(now) {
 		path := a.healthPath()
 		a.spawn(func() { a.check(path) })
@@ -259,6 +256,10 @@
 		})
 	case handshake.Locate:
 		a.perform(a.flows.Asked(now, from, message))
+	case handshake.Await:
+		a.perform(a.flows.Awaited(now, from, message))
+	case handshake.Declined:
+		a.perform(a.flows.PlaceDeclined(now, from))
 	}
 }
 
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -26,7 +26,13 @@
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Status{Status: encodeStatus(m)}}
 	case handshake.Offer:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Offer{Offer: &burlmillv1.HandshakeOffer{
-			Service: string(m.Service), Version: uint64(m.Version), Datagram: m.Bytes}}}
+			Service: string(m.Service), Version: uint64(m.Version), Waiting: m.Waiting, Datagram: m.Bytes}}}
+	case handshake.Await:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Await{Await: &burlmillv1.HandshakeAwait{Service: string(m.Service)}}}
+	case handshake.Room:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Room{Room: &burlmillv1.HandshakeRoom{Load: encodeLoad(m.Load)}}}
+	case handshake.Declined:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Declined{Declined: &burlmillv1.HandshakeDeclined{}}}
 	case handshake.Accepted:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Accepted{Accepted: &burlmillv1.HandshakeAccepted{
 			Key: encodeKey(m.Key), Number: m.Number, Load: encodeLoad(m.Load)}}}
@@ -63,7 +69,13 @@
 		return decodeStatus(body.Status)
 	case *burlmillv1.HandshakeMessage_Offer:
 		return handshake.Offer{Service: catalog.ServiceName(body.Offer.GetService()),
-			Version: routing.Version(body.Offer.GetVersion()), Bytes: body.Offer.GetDatagram()}, nil
+			Version: routing.Version(body.Offer.GetVersion()), Waiting: body.Offer.GetWaiting(), Bytes: body.Offer.GetDatagram()}, nil
+	case *burlmillv1.HandshakeMessage_Await:
+		return handshake.Await{Service: catalog.ServiceName(body.Await.GetService())}, nil
+	case *burlmillv1.HandshakeMessage_Room:
+		return handshake.Room{Load: decodeLoad(body.Room.GetLoad())}, nil
+	case *burlmillv1.HandshakeMessage_Declined:
+		return handshake.Declined{}, nil
 	case *burlmillv1.HandshakeMessage_Accepted:
 		key, err := decodeKey(body.Accepted.GetKey())
 		return handshake.Accepted{Key: key, Number: body.Accepted.GetNumber(), Load: decodeLoad(body.Accepted.GetLoad())}, err
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -59,11 +59,12 @@
 
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 12).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
-		return handshake.Offer{Service: "lessons", Version: routing.Version(rapid.Uint64().Draw(t, "version")), Bytes: datagram}
+		return handshake.Offer{Service: "lessons", Version: routing.Version(rapid.Uint64().Draw(t, "version")),
+			Waiting: rapid.Bool().Draw(t, "waiting"), Bytes: datagram}
 	case 2:
 		return handshake.Accepted{Key: drawKey(t), Number: rapid.Uint32().Draw(t, "number"), Load: drawLoad(t)}
 	case 3:
@@ -78,6 +79,12 @@
 		return handshake.Hint{Key: drawKey(t)}
 	case 8:
 		return handshake.Hint{Key: drawKey(t), Agent: addresses.Draw(t, "agent")}
+	case 9:
+		return handshake.Await{Service: "lessons"}
+	case 10:
+		return handshake.Room{Load: drawLoad(t)}
+	case 11:
+		return handshake.Declined{}
 	default:
 		return handshake.Located{Key: drawKey(t), Holding: handshake.HeldByGone}
 	}
