--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -31,6 +31,17 @@
 	b.act(Decision{Event: EventHeld, Key: known.key, Service: known.service, Version: b.table.Version(), Attempts: len(known.tried)})
 }
 
+// Held returns how many openings wait for an agent.
+func (b *Balancer) Held() int {
+	count := 0
+	for _, known := range b.held {
+		if known.held {
+			count++
+		}
+	}
+	return count
+}
+
 // Bounds of asking for room.
 const (
 	awaitInterval  = 100 * time.Millisecond // between two rounds of asking for one service
--- a/handshake/places.go
+++ b/handshake/places.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// Waiting returns how many balancers wait for room, and for how many a place is kept.
+func (a *Agent) Waiting() (balancers, kept int) { return len(a.places.queue), len(a.places.kept) }
+
 // Awaited handles a balancer's wish to be told of room.
 func (a *Agent) Awaited(now time.Time, from netip.AddrPort, message Await) []Action {
 	if message.Service == a.options.Service {
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -69,6 +69,8 @@
 	a.data.Store(data)
 	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 { return float64(a.flows.Flows()) }))
 	a.metrics.gauge("backend_busy", "Requests that the back end works on.", a.locked(func(now time.Time) float64 { return float64(a.flows.Load(now).Busy) }))
+	a.metrics.gauge("balancers_waiting", "Balancers with openings that wait for room at the back end.", a.locked(func(time.Time) float64 { waiting, _ := a.flows.Waiting(); return float64(waiting) }))
+	a.metrics.gauge("places_kept", "Places at the back end that are kept for balancers.", a.locked(func(time.Time) float64 { _, kept := a.flows.Waiting(); return float64(kept) }))
 	a.metrics.gauge("backend_accepts", "1 if the back end gets new flows.", a.locked(func(now time.Time) float64 { return truth(a.flows.Load(now).Accepts) }))
 	a.start(a)
 	a.outbound.Store(outbound) // from now on the back end's datagrams are handled
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	b.metrics.gauge("flows", "Flows known.", b.locked(func(time.Time) float64 { return float64(b.flows.Flows()) }))
+	b.metrics.gauge("openings_held", "Openings that wait for an agent.", b.locked(func(time.Time) float64 { return float64(b.flows.Held()) }))
 	b.metrics.gauge("ready", "1 if callers' datagrams are to come here.", b.locked(func(now time.Time) float64 { return truth(b.flows.Ready(now)) }))
 	b.start(b)
 	b.socket.Store(socket) // from now on callers' datagrams are handled
