--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -48,6 +48,24 @@
 	return false
 }
 
+func newHoldBalancer(now time.Time) *Balancer {
+	return NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+}
+
+// newConfiguredBalancer returns a balancer that is no longer young and holds a
+// configuration, and the time at which that is so.
+func newConfiguredBalancer(t *testing.T, now time.Time) (*Balancer, time.Time) {
+	t.Helper()
+	b := newHoldBalancer(now)
+	b.Configure(holdTable(t, 1))
+	return b, advance(b, now, YoungTime)
+}
+
+// hearLoad lets the balancer hear that the back end has so many requests.
+func hearLoad(b *Balancer, now time.Time, busy uint32) {
+	b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: busy}})
+}
+
 // advance lets the time pass for the balancer and returns the new time.
 func advance(b *Balancer, now time.Time, duration time.Duration) time.Time {
 	for end := now.Add(duration); now.Before(end); {
@@ -62,15 +80,9 @@
 // its time already.
 func TestFullBackEndsAreWaitedForYoungestFirst(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
-	status := func(busy uint32) {
-		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: busy}})
-	}
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	limit := Load{Slots: 3}.Limit()
-	status(limit)
+	hearLoad(b, now, limit)
 	ports := map[string]uint16{}
 	for port := uint16(1); port <= 3; port++ {
 		bytes := []byte{byte(port)}
@@ -80,12 +92,12 @@
 		is.True(!hasReset(actions))
 		now = now.Add(50 * time.Millisecond)
 	}
-	status(limit - 2)
+	hearLoad(b, now, limit-2)
 	is.Equal(offersIn(b.Tick(now), ports), []uint16{3, 2})
 	is.Equal(len(offersIn(b.Tick(now.Add(time.Millisecond)), ports)), 0) // full again with what is under way
-	status(limit)
+	hearLoad(b, now, limit)
 	now = advance(b, now, HoldTime-200*time.Millisecond)
-	status(limit)
+	hearLoad(b, now, limit)
 	for copies := range uint32(2) {
 		b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Copies: copies + 1, Bytes: []byte{1}})
 	}
@@ -109,7 +121,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
-			b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+			b := newHoldBalancer(now)
 			b.Configure(holdTable(t, 1))
 			now = advance(b, now, YoungTime)
 			full := func() {
@@ -139,10 +151,7 @@
 // the caller is told again. It used to be met with silence.
 func TestLostResetIsSentAgain(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	leaving := Status{Role: RoleAgent, Service: worldService}
 	open := func(copies uint32) []Action {
 		b.Tick(now)
@@ -160,10 +169,7 @@
 // came meanwhile; the caller's copies may have opened the flow through others.
 func TestOpeningThatWaitedThroughAPauseIsNotReset(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	now = now.Add(time.Second) // frozen
 	gone := Status{Role: RoleAgent, Service: worldService, Load: Load{Slots: 3}}
 	b.TakeStatus(now, holdAgent, gone)
@@ -197,7 +203,7 @@
 func TestOpeningWaitsForTheFirstConfiguration(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b := newHoldBalancer(now)
 	bytes := []byte{1}
 	actions := b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Bytes: bytes})
 	is.True(!hasReset(actions))
@@ -212,7 +218,7 @@
 func TestUnroutedOpeningIsResetAtOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	b := newHoldBalancer(now)
 	is.True(!hasReset(b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Bytes: []byte{1}})))
 	empty, err := routing.New(routing.Content{Version: 2})
 	is.NoErr(err)
@@ -228,10 +234,7 @@
 // TestPromisesUnderAnyOrderOfEvents.
 func TestFlowThatMayBeOpenIsNotReset(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	accepts := func(accepts bool) {
 		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: accepts, Slots: 3}})
 	}
@@ -280,15 +283,9 @@
 // sees of many callers is a late copy. It comes last and is yet the oldest.
 func TestLateCopiesAreNotTheYoungest(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	limit := Load{Slots: 3}.Limit()
-	status := func(busy uint32) {
-		b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: busy}})
-	}
-	status(limit)
+	hearLoad(b, now, limit)
 	ports := map[string]uint16{}
 	for i, age := range []time.Duration{0, 600 * time.Millisecond, 200 * time.Millisecond} {
 		bytes := []byte{byte(i + 1)}
@@ -296,8 +293,8 @@
 		b.FromCaller(now, &Datagram{Key: holdKey(uint16(i + 1)), Kind: Opening, Number: 7, Copies: uint32(i), Age: age, Bytes: bytes})
 		now = now.Add(10 * time.Millisecond)
 	}
-	status(limit - 2)
+	hearLoad(b, now, limit-2)
 	is.Equal(offersIn(b.Tick(now), ports), []uint16{1, 3})
-	status(limit - 1)
+	hearLoad(b, now, limit-1)
 	is.Equal(offersIn(b.Tick(now.Add(time.Millisecond)), ports), []uint16{2})
 }
--- a/handshake/places.go
+++ b/handshake/places.go
@@ -53,8 +53,11 @@
 	}
 }
 
-// Waiting returns how many balancers wait for room, and for how many a place is kept.
-func (a *Agent) Waiting() (balancers, kept int) { return len(a.places.queue), len(a.places.kept) }
+// BalancersWaiting returns how many balancers wait for room.
+func (a *Agent) BalancersWaiting() int { return len(a.places.queue) }
+
+// PlacesKept returns for how many balancers a place is kept.
+func (a *Agent) PlacesKept() int { return len(a.places.kept) }
 
 // Awaited handles a balancer's wish to be told of room.
 func (a *Agent) Awaited(now time.Time, from netip.AddrPort, message Await) []Action {
--- a/handshake/places_test.go
+++ b/handshake/places_test.go
@@ -1,7 +1,6 @@
 package handshake
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -94,13 +93,9 @@
 // TestRoomGoesToTheYoungestOpening: at once, and at the agent that has it.
 func TestRoomGoesToTheYoungestOpening(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBalancer(now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	b.Configure(holdTable(t, 1))
-	now = advance(b, now, YoungTime)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	limit := Load{Slots: 3}.Limit()
-	full := Load{Accepts: true, Slots: 3, Busy: limit}
-	b.TakeStatus(now, holdAgent, Status{Role: RoleAgent, Service: worldService, Load: full})
+	hearLoad(b, now, limit)
 	ports := map[string]uint16{}
 	asked := 0
 	for port := uint16(1); port <= 3; port++ {
--- /dev/null
+++ b/handshake/telling_test.go
@@ -0,0 +1,87 @@
+package handshake
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// restart starts a process anew: it knows the seed only.
+func (f *fleet) restart(address netip.AddrPort) {
+	role := f.statuses[address].Role
+	f.contacts[address] = NewContacts(address, role)
+	f.contacts[address].Add(f.now, contactAddress(RoleBalancer, 0), true)
+	status := f.statuses[address]
+	status.Incarnation++
+	f.statuses[address] = status
+}
+
+// agentsHeard returns the fewest agents that any of the balancers hears.
+func (f *fleet) agentsHeard(balancers []netip.AddrPort) int {
+	fewest := len(f.contacts)
+	for _, address := range balancers {
+		heard := 0
+		for _, known := range f.contacts[address].contacts {
+			if known.heardLately(f.now) && known.status.Role == RoleAgent {
+				heard++
+			}
+		}
+		fewest = min(fewest, heard)
+	}
+	return fewest
+}
+
+// TestRestartedBalancersHearAllAgentsSoon: agents greet balancers on which nothing
+// depends every some seconds only, so balancers tell each other of agents. What a
+// balancer does not know it cannot ask for flows.
+func TestRestartedBalancersHearAllAgentsSoon(t *testing.T) {
+	const (
+		balancers = 40
+		agents    = 120
+	)
+	all := make([]netip.AddrPort, balancers)
+	for i := range all {
+		all[i] = contactAddress(RoleBalancer, i)
+	}
+	for _, c := range []struct {
+		restarted []netip.AddrPort
+		most      time.Duration
+	}{{all[1:2], time.Second}, {all, 4500 * time.Millisecond}} {
+		is := is.New(t)
+		restarted := c.restarted
+		f := newFleet(balancers, agents)
+		f.run(30 * time.Second)
+		is.Equal(f.agentsHeard(all), agents)
+		for _, address := range restarted {
+			f.restart(address)
+		}
+		begun := f.now
+		for f.agentsHeard(restarted) < agents && f.now.Sub(begun) < 10*time.Second {
+			f.run(f.step)
+		}
+		t.Logf("%d of %d balancers restarted: all agents heard after %v", len(restarted), balancers, f.now.Sub(begun))
+		is.True(f.now.Sub(begun) <= c.most)
+	}
+}
+
+// TestProcessesBeginElsewhereInTheirLists: a newcomer is told of others by each.
+func TestProcessesBeginElsewhereInTheirLists(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	const agents = 4 * MaximumPeersTold
+	told := map[netip.AddrPort]bool{}
+	for i := range 20 {
+		contacts := NewContacts(contactAddress(RoleBalancer, i), RoleBalancer)
+		for agent := range agents {
+			contacts.Heard(now, contactAddress(RoleAgent, agent), Status{Role: RoleAgent, Incarnation: 1})
+		}
+		addresses := contacts.Tell(now, Due{Agents: true, Peers: MaximumPeersTold, News: -time.Second})
+		is.Equal(len(addresses), MaximumPeersTold)
+		for _, address := range addresses {
+			told[address] = true
+		}
+	}
+	is.True(len(told) > agents/2)
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -67,11 +67,7 @@
 		return errors.Join(err, data.Close())
 	}
 	a.data.Store(data)
-	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 { return float64(a.flows.Flows()) }))
-	a.metrics.gauge("backend_busy", "Requests that the back end works on.", a.locked(func(now time.Time) float64 { return float64(a.flows.Load(now).Busy) }))
-	a.metrics.gauge("balancers_waiting", "Balancers with openings that wait for room at the back end.", a.locked(func(time.Time) float64 { waiting, _ := a.flows.Waiting(); return float64(waiting) }))
-	a.metrics.gauge("places_kept", "Places at the back end that are kept for balancers.", a.locked(func(time.Time) float64 { _, kept := a.flows.Waiting(); return float64(kept) }))
-	a.metrics.gauge("backend_accepts", "1 if the back end gets new flows.", a.locked(func(now time.Time) float64 { return truth(a.flows.Load(now).Accepts) }))
+	a.addAgentGauges()
 	a.start(a)
 	a.outbound.Store(outbound) // from now on the back end's datagrams are handled
 	if err := a.serve(a.settings.Node.ControlAddress, a.adapter.HostHandler(a)); err != nil {
@@ -85,6 +81,25 @@
 	return nil
 }
 
+// addAgentGauges adds the values that only agents have.
+func (a *agent) addAgentGauges() {
+	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 {
+		return float64(a.flows.Flows())
+	}))
+	a.metrics.gauge("backend_busy", "Requests that the back end works on, and places kept.", a.locked(func(now time.Time) float64 {
+		return float64(a.flows.Load(now).Busy)
+	}))
+	a.metrics.gauge("backend_accepts", "1 if the back end gets new flows.", a.locked(func(now time.Time) float64 {
+		return truth(a.flows.Load(now).Accepts)
+	}))
+	a.metrics.gauge("balancers_waiting", "Balancers with openings that wait for room at the back end.", a.locked(func(time.Time) float64 {
+		return float64(a.flows.BalancersWaiting())
+	}))
+	a.metrics.gauge("places_kept", "Places at the back end that are kept for balancers.", a.locked(func(time.Time) float64 {
+		return float64(a.flows.PlacesKept())
+	}))
+}
+
 func (a *agent) ready() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -59,9 +59,7 @@
 	if err != nil {
 		return err
 	}
-	b.metrics.gauge("flows", "Flows known.", b.locked(func(time.Time) float64 { return float64(b.flows.Flows()) }))
-	b.metrics.gauge("openings_held", "Openings that wait for an agent.", b.locked(func(time.Time) float64 { return float64(b.flows.Held()) }))
-	b.metrics.gauge("ready", "1 if callers' datagrams are to come here.", b.locked(func(now time.Time) float64 { return truth(b.flows.Ready(now)) }))
+	b.addBalancerGauges()
 	b.start(b)
 	b.socket.Store(socket) // from now on callers' datagrams are handled
 	if err := b.serve(b.settings.Node.ReadyAddress, b.adapter.ReadyHandler(b.ready)); err != nil {
@@ -74,6 +72,19 @@
 	return nil
 }
 
+// addBalancerGauges adds the values that only balancers have.
+func (b *balancer) addBalancerGauges() {
+	b.metrics.gauge("flows", "Flows known.", b.locked(func(time.Time) float64 {
+		return float64(b.flows.Flows())
+	}))
+	b.metrics.gauge("openings_held", "Openings that wait for an agent.", b.locked(func(time.Time) float64 {
+		return float64(b.flows.Held())
+	}))
+	b.metrics.gauge("ready", "1 if callers' datagrams are to come here.", b.locked(func(now time.Time) float64 {
+		return truth(b.wantsCallers(now))
+	}))
+}
+
 // stop tells the platform and the agents that the balancer leaves, and goes on
 // forwarding until callers' datagrams go elsewhere.
 func (b *balancer) stop() {
