--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -85,7 +85,8 @@
 	buffered [][]byte
 	confirms uint32 // of the first buffered datagram
 	asked    []netip.AddrPort
-	answers  int
+	answered []netip.AddrPort // of those who were asked, all but one that holds the flow
+	widened  bool             // agents of all services are asked, not of the route's alone
 	perhaps  []netip.AddrPort
 	lost     time.Time
 }
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/burlmill/burlmill/routing"
 )
 
 // carry takes a caller's datagram of a flow that is open, or that it opens, to
@@ -65,13 +67,20 @@
 		return
 	}
 	known.confirms = datagram.Confirms
+	b.beginAsking(now, known)
+}
+
+// beginAsking asks anew who holds the flow.
+func (b *Balancer) beginAsking(now time.Time, known *balancedFlow) {
+	known.widened = false
+	known.answered, known.perhaps = nil, nil
 	b.ask(now, known)
 }
 
-// ask asks all agents that may hold the flow, and other balancers.
+// ask asks the agents that may hold the flow, and other balancers.
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
-	agents := b.board.known(now)
-	known.asked, known.answers, known.perhaps = nil, 0, nil
+	agents := b.candidates(now, known)
+	known.asked = slices.Clone(known.answered)
 	for _, agent := range agents {
 		b.askOne(known, agent.address)
 	}
@@ -83,7 +92,37 @@
 	b.act(Decision{Event: EventLocating, Key: known.key, Attempts: len(known.asked)})
 }
 
+// candidates returns the agents to ask for a flow. The services to which its route sends
+// new flows come first: with many services, few agents are of those. A flow that is older
+// than its route's present targets is with another service, so all others come after.
+func (b *Balancer) candidates(now time.Time, known *balancedFlow) []*agentState {
+	agents := b.board.known(now)
+	route := b.route(known)
+	if route == nil || known.widened {
+		known.widened = true
+		return agents
+	}
+	likely := slices.DeleteFunc(slices.Clone(agents), func(agent *agentState) bool { return !route.Has(agent.status.Service) })
+	if len(likely) == 0 || len(likely) == len(agents) {
+		known.widened = true
+		return agents
+	}
+	return likely
+}
+
+// route returns the flow's route, nil if there is none.
+func (b *Balancer) route(known *balancedFlow) *routing.Route {
+	if b.table == nil {
+		return nil
+	}
+	return b.table.Route(known.key.Service)
+}
+
+// askOne asks one process, unless it has been asked.
 func (b *Balancer) askOne(known *balancedFlow, address netip.AddrPort) {
+	if slices.Contains(known.asked, address) {
+		return
+	}
 	known.asked = append(known.asked, address)
 	b.act(Send{To: address, Message: Locate{Key: known.key, Confirms: known.confirms}})
 }
@@ -103,7 +142,7 @@
 	if known == nil || known.agent.IsValid() {
 		return
 	}
-	if message.Holding != Holds && !slices.Contains(known.asked, from) {
+	if message.Holding != Holds && !known.awaitsAnswer(from) {
 		return
 	}
 	switch message.Holding {
@@ -117,13 +156,18 @@
 	case HoldsPerhaps:
 		known.perhaps = append(known.perhaps, from)
 	}
-	b.answered(now, known)
+	b.noteAnswer(now, known, from)
+}
+
+// awaitsAnswer says whether the process was asked and has not answered yet.
+func (f *balancedFlow) awaitsAnswer(from netip.AddrPort) bool {
+	return slices.Contains(f.asked, from) && !slices.Contains(f.answered, from)
 }
 
-// answered notes that one of those who were asked does not say that it holds the flow.
-func (b *Balancer) answered(now time.Time, known *balancedFlow) {
-	known.answers++
-	if known.answers == len(known.asked) {
+// noteAnswer notes that one of those who were asked does not say that it holds the flow.
+func (b *Balancer) noteAnswer(now time.Time, known *balancedFlow, from netip.AddrPort) {
+	known.answered = append(known.answered, from)
+	if len(known.answered) == len(known.asked) {
 		b.locateEnded(now, known)
 	}
 }
@@ -139,7 +183,7 @@
 // locateLate handles a question whose time is over.
 func (b *Balancer) locateLate(now time.Time, known *balancedFlow) {
 	if known.asked == nil {
-		b.ask(now, known)
+		b.beginAsking(now, known)
 		return
 	}
 	b.locateEnded(now, known)
@@ -155,6 +199,11 @@
 // is left to its own patience.
 func (b *Balancer) locateEnded(now time.Time, known *balancedFlow) {
 	b.settle(known)
+	if !known.widened {
+		known.widened = true
+		b.ask(now, known)
+		return
+	}
 	if b.young(now) {
 		b.await(known, now.Add(askAgainTime))
 		known.asked = nil
@@ -167,7 +216,7 @@
 	known.buffered = nil
 	known.asked = nil
 	known.lost = now
-	b.act(Decision{Event: EventLost, Key: known.key, Attempts: known.answers, Reason: reasonUnheard})
+	b.act(Decision{Event: EventLost, Key: known.key, Attempts: len(known.answered), Reason: reasonUnheard})
 }
 
 // try passes what has waited to the back ends of the agents that may hold the flow.
--- /dev/null
+++ b/handshake/locate_test.go
@@ -0,0 +1,53 @@
+package handshake
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// locateAddresses returns to whom the actions send questions for a flow.
+func locateAddresses(actions []Action) []netip.AddrPort {
+	var asked []netip.AddrPort
+	for _, action := range actions {
+		if send, ok := action.(Send); ok {
+			if _, ok := send.Message.(Locate); ok {
+				asked = append(asked, send.To)
+			}
+		}
+	}
+	return asked
+}
+
+// TestAgentsOfTheRoutesServicesAreAskedFirst: and all others only if none of those holds
+// the flow, which is then older than the route's present targets.
+func TestAgentsOfTheRoutesServicesAreAskedFirst(t *testing.T) {
+	is := is.New(t)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
+	likely, other := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	for address, service := range map[netip.AddrPort]catalog.ServiceName{likely: worldService, other: "earlier"} {
+		b.TakeStatus(now, address, Status{Role: RoleAgent, Service: service, Load: Load{Accepts: true, Slots: 3}})
+	}
+	datagram := Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}}
+	is.Equal(locateAddresses(b.FromCaller(now, &datagram)), []netip.AddrPort{likely})
+	actions := b.FromPeer(now, likely, Located{Key: datagram.Key, Holding: HoldsNot})
+	is.Equal(locateAddresses(actions), []netip.AddrPort{other})
+	is.Equal(len(b.FromPeer(now, likely, Located{Key: datagram.Key, Holding: HoldsNot})), 0) // counts once
+	actions = b.FromPeer(now, other, Located{Key: datagram.Key, Holding: Holds})
+	is.Equal(sentTo(actions, other), []Message{Forward{Bytes: datagram.Bytes}})
+}
+
+// TestSilentAgentOfTheRouteHoldsUpTheOthersBriefly: it may be dead.
+func TestSilentAgentOfTheRouteHoldsUpTheOthersBriefly(t *testing.T) {
+	is := is.New(t)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
+	likely, other := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	b.TakeStatus(now, likely, Status{Role: RoleAgent, Service: worldService})
+	b.TakeStatus(now, other, Status{Role: RoleAgent, Service: "earlier"})
+	b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}})
+	is.Equal(locateAddresses(b.Tick(now.Add(LocateTime))), []netip.AddrPort{likely, other})
+}
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -97,12 +97,12 @@
 // what a balancer remembers may be of an earlier flow with the same key.
 func (b *Balancer) hinted(now time.Time, from netip.AddrPort, hint Hint) {
 	known := b.flows[hint.Key]
-	if known == nil || known.agent.IsValid() || !slices.Contains(known.asked, from) {
+	if known == nil || known.agent.IsValid() || !known.awaitsAnswer(from) {
 		return
 	}
 	if hint.Agent.IsValid() && !slices.Contains(known.asked, hint.Agent) {
 		b.askOne(known, hint.Agent)
 		b.await(known, now.Add(LocateTime))
 	}
-	b.answered(now, known)
+	b.noteAnswer(now, known, from)
 }
