--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -86,6 +86,7 @@
 	confirms uint32 // of the first buffered datagram
 	asked    []netip.AddrPort
 	answered []netip.AddrPort // of those who were asked, all but one that holds the flow
+	pausing  bool             // all have answered; those that are learned of meanwhile are asked after a while
 	widened  bool             // agents of all services are asked, not of the route's alone
 	perhaps  []netip.AddrPort
 	lost     time.Time
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -72,7 +72,7 @@
 
 // beginAsking asks anew who holds the flow.
 func (b *Balancer) beginAsking(now time.Time, known *balancedFlow) {
-	known.widened = false
+	known.widened, known.pausing = false, false
 	known.answered, known.perhaps = nil, nil
 	b.ask(now, known)
 }
@@ -87,6 +87,10 @@
 	for _, other := range b.neighbors.nearest(now) {
 		b.askOne(known, other)
 	}
+	if len(known.asked) == len(known.answered) {
+		b.locateEnded(now, known) // there is nobody else to ask
+		return
+	}
 	known.sentAt = now
 	b.await(known, now.Add(b.locateTime(agents)))
 	b.act(Decision{Event: EventLocating, Key: known.key, Attempts: len(known.asked)})
@@ -182,16 +186,23 @@
 
 // locateLate handles a question whose time is over.
 func (b *Balancer) locateLate(now time.Time, known *balancedFlow) {
-	if known.asked == nil {
-		b.beginAsking(now, known)
+	if known.pausing {
+		known.pausing = false
+		b.ask(now, known)
 		return
 	}
 	b.locateEnded(now, known)
 }
 
-// askAgainTime is how long a balancer that has just started waits before it asks
-// again who holds a flow: by then it knows more agents.
-const askAgainTime = 50 * time.Millisecond
+// Times in which a balancer that has started may not know all agents yet.
+const (
+	DiscoveryTime = 4 * time.Second       // the longest of them, in fleets of some hundred processes
+	askAgainTime  = 50 * time.Millisecond // after which those that it has learned of are asked for a flow too
+)
+
+// discovers says whether the balancer has started so lately that the agent which holds a
+// flow may not be known yet.
+func (b *Balancer) discovers(now time.Time) bool { return now.Sub(b.started) < DiscoveryTime }
 
 // locateEnded handles a flow that no agent is sure to hold. Agents that may hold
 // it pass the first datagram to their back ends, which know. Where nobody may, the
@@ -204,9 +215,9 @@
 		b.ask(now, known)
 		return
 	}
-	if b.young(now) {
+	if b.young(now) || b.discovers(now) && len(known.perhaps) == 0 {
+		known.pausing = true
 		b.await(known, now.Add(askAgainTime))
-		known.asked = nil
 		return
 	}
 	if len(known.perhaps) > 0 {
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -13,6 +13,7 @@
 type Contacts struct {
 	self          netip.AddrPort
 	role          Role
+	started       time.Time // when it was first asked whom to tell; zero: not yet
 	contacts      map[netip.AddrPort]*contact
 	told          toldAddresses
 	counts        map[Role]int
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -23,6 +23,8 @@
 	helloPerPeer        = 150 * time.Millisecond  // for each of them: the interval is the sum, if that is more
 	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
 	balancerPerPeer     = 40 * time.Millisecond   // for each of them: the interval is the sum, if that is more
+	startInterval       = 500 * time.Millisecond  // between balancers at most, while one has just started
+	startTime           = 3 * time.Second         // for which it has
 	StrangerInterval    = 500 * time.Millisecond  // to a process that has not been heard
 	NewStrangerInterval = 100 * time.Millisecond  // the same while its address is new
 	NewStrangerTime     = 5 * time.Second         // for which an address is new
@@ -52,6 +54,9 @@
 // Due returns whom to tell the status now, in order of address. With urgent, all who
 // need the news are told at once.
 func (c *Contacts) Due(now time.Time, urgent bool) []Due {
+	if c.started.IsZero() {
+		c.started = now
+	}
 	c.selectAgents(now)
 	var due []Due
 	for address, known := range c.contacts {
@@ -119,7 +124,7 @@
 	case !known.heardLately(now):
 		return SilentInterval
 	case c.role == RoleBalancer && known.status.Role == RoleBalancer:
-		return max(balancerInterval, time.Duration(c.counts[RoleBalancer])*balancerPerPeer)
+		return c.balancerInterval(now)
 	case !known.wants(now):
 		return max(helloInterval, time.Duration(c.counts[known.status.Role])*helloPerPeer)
 	case c.role == RoleBalancer:
@@ -129,6 +134,16 @@
 	}
 }
 
+// balancerInterval is how often a balancer tells its status to others. In its first
+// seconds it learns of many agents, which balancers that have started with it may need.
+func (c *Contacts) balancerInterval(now time.Time) time.Duration {
+	interval := max(balancerInterval, time.Duration(c.counts[RoleBalancer])*balancerPerPeer)
+	if now.Sub(c.started) < startTime {
+		return min(interval, startInterval)
+	}
+	return interval
+}
+
 // agentStatusInterval is how often an agent tells its load to balancers that
 // place flows on it. Loads also ride on the answers to offers.
 func (c *Contacts) agentStatusInterval() time.Duration {
--- a/handshake/locate_test.go
+++ b/handshake/locate_test.go
@@ -51,3 +51,34 @@
 	b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}})
 	is.Equal(locateAddresses(b.Tick(now.Add(LocateTime))), []netip.AddrPort{likely, other})
 }
+
+// TestAgentsLearnedOfLaterAreAskedToo: a balancer that has just started knows few agents.
+// The one that holds the flow is asked as soon as it is heard, the others once.
+func TestAgentsLearnedOfLaterAreAskedToo(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := newHoldBalancer(now)
+	b.Configure(holdTable(t, 1))
+	first, holder := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	hear := func(agent netip.AddrPort) {
+		b.TakeStatus(now, agent, Status{Role: RoleAgent, Service: worldService, Load: Load{Accepts: true, Slots: 3}})
+	}
+	hear(first)
+	datagram := Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}}
+	is.Equal(locateAddresses(b.FromCaller(now, &datagram)), []netip.AddrPort{first})
+	b.FromPeer(now, first, Located{Key: datagram.Key, Holding: HoldsNot})
+	for now.Sub(b.started) < DiscoveryTime/2 {
+		now = now.Add(worldRest)
+		hear(first)
+		is.Equal(len(b.Tick(now)), 0)
+	}
+	hear(holder)
+	var asked []netip.AddrPort
+	for range askAgainTime / worldRest {
+		now = now.Add(worldRest)
+		asked = append(asked, locateAddresses(b.Tick(now))...)
+	}
+	is.Equal(asked, []netip.AddrPort{holder})
+	actions := b.FromPeer(now, holder, Located{Key: datagram.Key, Holding: Holds})
+	is.Equal(sentTo(actions, holder), []Message{Forward{Bytes: datagram.Bytes}})
+}
--- a/handshake/telling_test.go
+++ b/handshake/telling_test.go
@@ -48,7 +48,7 @@
 	for _, c := range []struct {
 		restarted []netip.AddrPort
 		most      time.Duration
-	}{{all[1:2], time.Second}, {all, 4500 * time.Millisecond}} {
+	}{{all[1:2], time.Second}, {all, 2500 * time.Millisecond}} {
 		is := is.New(t)
 		restarted := c.restarted
 		f := newFleet(balancers, agents)
