--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -40,17 +40,17 @@
 // Agent decides for the process beside one back end. What it knows of the back
 // end decides whether a new flow reaches it, whatever balancers believe.
 type Agent struct {
-	options   AgentOptions
-	tracker   *instance.Tracker
-	flows     map[flow.Key]*heldFlow
-	owing     map[*heldFlow]bool // flows whose back end owes an answer: its work
-	leaving   bool
-	confirm   time.Duration // that callers take to confirm a back end's number; 0: not known yet
-	places    places
-	refusals  uint64
-	started   time.Time
-	nextSweep time.Time
-	actions   []Action
+	options      AgentOptions
+	tracker      *instance.Tracker
+	flows        map[flow.Key]*heldFlow
+	owing        map[*heldFlow]bool // flows whose back end owes an answer: its work
+	leaving      bool
+	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
+	reservations reservations
+	refusals     uint64
+	started      time.Time
+	nextSweep    time.Time
+	actions      []Action
 }
 
 // flowState says how far a flow has come at one back end.
@@ -89,12 +89,12 @@
 // NewAgent returns a decider that knows no back end yet.
 func NewAgent(now time.Time, options AgentOptions) *Agent {
 	return &Agent{
-		options: options,
-		tracker: instance.NewTracker(options.Service, options.ReportInterval),
-		flows:   map[flow.Key]*heldFlow{},
-		owing:   map[*heldFlow]bool{},
-		places:  newPlaces(),
-		started: now,
+		options:      options,
+		tracker:      instance.NewTracker(options.Service, options.ReportInterval),
+		flows:        map[flow.Key]*heldFlow{},
+		owing:        map[*heldFlow]bool{},
+		reservations: newReservations(),
+		started:      now,
 	}
 }
 
@@ -139,11 +139,11 @@
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
-// Load returns how busy the back end is. Places that are kept count as work.
+// Load returns how busy the back end is. Reservations count as work.
 func (a *Agent) Load(now time.Time) Load {
 	return Load{
 		Accepts: a.accepts() == 0,
-		Busy:    uint32(len(a.owing) + len(a.places.kept)),
+		Busy:    uint32(len(a.owing) + len(a.reservations.until)),
 		Slots:   a.tracker.Latest().Slots,
 		Cold:    a.tracker.Cold(now),
 		Suspect: a.tracker.Outcomes().Suspect(now),
@@ -175,13 +175,13 @@
 // Offered handles a balancer's offer of a new flow.
 func (a *Agent) Offered(now time.Time, from netip.AddrPort, offer Offer, datagram *Datagram) []Action {
 	held := a.flows[datagram.Key]
-	a.places.use(from)
+	a.reservations.end(from)
 	if offer.Waiting && offer.Service == a.options.Service {
-		a.places.join(from)
+		a.reservations.join(from)
 	}
 	if reason := a.refusal(now, held, offer); reason != 0 {
 		a.refuse(now, from, datagram.Key, reason)
-		a.invite(now)
+		a.reserve(now)
 		return a.take()
 	}
 	if held != nil && held.opening == datagram.Number && held.state == stateOpen {
@@ -197,7 +197,7 @@
 	held.seen = now
 	a.act(Decision{Event: EventAdmitted, Key: held.key, Service: offer.Service, Peer: from, Version: offer.Version, Load: a.Load(now)})
 	a.act(Deliver{Bytes: datagram.Bytes})
-	a.invite(now)
+	a.reserve(now)
 	return a.take()
 }
 
@@ -217,7 +217,7 @@
 
 func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
 	if reason == RefusedBusy || reason == RefusedFull {
-		a.places.join(to)
+		a.reservations.join(to)
 	}
 	a.refusals++
 	a.act(Send{To: to, Message: Refused{Key: key, Reason: reason, Load: a.Load(now)}})
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -127,7 +127,7 @@
 	held := a.flows[datagram.Key]
 	if datagram.Returned {
 		a.returned(now, held, datagram)
-		a.invite(now)
+		a.reserve(now)
 		return a.take()
 	}
 	if held == nil {
@@ -136,7 +136,7 @@
 	held.seen = now
 	a.fromHolder(now, held, datagram)
 	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
-	a.invite(now)
+	a.reserve(now)
 	return a.take()
 }
 
@@ -220,16 +220,16 @@
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: gone, Bytes: datagram.Bytes}, datagram.Key)
 }
 
-// Tick forgets work that is not answered, places that are not used, and flows that are over.
+// Tick forgets work that is not answered, reservations that are not used, and flows that are over.
 func (a *Agent) Tick(now time.Time) []Action {
-	a.places.expire(now)
+	a.reservations.expire(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held.state) {
 			a.settle(held)
 		}
 	}
 	a.sweep(now)
-	a.invite(now)
+	a.reserve(now)
 	return a.take()
 }
 
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -47,7 +47,7 @@
 	flows     map[flow.Key]*balancedFlow
 	waiting   map[flow.Key]*balancedFlow        // those with a deadline
 	held      []*balancedFlow                   // openings that wait for an agent; some may have been released
-	nextAwait map[catalog.ServiceName]time.Time // when agents may be asked for room again
+	nextAwait map[catalog.ServiceName]time.Time // when agents may be asked for reservations again
 	started   time.Time
 	lastTick  time.Time
 	resumed   time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
@@ -190,8 +190,8 @@
 		b.refused(now, from, message)
 	case Located:
 		b.located(now, from, message)
-	case Room:
-		b.room(now, from, message)
+	case Reserved:
+		b.reserved(now, from, message)
 	case Locate:
 		b.asked(from, message)
 	case Hint:
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if len(b.held) >= MaximumHeld {
-		b.held = slices.Delete(b.held, 0, 1)
+		b.endOldest(now)
 	}
 	known.held = true
 	b.held = append(b.held, known)
@@ -42,14 +42,14 @@
 	return count
 }
 
-// Bounds of asking for room.
+// Bounds of asking for reservations.
 const (
 	awaitInterval  = 100 * time.Millisecond // between two rounds of asking for one service
 	maximumAwaited = 8                      // agents asked in one round
 )
 
-// awaitRoom asks agents of a service whose back ends are all full for word of room.
-func (b *Balancer) awaitRoom(now time.Time, service catalog.ServiceName) {
+// awaitCapacity asks agents of a service whose back ends are all full for reservations.
+func (b *Balancer) awaitCapacity(now time.Time, service catalog.ServiceName) {
 	if now.Before(b.nextAwait[service]) {
 		return
 	}
@@ -59,8 +59,8 @@
 	}
 }
 
-// room offers the youngest opening that waits for the agent's service to it.
-func (b *Balancer) room(now time.Time, from netip.AddrPort, message Room) {
+// reserved offers the youngest opening that waits for the agent's service to the agent.
+func (b *Balancer) reserved(now time.Time, from netip.AddrPort, message Reserved) {
 	b.board.takeAnswer(now, from, message.Load)
 	agent := b.board.agents[from]
 	if agent == nil || b.table == nil {
@@ -143,6 +143,15 @@
 	b.reject(now, known)
 }
 
+// endOldest ends the wait of the opening that has been in the list for longest.
+func (b *Balancer) endOldest(now time.Time) {
+	oldest := b.held[0]
+	b.held = slices.Delete(b.held, 0, 1)
+	if oldest.held {
+		b.endHold(now, oldest)
+	}
+}
+
 // young says whether the balancer has started so lately that it may not know all
 // agents.
 func (b *Balancer) young(now time.Time) bool { return now.Sub(b.started) < YoungTime }
--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -193,9 +193,9 @@
 	}
 	actions := agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
 	is.Equal(actions[0].(Send).Message.(Refused).Reason, RefusedBusy)
-	is.Equal(len(roomsIn(agent.Tick(now))), 0)
-	is.Equal(roomsIn(agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})), []netip.AddrPort{holdAgent})
-	is.Equal(len(roomsIn(agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset}))), 0)
+	is.Equal(len(reservedIn(agent.Tick(now))), 0)
+	is.Equal(reservedIn(agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})), []netip.AddrPort{holdAgent})
+	is.Equal(len(reservedIn(agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset}))), 0)
 }
 
 // TestOpeningWaitsForTheFirstConfiguration: a balancer that has just started gets
@@ -298,3 +298,18 @@
 	hearLoad(b, now, limit-1)
 	is.Equal(offersIn(b.Tick(now.Add(time.Millisecond)), ports), []uint16{2})
 }
+
+// TestOpeningThatFindsTooManyWaitingEndsTheOldest: its caller is told at once.
+func TestOpeningThatFindsTooManyWaitingEndsTheOldest(t *testing.T) {
+	is := is.New(t)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
+	hearLoad(b, now, Load{Slots: 3}.Limit())
+	open := func(port uint16) []Action {
+		return b.FromCaller(now, &Datagram{Key: holdKey(port), Kind: Opening, Number: 7, Bytes: []byte{1}})
+	}
+	for port := range uint16(MaximumHeld) {
+		is.True(!hasReset(open(port + 1)))
+	}
+	is.True(hasReset(open(MaximumHeld + 1)))
+	is.Equal(b.Held(), MaximumHeld)
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -100,15 +100,15 @@
 	Bytes   []byte
 }
 
-// Await asks an agent for a Room as soon as its back end has room: openings for the
+// Await asks an agent for a reservation as soon as its back end has capacity: openings for the
 // service wait at the balancer.
 type Await struct{ Service catalog.ServiceName }
 
-// Room tells a balancer whose openings wait that a place is kept for one of them for
-// PlaceTime. The load counts the places that are kept for others.
-type Room struct{ Load Load }
+// Reserved tells a balancer whose openings wait that capacity for one of them is reserved
+// for ReservationTime. The load counts the reservations of others.
+type Reserved struct{ Load Load }
 
-// Declined gives the place of a Room back: nothing waits any more.
+// Declined gives a reservation back: nothing waits any more.
 type Declined struct{}
 
 // Accepted tells the balancer of an offer that the back end has answered it.
@@ -219,7 +219,7 @@
 func (Status) message()   {}
 func (Offer) message()    {}
 func (Await) message()    {}
-func (Room) message()     {}
+func (Reserved) message() {}
 func (Declined) message() {}
 func (Accepted) message() {}
 func (Refused) message()  {}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -89,7 +89,7 @@
 	switch outcome {
 	case allFull:
 		b.keep(now, known)
-		b.awaitRoom(now, known.service)
+		b.awaitCapacity(now, known.service)
 	case nobodyElse:
 		b.runOut(now, known)
 	default:
--- a/handshake/places_test.go
+++ b/handshake/reservations_test.go
@@ -8,12 +8,12 @@
 	"github.com/matryer/is"
 )
 
-// roomsIn returns to whom the actions tell of room.
-func roomsIn(actions []Action) []netip.AddrPort {
+// reservedIn returns to whom the actions tell of room.
+func reservedIn(actions []Action) []netip.AddrPort {
 	var told []netip.AddrPort
 	for _, action := range actions {
 		if send, ok := action.(Send); ok {
-			if _, ok := send.Message.(Room); ok {
+			if _, ok := send.Message.(Reserved); ok {
 				told = append(told, send.To)
 			}
 		}
@@ -48,9 +48,9 @@
 	return agent.FromBackend(now, &Datagram{Key: holdKey(port), Kind: Reset})
 }
 
-// TestRoomIsOfferedToAsManyAsThereArePlaces, in the order in which they came, and is kept
+// TestCapacityIsReservedForAsManyAsItServes, in the order in which they came, and is kept
 // for them for a while.
-func TestRoomIsOfferedToAsManyAsThereArePlaces(t *testing.T) {
+func TestCapacityIsReservedForAsManyAsItServes(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	agent := fullAgent(t, now)
@@ -58,40 +58,40 @@
 	balancers := make([]netip.AddrPort, 4)
 	for i := range balancers {
 		balancers[i] = contactAddress(RoleBalancer, i)
-		is.Equal(len(roomsIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0)
-		is.Equal(len(roomsIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0) // waits once
+		is.Equal(len(reservedIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0)
+		is.Equal(len(reservedIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0) // waits once
 	}
 	told := end(agent, now, 1)
-	is.Equal(roomsIn(told), balancers[:1])
-	is.Equal(sentTo(told, balancers[0])[0].(Room).Load.Busy, limit-1) // one place
-	is.True(agent.Load(now).Full())                                   // for all others
+	is.Equal(reservedIn(told), balancers[:1])
+	is.Equal(sentTo(told, balancers[0])[0].(Reserved).Load.Busy, limit-1) // one place
+	is.True(agent.Load(now).Full())                                       // for all others
 
 	refused := agent.Offered(now, balancers[3], Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
 	is.Equal(sentTo(refused, balancers[3])[0].(Refused).Reason, RefusedBusy)
 	is.True(delivers(agent.Offered(now, balancers[0], Offer{Service: worldService, Waiting: true}, &Datagram{Key: holdKey(901), Kind: Opening})))
 
-	is.Equal(roomsIn(end(agent, now, 2)), balancers[1:2])
-	is.Equal(roomsIn(agent.PlaceDeclined(now, balancers[1])), balancers[2:3])
-	is.Equal(len(roomsIn(agent.Tick(now.Add(PlaceTime-time.Millisecond)))), 0)
-	is.Equal(roomsIn(agent.Tick(now.Add(PlaceTime))), balancers[3:])                     // the third has not used it
-	is.Equal(roomsIn(agent.Tick(now.Add(2*PlaceTime))), balancers[:1])                   // further openings wait there
-	is.Equal(len(roomsIn(agent.Tick(now.Add(3*PlaceTime)))), 0)                          // nobody waits
-	is.True(!agent.Load(now.Add(3 * PlaceTime)).Full())                                  // and nothing is kept
-	is.Equal(len(roomsIn(agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
+	is.Equal(reservedIn(end(agent, now, 2)), balancers[1:2])
+	is.Equal(reservedIn(agent.ReservationDeclined(now, balancers[1])), balancers[2:3])
+	is.Equal(len(reservedIn(agent.Tick(now.Add(ReservationTime-time.Millisecond)))), 0)
+	is.Equal(reservedIn(agent.Tick(now.Add(ReservationTime))), balancers[3:])               // the third has not used it
+	is.Equal(reservedIn(agent.Tick(now.Add(2*ReservationTime))), balancers[:1])             // further openings wait there
+	is.Equal(len(reservedIn(agent.Tick(now.Add(3*ReservationTime)))), 0)                    // nobody waits
+	is.True(!agent.Load(now.Add(3 * ReservationTime)).Full())                               // and nothing is kept
+	is.Equal(len(reservedIn(agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
 }
 
-// TestLeavingAgentTellsOfNoRoom: nothing new reaches its back end.
-func TestLeavingAgentTellsOfNoRoom(t *testing.T) {
+// TestLeavingAgentReservesNothing: nothing new reaches its back end.
+func TestLeavingAgentReservesNothing(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	agent := fullAgent(t, now)
 	agent.Awaited(now, contactAddress(RoleBalancer, 1), Await{Service: worldService})
 	agent.Leave()
-	is.Equal(len(roomsIn(end(agent, now, 1))), 0)
+	is.Equal(len(reservedIn(end(agent, now, 1))), 0)
 }
 
-// TestRoomGoesToTheYoungestOpening: at once, and at the agent that has it.
-func TestRoomGoesToTheYoungestOpening(t *testing.T) {
+// TestReservationGoesToTheYoungestOpening: at once, and at the agent that has it.
+func TestReservationGoesToTheYoungestOpening(t *testing.T) {
 	is := is.New(t)
 	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
 	limit := Load{Slots: 3}.Limit()
@@ -109,16 +109,16 @@
 		now = now.Add(time.Millisecond)
 	}
 	is.Equal(asked, 1) // once in a while
-	room := Room{Load: Load{Accepts: true, Slots: 3, Busy: limit - 1}}
+	reserved := Reserved{Load: Load{Accepts: true, Slots: 3, Busy: limit - 1}}
 	for _, c := range []struct {
 		port    uint16
 		waiting bool
 	}{{3, true}, {2, true}, {1, false}} {
-		actions := b.FromPeer(now, holdAgent, room)
+		actions := b.FromPeer(now, holdAgent, reserved)
 		is.Equal(offersIn(actions, ports), []uint16{c.port})
 		is.Equal(sentTo(actions, holdAgent)[0].(Offer).Waiting, c.waiting)
 	}
-	is.Equal(sentTo(b.FromPeer(now, holdAgent, room), holdAgent), []Message{Declined{}})
+	is.Equal(sentTo(b.FromPeer(now, holdAgent, reserved), holdAgent), []Message{Declined{}})
 	is.Equal(len(offersIn(b.Tick(now.Add(worldRest)), ports)), 0) // none is offered twice
 }
 
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -277,7 +277,7 @@
 	case Await:
 		return agent.decider.Awaited(w.now, from, message)
 	case Declined:
-		return agent.decider.PlaceDeclined(w.now, from)
+		return agent.decider.ReservationDeclined(w.now, from)
 	}
 	return nil
 }
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -86,17 +86,17 @@
 	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 {
 		return float64(a.flows.Flows())
 	}))
-	a.metrics.gauge("backend_busy", "Requests that the back end works on, and places kept.", a.locked(func(now time.Time) float64 {
+	a.metrics.gauge("backend_busy", "Requests that the back end works on, and reservations.", a.locked(func(now time.Time) float64 {
 		return float64(a.flows.Load(now).Busy)
 	}))
 	a.metrics.gauge("backend_accepts", "1 if the back end gets new flows.", a.locked(func(now time.Time) float64 {
 		return truth(a.flows.Load(now).Accepts)
 	}))
-	a.metrics.gauge("balancers_waiting", "Balancers with openings that wait for room at the back end.", a.locked(func(time.Time) float64 {
+	a.metrics.gauge("balancers_waiting", "Balancers with openings that wait for capacity of the back end.", a.locked(func(time.Time) float64 {
 		return float64(a.flows.BalancersWaiting())
 	}))
-	a.metrics.gauge("places_kept", "Places at the back end that are kept for balancers.", a.locked(func(time.Time) float64 {
-		return float64(a.flows.PlacesKept())
+	a.metrics.gauge("reservations", "Balancers for which capacity for one request is reserved.", a.locked(func(time.Time) float64 {
+		return float64(a.flows.Reservations())
 	}))
 }
 
@@ -276,7 +276,7 @@
 	case handshake.Await:
 		a.perform(a.flows.Awaited(now, from, message))
 	case handshake.Declined:
-		a.perform(a.flows.PlaceDeclined(now, from))
+		a.perform(a.flows.ReservationDeclined(now, from))
 	}
 }
 
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -29,8 +29,8 @@
 			Service: string(m.Service), Version: uint64(m.Version), Waiting: m.Waiting, Datagram: m.Bytes}}}
 	case handshake.Await:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Await{Await: &burlmillv1.HandshakeAwait{Service: string(m.Service)}}}
-	case handshake.Room:
-		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Room{Room: &burlmillv1.HandshakeRoom{Load: encodeLoad(m.Load)}}}
+	case handshake.Reserved:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Reserved{Reserved: &burlmillv1.HandshakeReserved{Load: encodeLoad(m.Load)}}}
 	case handshake.Declined:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Declined{Declined: &burlmillv1.HandshakeDeclined{}}}
 	case handshake.Accepted:
@@ -72,8 +72,8 @@
 			Version: routing.Version(body.Offer.GetVersion()), Waiting: body.Offer.GetWaiting(), Bytes: body.Offer.GetDatagram()}, nil
 	case *burlmillv1.HandshakeMessage_Await:
 		return handshake.Await{Service: catalog.ServiceName(body.Await.GetService())}, nil
-	case *burlmillv1.HandshakeMessage_Room:
-		return handshake.Room{Load: decodeLoad(body.Room.GetLoad())}, nil
+	case *burlmillv1.HandshakeMessage_Reserved:
+		return handshake.Reserved{Load: decodeLoad(body.Reserved.GetLoad())}, nil
 	case *burlmillv1.HandshakeMessage_Declined:
 		return handshake.Declined{}, nil
 	case *burlmillv1.HandshakeMessage_Accepted:
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -82,7 +82,7 @@
 	case 9:
 		return handshake.Await{Service: "lessons"}
 	case 10:
-		return handshake.Room{Load: drawLoad(t)}
+		return handshake.Reserved{Load: drawLoad(t)}
 	case 11:
 		return handshake.Declined{}
 	default:
