News among balancers stay within their zone

Change: quick statuses and news go to balancers of the own zone only; between them these hear all agents. Whole statuses still go to all.

--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/routing"
 )
 
@@ -13,6 +14,7 @@
 type Contacts struct {
 	self          netip.AddrPort
 	role          Role
+	zone          catalog.ZoneName
 	started       time.Time // when it was first asked whom to tell; zero: not yet
 	contacts      map[netip.AddrPort]*contact
 	told          toldAddresses
@@ -36,9 +38,9 @@
 	lost         bool      // noticed as no longer heard
 }
 
-// NewContacts returns the contacts of a process that knows nobody.
-func NewContacts(self netip.AddrPort, role Role) *Contacts {
-	return &Contacts{self: self, role: role, contacts: map[netip.AddrPort]*contact{}, counts: map[Role]int{}, told: newToldAddresses(self)}
+// NewContacts returns the contacts of a process in the zone that knows nobody.
+func NewContacts(self netip.AddrPort, role Role, zone catalog.ZoneName) *Contacts {
+	return &Contacts{self: self, role: role, zone: zone, contacts: map[netip.AddrPort]*contact{}, counts: map[Role]int{}, told: newToldAddresses(self)}
 }
 
 // Add takes in the address of another process. A seed is never forgotten.
--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -40,7 +40,7 @@
 	f := &fleet{now: time.Unix(1000, 0), step: fleetStep, contacts: map[netip.AddrPort]*Contacts{}, statuses: map[netip.AddrPort]Status{}, sent: map[netip.AddrPort]int{}, brief: map[netip.AddrPort]int{}, peers: map[netip.AddrPort]int{}}
 	add := func(role Role, i int) {
 		address := contactAddress(role, i)
-		f.contacts[address] = NewContacts(address, role)
+		f.contacts[address] = NewContacts(address, role, "")
 		f.contacts[address].Add(f.now, contactAddress(RoleBalancer, 0), true)
 		f.statuses[address] = Status{ID: address.String(), Role: role, Incarnation: 1, Service: catalog.ServiceName(fmt.Sprintf("s%d", i%2))}
 	}
@@ -86,7 +86,7 @@
 func TestBriefStatusNeedsAWholeOneBefore(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	contacts := NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer)
+	contacts := NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer, "")
 	agent := contactAddress(RoleAgent, 0)
 	whole := Status{ID: "agent", Role: RoleAgent, Zone: "a", Region: "r", Service: worldService, Incarnation: 1, Load: Load{Busy: 1}}
 	later := whole
@@ -110,7 +110,7 @@
 		f := newFleet(6, 11)
 		f.run(10 * time.Second)
 		restarted := contactAddress(role, 1)
-		f.contacts[restarted] = NewContacts(restarted, role)
+		f.contacts[restarted] = NewContacts(restarted, role, "")
 		status := f.statuses[restarted]
 		status.Incarnation++
 		f.statuses[restarted] = status
@@ -128,7 +128,7 @@
 	f := newFleet(4, 11)
 	f.run(20 * time.Second)
 	added := contactAddress(RoleBalancer, 4)
-	f.contacts[added] = NewContacts(added, RoleBalancer)
+	f.contacts[added] = NewContacts(added, RoleBalancer, "")
 	f.contacts[added].Add(f.now, contactAddress(RoleBalancer, 0), true)
 	f.statuses[added] = Status{ID: "added", Role: RoleBalancer, Incarnation: 1}
 	f.run(1500 * time.Millisecond)
@@ -255,7 +255,7 @@
 func TestSilentProcessIsForgottenUnlessASeed(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	contacts := NewContacts(contactAddress(RoleAgent, 1), RoleAgent)
+	contacts := NewContacts(contactAddress(RoleAgent, 1), RoleAgent, "")
 	seed, other := contactAddress(RoleBalancer, 1), contactAddress(RoleBalancer, 2)
 	contacts.Add(now, seed, true)
 	contacts.Heard(now, other, Status{Role: RoleBalancer, Incarnation: 1})
--- a/handshake/departure_test.go
+++ b/handshake/departure_test.go
@@ -21,7 +21,7 @@
 // newDeparting returns a balancer that begins to stop and hears others all the time.
 func newDeparting() *departing {
 	now := time.Unix(1000, 0)
-	return &departing{now: now, contacts: NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer),
+	return &departing{now: now, contacts: NewContacts(contactAddress(RoleBalancer, 0), RoleBalancer, ""),
 		departure: NewDeparture(now, "a", departureLimit)}
 }
 
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -23,7 +23,7 @@
 	helloPerPeer        = 150 * time.Millisecond  // for each of them: the interval is the sum, if that is more
 	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
 	balancerPerPeer     = 40 * time.Millisecond   // for each of them: the interval is the sum, if that is more
-	startInterval       = 500 * time.Millisecond  // between balancers at most, while one has just started
+	startInterval       = 500 * time.Millisecond  // between balancers of one zone at most, while one has just started
 	startTime           = 3 * time.Second         // for which it has
 	StrangerInterval    = 500 * time.Millisecond  // to a process that has not been heard
 	NewStrangerInterval = 100 * time.Millisecond  // the same while its address is new
@@ -84,7 +84,7 @@
 func (c *Contacts) chooseForm(now time.Time, known *contact, told *Due) {
 	introduced := known.heardLately(now) && known.wholes >= firstWholes
 	told.Agents = c.role == RoleBalancer && known.status.Role == RoleBalancer
-	if c.role == RoleBalancer && known.wants(now) || told.Agents {
+	if c.role == RoleBalancer && known.wants(now) || c.isNeighbor(known) {
 		// Agents learn of new balancers from balancers only, and these soon enough
 		// of agents from each other only.
 		told.News = time.Duration(newsStatuses * float64(told.Interval))
@@ -101,6 +101,12 @@
 	told.Peers = max(told.Peers, fewPeersTold)
 }
 
+// isNeighbor says whether both are balancers of one zone. Between them they hear all
+// agents, so what has appeared need not be told across zones.
+func (c *Contacts) isNeighbor(known *contact) bool {
+	return c.role == RoleBalancer && known.status.Role == RoleBalancer && known.status.Zone == c.zone
+}
+
 func (k *contact) wants(now time.Time) bool { return now.Before(k.subscription) }
 
 // needs says whether a process must hear news at once: balancers that place flows
@@ -124,7 +130,7 @@
 	case !known.heardLately(now):
 		return SilentInterval
 	case c.role == RoleBalancer && known.status.Role == RoleBalancer:
-		return c.balancerInterval(now)
+		return c.balancerInterval(now, known)
 	case !known.wants(now):
 		return max(helloInterval, time.Duration(c.counts[known.status.Role])*helloPerPeer)
 	case c.role == RoleBalancer:
@@ -134,11 +140,11 @@
 	}
 }
 
-// balancerInterval is how often a balancer tells its status to others. In its first
-// seconds it learns of many agents, which balancers that have started with it may need.
-func (c *Contacts) balancerInterval(now time.Time) time.Duration {
+// balancerInterval is how often a balancer tells its status to another. In its first
+// seconds it learns of many agents, which neighbors that have started with it may need.
+func (c *Contacts) balancerInterval(now time.Time, known *contact) time.Duration {
 	interval := max(balancerInterval, time.Duration(c.counts[RoleBalancer])*balancerPerPeer)
-	if now.Sub(c.started) < startTime {
+	if now.Sub(c.started) < startTime && c.isNeighbor(known) {
 		return min(interval, startInterval)
 	}
 	return interval
--- a/handshake/telling_test.go
+++ b/handshake/telling_test.go
@@ -1,17 +1,22 @@
 package handshake
 
 import (
+	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
 )
 
 // restart starts a process anew: it knows the seed only.
 func (f *fleet) restart(address netip.AddrPort) {
 	role := f.statuses[address].Role
-	f.contacts[address] = NewContacts(address, role)
+	f.contacts[address] = NewContacts(address, role, f.statuses[address].Zone)
 	f.contacts[address].Add(f.now, contactAddress(RoleBalancer, 0), true)
 	status := f.statuses[address]
 	status.Incarnation++
@@ -66,6 +71,54 @@
 	}
 }
 
+// divide puts the processes of a fleet that has not run yet into zones.
+func (f *fleet) divide(zones int) {
+	for i, address := range slices.SortedFunc(maps.Keys(f.contacts), netip.AddrPort.Compare) {
+		status := f.statuses[address]
+		status.Zone = catalog.ZoneName(fmt.Sprintf("zone-%d", i%zones))
+		f.statuses[address] = status
+		f.contacts[address].zone = status.Zone
+	}
+}
+
+// TestNewsStayWithinZones: bytes between zones are dear. Whole statuses apart, which all
+// get, balancers of other zones are told no addresses, and none sooner.
+func TestNewsStayWithinZones(t *testing.T) {
+	is := is.New(t)
+	const (
+		balancers = 40
+		agents    = 120
+		zones     = 4
+	)
+	f := newFleet(balancers, agents)
+	f.divide(zones)
+	f.run(30 * time.Second)
+	all := make([]netip.AddrPort, balancers)
+	for i := range all {
+		all[i] = contactAddress(RoleBalancer, i)
+		f.restart(all[i])
+	}
+	within, across := 0, 0 // addresses told in brief statuses between balancers
+	f.lost = func(from, to netip.AddrPort, status Status) bool {
+		switch {
+		case !status.IsBrief() || f.statuses[from].Role != RoleBalancer || f.statuses[to].Role != RoleBalancer:
+		case f.statuses[from].Zone == f.statuses[to].Zone:
+			within += len(status.Peers)
+		default:
+			across += len(status.Peers)
+		}
+		return false
+	}
+	begun := f.now
+	for f.agentsHeard(all) < agents && f.now.Sub(begun) < 10*time.Second {
+		f.run(f.step)
+	}
+	t.Logf("all agents heard after %v; addresses told within zones %d, across %d", f.now.Sub(begun), within, across)
+	is.True(f.now.Sub(begun) <= 3*time.Second)
+	is.True(within > 0)
+	is.Equal(across, 0)
+}
+
 // TestProcessesBeginElsewhereInTheirLists: a newcomer is told of others by each.
 func TestProcessesBeginElsewhereInTheirLists(t *testing.T) {
 	is := is.New(t)
@@ -73,7 +126,7 @@
 	const agents = 4 * MaximumPeersTold
 	told := map[netip.AddrPort]bool{}
 	for i := range 20 {
-		contacts := NewContacts(contactAddress(RoleBalancer, i), RoleBalancer)
+		contacts := NewContacts(contactAddress(RoleBalancer, i), RoleBalancer, "")
 		for agent := range agents {
 			contacts.Heard(now, contactAddress(RoleAgent, agent), Status{Role: RoleAgent, Incarnation: 1})
 		}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -102,7 +102,7 @@
 		role:         role,
 		context:      ctx,
 		cancel:       cancel,
-		contacts:     handshake.NewContacts(s.Node.PeerAddress, role),
+		contacts:     handshake.NewContacts(s.Node.PeerAddress, role, s.Node.Zone),
 		fetch:        make(chan struct{}, 1),
 	}
 }
