--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -193,9 +193,9 @@
 	}
 	actions := agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(900), Kind: Opening})
 	is.Equal(actions[0].(Send).Message.(Refused).Reason, RefusedBusy)
-	is.Equal(len(reservedIn(agent.Tick(now))), 0)
-	is.Equal(reservedIn(agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})), []netip.AddrPort{holdAgent})
-	is.Equal(len(reservedIn(agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset}))), 0)
+	is.Equal(len(receivers[Reserved](agent.Tick(now))), 0)
+	is.Equal(receivers[Reserved](agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset})), []netip.AddrPort{holdAgent})
+	is.Equal(len(receivers[Reserved](agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset}))), 0)
 }
 
 // TestOpeningWaitsForTheFirstConfiguration: a balancer that has just started gets
--- a/handshake/locate_test.go
+++ b/handshake/locate_test.go
@@ -10,19 +10,6 @@
 	"github.com/burlmill/burlmill/catalog"
 )
 
-// locateAddresses returns to whom the actions send questions for a flow.
-func locateAddresses(actions []Action) []netip.AddrPort {
-	var asked []netip.AddrPort
-	for _, action := range actions {
-		if send, ok := action.(Send); ok {
-			if _, ok := send.Message.(Locate); ok {
-				asked = append(asked, send.To)
-			}
-		}
-	}
-	return asked
-}
-
 // TestAgentsOfTheRoutesServicesAreAskedFirst: and all others only if none of those holds
 // the flow, which is then older than the route's present targets.
 func TestAgentsOfTheRoutesServicesAreAskedFirst(t *testing.T) {
@@ -33,9 +20,9 @@
 		b.TakeStatus(now, address, Status{Role: RoleAgent, Service: service, Load: Load{Accepts: true, Slots: 3}})
 	}
 	datagram := Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}}
-	is.Equal(locateAddresses(b.FromCaller(now, &datagram)), []netip.AddrPort{likely})
+	is.Equal(receivers[Locate](b.FromCaller(now, &datagram)), []netip.AddrPort{likely})
 	actions := b.FromPeer(now, likely, Located{Key: datagram.Key, Holding: HoldsNot})
-	is.Equal(locateAddresses(actions), []netip.AddrPort{other})
+	is.Equal(receivers[Locate](actions), []netip.AddrPort{other})
 	is.Equal(len(b.FromPeer(now, likely, Located{Key: datagram.Key, Holding: HoldsNot})), 0) // counts once
 	actions = b.FromPeer(now, other, Located{Key: datagram.Key, Holding: Holds})
 	is.Equal(sentTo(actions, other), []Message{Forward{Bytes: datagram.Bytes}})
@@ -49,7 +36,7 @@
 	b.TakeStatus(now, likely, Status{Role: RoleAgent, Service: worldService})
 	b.TakeStatus(now, other, Status{Role: RoleAgent, Service: "earlier"})
 	b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}})
-	is.Equal(locateAddresses(b.Tick(now.Add(LocateTime))), []netip.AddrPort{likely, other})
+	is.Equal(receivers[Locate](b.Tick(now.Add(LocateTime))), []netip.AddrPort{likely, other})
 }
 
 // TestAgentsLearnedOfLaterAreAskedToo: a balancer that has just started knows few agents.
@@ -65,7 +52,7 @@
 	}
 	hear(first)
 	datagram := Datagram{Key: holdKey(1), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{1}}
-	is.Equal(locateAddresses(b.FromCaller(now, &datagram)), []netip.AddrPort{first})
+	is.Equal(receivers[Locate](b.FromCaller(now, &datagram)), []netip.AddrPort{first})
 	b.FromPeer(now, first, Located{Key: datagram.Key, Holding: HoldsNot})
 	for now.Sub(b.started) < DiscoveryTime/2 {
 		now = now.Add(worldRest)
@@ -76,7 +63,7 @@
 	var asked []netip.AddrPort
 	for range askAgainTime / worldRest {
 		now = now.Add(worldRest)
-		asked = append(asked, locateAddresses(b.Tick(now))...)
+		asked = append(asked, receivers[Locate](b.Tick(now))...)
 	}
 	is.Equal(asked, []netip.AddrPort{holder})
 	actions := b.FromPeer(now, holder, Located{Key: datagram.Key, Holding: Holds})
--- a/handshake/reservations_test.go
+++ b/handshake/reservations_test.go
@@ -8,17 +8,17 @@
 	"github.com/matryer/is"
 )
 
-// reservedIn returns to whom the actions tell of room.
-func reservedIn(actions []Action) []netip.AddrPort {
-	var told []netip.AddrPort
+// receivers returns to whom the actions send messages of the type.
+func receivers[T Message](actions []Action) []netip.AddrPort {
+	var to []netip.AddrPort
 	for _, action := range actions {
 		if send, ok := action.(Send); ok {
-			if _, ok := send.Message.(Reserved); ok {
-				told = append(told, send.To)
+			if _, ok := send.Message.(T); ok {
+				to = append(to, send.To)
 			}
 		}
 	}
-	return told
+	return to
 }
 
 // sentTo returns the messages among the actions that go to the process.
@@ -58,11 +58,11 @@
 	balancers := make([]netip.AddrPort, 4)
 	for i := range balancers {
 		balancers[i] = contactAddress(RoleBalancer, i)
-		is.Equal(len(reservedIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0)
-		is.Equal(len(reservedIn(agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0) // waits once
+		is.Equal(len(receivers[Reserved](agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0)
+		is.Equal(len(receivers[Reserved](agent.Awaited(now, balancers[i], Await{Service: worldService}))), 0) // waits once
 	}
 	told := end(agent, now, 1)
-	is.Equal(reservedIn(told), balancers[:1])
+	is.Equal(receivers[Reserved](told), balancers[:1])
 	is.Equal(sentTo(told, balancers[0])[0].(Reserved).Load.Busy, limit-1) // one place
 	is.True(agent.Load(now).Full())                                       // for all others
 
@@ -70,14 +70,14 @@
 	is.Equal(sentTo(refused, balancers[3])[0].(Refused).Reason, RefusedBusy)
 	is.True(delivers(agent.Offered(now, balancers[0], Offer{Service: worldService, Waiting: true}, &Datagram{Key: holdKey(901), Kind: Opening})))
 
-	is.Equal(reservedIn(end(agent, now, 2)), balancers[1:2])
-	is.Equal(reservedIn(agent.ReservationDeclined(now, balancers[1])), balancers[2:3])
-	is.Equal(len(reservedIn(agent.Tick(now.Add(ReservationTime-time.Millisecond)))), 0)
-	is.Equal(reservedIn(agent.Tick(now.Add(ReservationTime))), balancers[3:])               // the third has not used it
-	is.Equal(reservedIn(agent.Tick(now.Add(2*ReservationTime))), balancers[:1])             // further openings wait there
-	is.Equal(len(reservedIn(agent.Tick(now.Add(3*ReservationTime)))), 0)                    // nobody waits
+	is.Equal(receivers[Reserved](end(agent, now, 2)), balancers[1:2])
+	is.Equal(receivers[Reserved](agent.ReservationDeclined(now, balancers[1])), balancers[2:3])
+	is.Equal(len(receivers[Reserved](agent.Tick(now.Add(ReservationTime-time.Millisecond)))), 0)
+	is.Equal(receivers[Reserved](agent.Tick(now.Add(ReservationTime))), balancers[3:])               // the third has not used it
+	is.Equal(receivers[Reserved](agent.Tick(now.Add(2*ReservationTime))), balancers[:1])             // further openings wait there
+	is.Equal(len(receivers[Reserved](agent.Tick(now.Add(3*ReservationTime)))), 0)                    // nobody waits
 	is.True(!agent.Load(now.Add(3 * ReservationTime)).Full())                               // and nothing is kept
-	is.Equal(len(reservedIn(agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
+	is.Equal(len(receivers[Reserved](agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
 }
 
 // TestLeavingAgentReservesNothing: nothing new reaches its back end.
@@ -87,7 +87,7 @@
 	agent := fullAgent(t, now)
 	agent.Awaited(now, contactAddress(RoleBalancer, 1), Await{Service: worldService})
 	agent.Leave()
-	is.Equal(len(reservedIn(end(agent, now, 1))), 0)
+	is.Equal(len(receivers[Reserved](end(agent, now, 1))), 0)
 }
 
 // TestReservationGoesToTheYoungestOpening: at once, and at the agent that has it.
