--- a/handshake/reservations_test.go
+++ b/handshake/reservations_test.go
@@ -76,7 +76,7 @@
 	is.Equal(receivers[Reserved](agent.Tick(now.Add(ReservationTime))), balancers[3:])               // the third has not used it
 	is.Equal(receivers[Reserved](agent.Tick(now.Add(2*ReservationTime))), balancers[:1])             // further openings wait there
 	is.Equal(len(receivers[Reserved](agent.Tick(now.Add(3*ReservationTime)))), 0)                    // nobody waits
-	is.True(!agent.Load(now.Add(3 * ReservationTime)).Full())                               // and nothing is kept
+	is.True(!agent.Load(now.Add(3 * ReservationTime)).Full())                                        // and nothing is kept
 	is.Equal(len(receivers[Reserved](agent.Awaited(now, balancers[1], Await{Service: "other"}))), 0) // not of this service
 }
 
