--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -47,6 +47,7 @@
 	leaving      bool
 	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	reservations reservations
+	searches     []*search // for balancers, in the order in which they began
 	refusals     uint64
 	started      time.Time
 	nextSweep    time.Time
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -109,7 +109,7 @@
 // started after its back end may have missed the flow's opening. Only then, since
 // each back end that is asked in vain gets datagrams of a flow of another.
 func (a *Agent) unknownHolding(now time.Time) Holding {
-	if now.Sub(a.started) < a.options.FlowLifetime && a.tracker.MayPredate() {
+	if now.Sub(a.started) < a.options.FlowLifetime && !a.tracker.SawBegin() {
 		return HoldsPerhaps
 	}
 	return HoldsNot
@@ -216,6 +216,7 @@
 // Tick forgets work that is not answered, reservations that are not used, and flows that are over.
 func (a *Agent) Tick(now time.Time) []Action {
 	a.reservations.expire(now)
+	a.expireSearches(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held.state) {
 			a.settle(held)
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -16,12 +16,9 @@
 const (
 	OfferTime        = 40 * time.Millisecond  // for an agent to answer an offer, at least
 	MaximumOfferTime = 250 * time.Millisecond // the same at most
-	LocateTime       = 60 * time.Millisecond  // for agents to say who holds a flow
 	MaximumOffers    = 4                      // of one opening datagram
-	MaximumBuffered  = 16                     // datagrams of one flow that wait for its agent
 	OpeningTime      = 3 * time.Second        // after which a flow that has not opened is forgotten
 	RestTime         = 20 * time.Second       // after which a flow without a datagram is forgotten
-	LostTime         = 1 * time.Second        // during which a flow that nobody holds is not asked for again
 	HoldTime         = 700 * time.Millisecond // that an opening waits for an agent
 	MaximumHeld      = 4096                   // openings that wait for an agent
 	YoungTime        = time.Second            // after the start, during which a balancer may not know all agents
@@ -40,19 +37,23 @@
 
 // Balancer decides for one balancer.
 type Balancer struct {
-	board     *Board
-	neighbors *neighbors
-	table     *routing.Table
-	splitter  *routing.Splitter
-	flows     map[flow.Key]*balancedFlow
-	waiting   map[flow.Key]*balancedFlow        // those with a deadline
-	held      []*balancedFlow                   // openings that wait for an agent; some may have been released
-	nextAwait map[catalog.ServiceName]time.Time // when agents may be asked for reservations again
-	started   time.Time
-	lastTick  time.Time
-	resumed   time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
-	nextSweep time.Time
-	actions   []Action
+	board      *Board
+	neighbors  *neighbors
+	table      *routing.Table
+	splitter   *routing.Splitter
+	flows      map[flow.Key]*balancedFlow
+	waiting    map[flow.Key]*balancedFlow        // those with a deadline
+	held       []*balancedFlow                   // openings that wait for an agent; some may have been released
+	unfound    []*balancedFlow                   // flows that wait to be searched for; some may have been found
+	findings   int                               // flows that are searched for; at most maximumFindings
+	recorded   []netip.AddrPort                  // agents that have recorded themselves
+	hasRecords bool                              // recorded has been read
+	nextAwait  map[catalog.ServiceName]time.Time // when agents may be asked for reservations again
+	started    time.Time
+	lastTick   time.Time
+	resumed    time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
+	nextSweep  time.Time
+	actions    []Action
 }
 
 // balancedFlow is what a balancer knows about one flow.
@@ -80,16 +81,15 @@
 	uncertain bool
 
 	// Of an open flow.
-	agent    netip.AddrPort // zero: not known
-	buffered [][]byte
-	confirms uint32 // of the first buffered datagram
-	latest   uint32 // what the caller's latest datagram confirmed
-	asked    []netip.AddrPort
-	answered []netip.AddrPort // of those who were asked, all but one that holds the flow
-	pausing  bool             // all have answered; those that are learned of meanwhile are asked after a while
-	widened  bool             // agents of all services are asked, not of the route's alone
-	perhaps  []netip.AddrPort
-	lost     time.Time
+	agent     netip.AddrPort // zero: not known
+	buffered  [][]byte
+	confirms  uint32        // of the first buffered datagram
+	latest    uint32        // what the caller's latest datagram confirmed
+	finding   *finding      // nil: it is not searched for
+	findAgain time.Time     // until then it is not searched for again
+	findPause time.Duration // for which it was left alone last
+	gone      bool          // for certain: nobody holds it
+	resetAt   time.Time     // when the caller was last told so
 }
 
 // accept is one back end's answer to an opening.
@@ -175,6 +175,7 @@
 
 func (b *Balancer) forget(known *balancedFlow) {
 	b.release(known)
+	b.endFinding(known)
 	delete(b.flows, known.key)
 	delete(b.waiting, known.key)
 }
@@ -200,10 +201,12 @@
 		b.located(now, from, message)
 	case Reserved:
 		b.reserved(now, from, message)
+	case Found:
+		b.found(now, from, message)
 	case Locate:
 		b.asked(from, message)
 	case Hint:
-		b.hinted(now, from, message)
+		b.hinted(message)
 	}
 	return b.take()
 }
@@ -225,12 +228,14 @@
 	b.placeHeld(now)
 	for _, known := range b.overdue(now) {
 		b.settle(known)
-		if known.buffered != nil {
-			b.locateLate(now, known)
+		if known.finding != nil {
+			b.findingLate(now, known)
 			continue
 		}
 		b.unanswered(now, known)
 	}
+	b.searchNewAgents(now)
+	b.startFindings(now)
 	b.sweep(now)
 	return b.take()
 }
@@ -238,16 +243,21 @@
 // overdue returns the flows whose deadline has passed, in an order that is the same
 // in every run.
 func (b *Balancer) overdue(now time.Time) []*balancedFlow {
-	var overdue []*balancedFlow
+	return b.waitingBy(func(known *balancedFlow) bool { return !now.Before(known.deadline) })
+}
+
+// waitingBy returns the flows with a deadline that are chosen, in the order of their deadlines.
+func (b *Balancer) waitingBy(choose func(*balancedFlow) bool) []*balancedFlow {
+	var found []*balancedFlow
 	for _, known := range b.waiting {
-		if !now.Before(known.deadline) {
-			overdue = append(overdue, known)
+		if choose(known) {
+			found = append(found, known)
 		}
 	}
-	slices.SortFunc(overdue, func(x, y *balancedFlow) int {
+	slices.SortFunc(found, func(x, y *balancedFlow) int {
 		return cmp.Or(x.deadline.Compare(y.deadline), x.key.Caller.Compare(y.key.Caller), x.key.Service.Compare(y.key.Service))
 	})
-	return overdue
+	return found
 }
 
 // sweep forgets flows that are over.
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -88,6 +88,7 @@
 	agents map[netip.AddrPort]*agentState
 	order  []*agentState // by address, so that every run decides alike
 	random *rand.Rand
+	grown  bool // an agent has been heard for the first time since this was last looked at
 }
 
 // NewBoard returns an empty board of a balancer in the zone of the region.
@@ -112,6 +113,7 @@
 
 func (b *Board) add(agent *agentState) {
 	b.agents[agent.address] = agent
+	b.grown = true
 	place, _ := slices.BinarySearchFunc(b.order, agent, compareAddresses)
 	b.order = slices.Insert(b.order, place, agent)
 }
@@ -174,13 +176,63 @@
 func (b *Board) known(now time.Time) []*agentState {
 	var agents []*agentState
 	for _, agent := range b.order {
-		if now.Sub(agent.heard) <= max(KnownTime, patience(agent.status)) {
+		if agent.known(now) {
 			agents = append(agents, agent)
 		}
 	}
 	return agents
 }
 
+// known says whether the agent may be asked for flows.
+func (a *agentState) known(now time.Time) bool {
+	return now.Sub(a.heard) <= max(KnownTime, patience(a.status))
+}
+
+// hearsAll says whether all agents that were ever heard, and all those that are recorded, can
+// be asked for flows; but for those that have said that they leave.
+func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort) bool {
+	for _, address := range recorded {
+		if b.agents[address] == nil {
+			return false
+		}
+	}
+	for _, agent := range b.order {
+		if !agent.known(now) && !agent.status.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// searcher returns an agent, heard of late, that is to search for a flow: one of the own zone
+// if there is any, by chance, so that the work is spread. Not the one given, unless it is the only one.
+func (b *Board) searcher(now time.Time, except netip.AddrPort) *agentState {
+	var best *agentState
+	bestScore := 0.0
+	for _, agent := range b.order {
+		if agent.status.Leaving || now.Sub(agent.heard) > agent.freshTime() {
+			continue
+		}
+		score := b.random.Float64()
+		if agent.status.Zone != b.zone {
+			score += farSearcher
+		}
+		if agent.address == except {
+			score += sameSearcher
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = agent, score
+		}
+	}
+	return best
+}
+
+// Weights by which an agent is chosen to search, beside a chance below 1.
+const (
+	farSearcher  = 1 // it is in another zone
+	sameSearcher = 2 // it was asked to search for this flow before
+)
+
 // choice is the outcome of looking for an agent.
 type choice uint8
 
--- /dev/null
+++ b/handshake/finding.go
@@ -0,0 +1,354 @@
+package handshake
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/burlmill/burlmill/routing"
+)
+
+// Finding: a balancer that gets a datagram of a flow it does not know (routers have moved
+// the flow, or the balancer has just started) lets an agent search for the one that holds it.
+// Flows that nobody holds any more come in crowds after an outage, so the work is bounded: so
+// many searches run at once, the rest wait, and a flow that was not found is left alone for a
+// while, longer each time. Where answers come late because processes are busy, fewer searches
+// run in a second.
+
+// Times and bounds of finding flows.
+const (
+	LocateTime       = 60 * time.Millisecond  // for agents to say who holds a flow
+	MaximumBuffered  = 16                     // datagrams of one flow that wait for its agent
+	maximumFindings  = 16                     // flows that are searched for at once (a guess: at 10 ms each, more than all flows of a balancer that move in a second)
+	maximumUnfound   = 4096                   // flows that wait to be searched for
+	maximumMissed    = 2                      // searches for one flow that may stay without an answer
+	firstFindPause   = 50 * time.Millisecond  // for which a flow that was not found is left alone; doubled each time
+	mostFindPause    = time.Second            // at most
+	resetPause       = 100 * time.Millisecond // between two resets of one flow
+	callerPause      = 2 * time.Second        // silence after which a caller has given up: the longest between two of its copies is 1.6 s
+	DiscoveryTime    = 4 * time.Second        // after a balancer's start, in which it may not know all agents (measured: 2.2 s at 300 machines)
+	maximumNeighbors = 16                     // other balancers asked for one flow
+)
+
+// finding is the search for the agent that holds one flow.
+type finding struct {
+	begun     time.Time
+	queued    bool             // waits for its turn
+	running   bool             // counts as one of maximumFindings
+	searcher  netip.AddrPort   // agent that searches; zero: none
+	under     []netip.AddrPort // agents of the question under way
+	asked     []netip.AddrPort // agents that were asked, those of the question under way included
+	perhaps   []netip.AddrPort // agents that may hold the flow
+	tries     bool             // the question under way is a datagram tried at back ends
+	undecided bool             // some have not answered
+	missed    int              // searches without an answer
+	hinted    bool             // other balancers were asked
+}
+
+// locate lets a datagram of a flow that is not known wait until its agent is found.
+func (b *Balancer) locate(now time.Time, known *balancedFlow, datagram *Datagram) {
+	if known.gone {
+		b.resetAgain(now, known)
+		return
+	}
+	if datagram.Kind == Reset && known.finding == nil {
+		return // its caller has given up; the back end notices without it
+	}
+	if now.Before(known.findAgain) || len(known.buffered) >= MaximumBuffered {
+		return
+	}
+	known.buffered = append(known.buffered, bytes.Clone(datagram.Bytes))
+	if known.finding != nil {
+		return
+	}
+	known.confirms = datagram.Confirms
+	known.finding = &finding{begun: now}
+	b.queueFinding(known)
+	b.startFindings(now)
+}
+
+// resetAgain tells the caller of a flow that is known to be gone once more: the reset
+// may have been lost.
+func (b *Balancer) resetAgain(now time.Time, known *balancedFlow) {
+	if now.Sub(known.resetAt) < resetPause {
+		return
+	}
+	known.resetAt = now
+	b.act(ResetCaller{Key: known.key, Confirms: known.latest})
+}
+
+func (b *Balancer) queueFinding(known *balancedFlow) {
+	if len(b.unfound) >= maximumUnfound {
+		b.endFinding(b.unfound[0])
+		b.unfound = slices.Delete(b.unfound, 0, 1)
+	}
+	known.finding.queued = true
+	b.unfound = append(b.unfound, known)
+}
+
+// startFindings begins as many searches as may run, the flow whose caller sent last first:
+// callers of the others have given up, or wait before they send again.
+func (b *Balancer) startFindings(now time.Time) {
+	for b.findings < maximumFindings && len(b.unfound) > 0 {
+		known := b.takeUnfound()
+		if known == nil {
+			return
+		}
+		if now.Sub(known.seen) > callerPause {
+			b.giveUpFinding(now, known)
+			continue
+		}
+		known.finding.running = true
+		b.findings++
+		b.ask(now, known)
+	}
+}
+
+// takeUnfound takes the flow whose caller sent last out of those that wait, nil if none does.
+func (b *Balancer) takeUnfound() *balancedFlow {
+	b.unfound = slices.DeleteFunc(b.unfound, func(known *balancedFlow) bool { return known.finding == nil || !known.finding.queued })
+	if len(b.unfound) == 0 {
+		return nil
+	}
+	latest := 0
+	for i, known := range b.unfound {
+		if !known.seen.Before(b.unfound[latest].seen) {
+			latest = i
+		}
+	}
+	known := b.unfound[latest]
+	b.unfound = slices.Delete(b.unfound, latest, latest+1)
+	known.finding.queued = false
+	return known
+}
+
+// ask lets an agent search among those that have not been asked yet, then try the datagram
+// at the back ends that may hold the flow.
+func (b *Balancer) ask(now time.Time, known *balancedFlow) {
+	f := known.finding
+	remaining := b.candidates(now, known)
+	f.tries = len(remaining) == 0 && len(f.perhaps) > 0 && !(b.young(now) && b.discovers(now))
+	switch {
+	case len(remaining) > 0:
+		b.search(now, known, remaining, nil)
+	case f.tries:
+		b.act(Decision{Event: EventTried, Key: known.key, Attempts: len(f.perhaps)})
+		b.search(now, known, f.perhaps[:min(len(f.perhaps), MaximumSearched)], known.buffered[0])
+	default:
+		b.findingEnded(now, known)
+	}
+}
+
+// search sends the question to an agent.
+func (b *Balancer) search(now time.Time, known *balancedFlow, agents []netip.AddrPort, datagram []byte) {
+	f := known.finding
+	searcher := b.board.searcher(now, f.searcher)
+	if searcher == nil {
+		f.undecided = true
+		b.findingEnded(now, known)
+		return
+	}
+	f.searcher = searcher.address
+	f.under = agents
+	known.sentAt = now
+	b.await(known, now.Add(2*LocateTime+searcher.patience()))
+	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram}})
+	b.act(Decision{Event: EventLocating, Key: known.key, Peer: searcher.address, Attempts: len(agents)})
+}
+
+// candidates returns agents to ask for a flow that have not been asked. Those of the services
+// to which its route sends new flows come first: with many services, few agents are of those.
+// A flow that is older than its route's present targets is with another service, so all others
+// come after.
+func (b *Balancer) candidates(now time.Time, known *balancedFlow) []netip.AddrPort {
+	var likely, others []netip.AddrPort
+	route := b.route(known)
+	for _, agent := range b.board.known(now) {
+		switch {
+		case slices.Contains(known.finding.asked, agent.address):
+		case route != nil && route.Has(agent.status.Service):
+			likely = append(likely, agent.address)
+		default:
+			others = append(others, agent.address)
+		}
+	}
+	if len(likely) == 0 {
+		likely = others
+	}
+	return likely[:min(len(likely), MaximumSearched)]
+}
+
+// route returns the flow's route, nil if there is none.
+func (b *Balancer) route(known *balancedFlow) *routing.Route {
+	if b.table == nil {
+		return nil
+	}
+	return b.table.Route(known.key.Service)
+}
+
+// found handles the answer of the agent that has searched.
+func (b *Balancer) found(now time.Time, from netip.AddrPort, answer Found) {
+	known := b.flows[answer.Key]
+	if known == nil || known.agent.IsValid() || known.finding == nil {
+		return
+	}
+	if answer.Agent.IsValid() {
+		b.foundAt(now, known, answer.Agent)
+		return
+	}
+	f := known.finding
+	if f.searcher != from || f.under == nil {
+		return // a late answer
+	}
+	f.undecided = f.undecided || answer.Unanswered > 0
+	f.asked = append(f.asked, f.under...)
+	f.under = nil
+	if f.tries {
+		f.perhaps = nil
+	}
+	f.perhaps = append(f.perhaps, answer.Perhaps...)
+	b.ask(now, known)
+	b.startFindings(now)
+}
+
+// located handles the answer of an agent that another balancer has named.
+func (b *Balancer) located(now time.Time, from netip.AddrPort, answer Located) {
+	known := b.flows[answer.Key]
+	if known == nil || known.agent.IsValid() || known.finding == nil || answer.Holding != Holds {
+		return
+	}
+	b.foundAt(now, known, from)
+}
+
+// foundAt sends on what has waited for the flow's agent.
+func (b *Balancer) foundAt(now time.Time, known *balancedFlow, agent netip.AddrPort) {
+	b.hold(now, known, agent, EventLocated)
+	b.startFindings(now)
+}
+
+// findingLate handles a search without an answer, and flows that wait for agents that the
+// balancer does not know yet.
+func (b *Balancer) findingLate(now time.Time, known *balancedFlow) {
+	f := known.finding
+	if f.under == nil {
+		b.settle(known)
+		b.queueFinding(known)
+		return
+	}
+	f.missed++
+	if f.missed >= maximumMissed {
+		f.undecided = true
+		f.asked = append(f.asked, f.under...)
+	}
+	f.under = nil
+	b.ask(now, known)
+}
+
+// findingEnded handles a flow that none of the agents that are known holds. In a balancer's first
+// seconds others may be learned of: the flow waits for them. If all agents that there are
+// have said for certain that they do not hold it, it is gone. Else it may be held by an agent
+// that cannot be heard from here, and its caller is left to its own patience.
+func (b *Balancer) findingEnded(now time.Time, known *balancedFlow) {
+	f := known.finding
+	b.stopSearching(known)
+	switch {
+	case !f.undecided && len(f.perhaps) == 0 && b.knowsAll(now):
+		b.lose(now, known, reasonNobody)
+	case !f.hinted:
+		b.hint(now, known)
+		b.await(known, now.Add(2*LocateTime))
+	case b.discovers(now):
+		b.await(known, b.nextDiscovery(now, f))
+	default:
+		b.giveUpFinding(now, known)
+	}
+}
+
+// nextDiscovery returns when a flow is searched for again that no agent known so far holds.
+func (b *Balancer) nextDiscovery(now time.Time, f *finding) time.Time {
+	if b.young(now) && len(f.perhaps) > 0 {
+		return b.started.Add(YoungTime)
+	}
+	return b.started.Add(DiscoveryTime)
+}
+
+// discovers says whether the balancer has started so lately that the agent which holds a
+// flow may not be known yet.
+func (b *Balancer) discovers(now time.Time) bool {
+	return now.Sub(b.started) < DiscoveryTime && !b.knowsAll(now)
+}
+
+// Record takes in the addresses of all agents that have recorded themselves where it lasts.
+func (b *Balancer) Record(agents []netip.AddrPort) {
+	b.recorded = agents
+	b.hasRecords = true
+}
+
+// knowsAll says whether the balancer hears every agent that may hold flows: those that have
+// recorded themselves, and those that it has heard itself. Agents that were started while
+// the records could not be read or written tell it within DiscoveryTime.
+func (b *Balancer) knowsAll(now time.Time) bool {
+	return b.hasRecords && b.board.hearsAll(now, b.recorded)
+}
+
+// hint asks other balancers which agent holds a flow: it may be one that is not known here.
+func (b *Balancer) hint(now time.Time, known *balancedFlow) {
+	known.finding.hinted = true
+	for _, other := range b.neighbors.nearest(now) {
+		b.act(Send{To: other, Message: Locate{Key: known.key, Confirms: known.confirms}})
+	}
+}
+
+// searchNewAgents searches anew for the flows that wait for agents which are not known yet.
+func (b *Balancer) searchNewAgents(now time.Time) {
+	if !b.board.grown {
+		return
+	}
+	b.board.grown = false
+	for _, known := range b.waitingBy(func(known *balancedFlow) bool { return known.finding != nil && known.finding.under == nil }) {
+		b.settle(known)
+		b.queueFinding(known)
+	}
+}
+
+// giveUpFinding drops what has waited and leaves the flow alone for a while.
+func (b *Balancer) giveUpFinding(now time.Time, known *balancedFlow) {
+	known.findPause = min(max(2*known.findPause, firstFindPause), mostFindPause)
+	known.findAgain = now.Add(known.findPause)
+	b.act(Decision{Event: EventLost, Key: known.key, Attempts: len(known.finding.asked), Reason: reasonUnheard, Age: known.findPause})
+	b.endFinding(known)
+}
+
+// stopSearching lets another search run in the place of the flow's.
+func (b *Balancer) stopSearching(known *balancedFlow) {
+	b.settle(known)
+	if known.finding.running {
+		known.finding.running = false
+		b.findings--
+	}
+}
+
+// endFinding ends the search for a flow, found or not.
+func (b *Balancer) endFinding(known *balancedFlow) {
+	if known.finding == nil {
+		return
+	}
+	b.stopSearching(known)
+	known.finding = nil
+	known.buffered = nil
+}
+
+// lose ends a flow that is known to be gone: the caller is told at once, and again
+// whenever it sends on.
+func (b *Balancer) lose(now time.Time, known *balancedFlow, reason string) {
+	attempts := 0
+	if known.finding != nil {
+		attempts = len(known.finding.asked)
+	}
+	b.endFinding(known)
+	known.gone = true
+	known.resetAt = now
+	b.act(Decision{Event: EventLost, Key: known.key, Attempts: attempts, Reason: reason})
+	b.act(ResetCaller{Key: known.key, Confirms: known.latest})
+}
--- /dev/null
+++ b/handshake/finding_test.go
@@ -0,0 +1,195 @@
+package handshake
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+)
+
+// hearAgents lets the balancer hear the agents, all of one service.
+func hearAgents(b *Balancer, now time.Time, service catalog.ServiceName, agents ...netip.AddrPort) {
+	for _, agent := range agents {
+		b.TakeStatus(now, agent, Status{Role: RoleAgent, Zone: "a", Service: service, Load: Load{Accepts: true, Slots: 3}})
+	}
+}
+
+// settled returns a balancer that knows all agents, and the time.
+func settled(t *testing.T, agents ...netip.AddrPort) (*Balancer, time.Time) {
+	t.Helper()
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
+	now = b.started.Add(DiscoveryTime)
+	hearAgents(b, now, worldService, agents...)
+	b.Record(agents)
+	b.Tick(now)
+	return b, now
+}
+
+func unknownData(port uint16) *Datagram {
+	return &Datagram{Key: holdKey(port), Kind: Data, Confirms: 50, Payload: 1, Bytes: []byte{byte(port)}}
+}
+
+// searchIn returns the only search among the actions, and the agent that gets it.
+func searchIn(t *testing.T, actions []Action) (netip.AddrPort, Search) {
+	t.Helper()
+	var found []Send
+	for _, action := range actions {
+		if send, ok := action.(Send); ok {
+			if _, ok := send.Message.(Search); ok {
+				found = append(found, send)
+			}
+		}
+	}
+	is.New(t).Equal(len(found), 1)
+	return found[0].To, found[0].Message.(Search)
+}
+
+// TestAgentsOfTheRoutesServicesAreSearchedFirst: and all others only if none of those holds
+// the flow, which is then older than the route's present targets. Balancers ask one agent.
+func TestAgentsOfTheRoutesServicesAreSearchedFirst(t *testing.T) {
+	is := is.New(t)
+	likely, other := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	b, now := settled(t, likely)
+	hearAgents(b, now, "earlier", other)
+	searcher, search := searchIn(t, b.FromCaller(now, unknownData(1)))
+	is.Equal(search.Agents, []netip.AddrPort{likely})
+	is.Equal(len(b.FromCaller(now, unknownData(1))), 0) // waits for the answer too
+	actions := b.FromPeer(now, searcher, Found{Key: holdKey(1)})
+	next, search := searchIn(t, actions)
+	is.Equal(search.Agents, []netip.AddrPort{other})
+	is.Equal(len(b.FromPeer(now, searcher, Found{Key: holdKey(1)})), 0) // a late answer, unless it has been asked again
+	actions = b.FromPeer(now, next, Found{Key: holdKey(1), Agent: other})
+	is.Equal(sentTo(actions, other), []Message{Forward{Bytes: []byte{1}}, Forward{Bytes: []byte{1}}})
+}
+
+// TestSilentSearcherIsReplaced: it may be dead. Without any answer nothing is known of the
+// flow, so its caller is not reset, and the flow is left alone for a while.
+func TestSilentSearcherIsReplaced(t *testing.T) {
+	is := is.New(t)
+	b, now := settled(t, contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2))
+	first, _ := searchIn(t, b.FromCaller(now, unknownData(1)))
+	now = now.Add(2*LocateTime + OfferTime)
+	second, search := searchIn(t, b.Tick(now))
+	is.True(first != second)
+	is.Equal(len(search.Agents), 2)
+	now = now.Add(2*LocateTime + OfferTime)
+	b.Tick(now) // other balancers are asked
+	now = now.Add(2 * LocateTime)
+	actions := b.Tick(now)
+	is.True(!hasReset(actions))
+	is.Equal(len(receivers[Search](actions)), 0)
+	is.Equal(len(receivers[Search](b.FromCaller(now, unknownData(1)))), 0)
+	is.Equal(len(receivers[Search](b.FromCaller(now.Add(firstFindPause), unknownData(1)))), 1)
+	is.Equal(b.findings, 1)
+}
+
+// TestAgentsLearnedOfLaterAreSearchedToo: a balancer that has just started knows few agents.
+// The one that holds the flow is asked as soon as it is heard, the others once.
+func TestAgentsLearnedOfLaterAreSearchedToo(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := newHoldBalancer(now)
+	b.Configure(holdTable(t, 1))
+	first, holder := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	hearAgents(b, now, worldService, first)
+	b.Tick(now)
+	searcher, _ := searchIn(t, b.FromCaller(now, unknownData(1)))
+	is.True(!hasReset(b.FromPeer(now, searcher, Found{Key: holdKey(1)})))
+	for now.Sub(b.started) < DiscoveryTime/2 {
+		now = now.Add(worldRest)
+		hearAgents(b, now, worldService, first)
+		is.Equal(len(b.Tick(now)), 0)
+	}
+	b.FromCaller(now, unknownData(1)) // the caller is still there
+	hearAgents(b, now, worldService, holder)
+	searcher, search := searchIn(t, b.Tick(now))
+	is.Equal(search.Agents, []netip.AddrPort{holder})
+	actions := b.FromPeer(now, searcher, Found{Key: holdKey(1), Agent: holder})
+	is.Equal(sentTo(actions, holder), []Message{Forward{Bytes: []byte{1}}, Forward{Bytes: []byte{1}}})
+}
+
+// TestFindingsAreBounded: however many flows are unknown at once, as after an outage, so
+// many searches run. The flow whose caller sent last comes next.
+func TestFindingsAreBounded(t *testing.T) {
+	is := is.New(t)
+	b, now := settled(t, contactAddress(RoleAgent, 1))
+	searches := 0
+	var searcher netip.AddrPort
+	for port := uint16(1); port <= 100; port++ {
+		actions := b.FromCaller(now.Add(time.Duration(port)*time.Millisecond), unknownData(port))
+		searches += len(receivers[Search](actions))
+		if port == 1 {
+			searcher, _ = searchIn(t, actions)
+		}
+	}
+	is.Equal(searches, maximumFindings)
+	_, search := searchIn(t, b.FromPeer(now.Add(200*time.Millisecond), searcher, Found{Key: holdKey(1)}))
+	is.Equal(search.Key, holdKey(100))
+	is.Equal(b.findings, maximumFindings)
+}
+
+// TestOnlyAFlowThatAllDenyIsReset: an agent that has not answered, or that cannot be asked
+// any more, may hold the flow.
+func TestOnlyAFlowThatAllDenyIsReset(t *testing.T) {
+	agent, silent := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	for name, test := range map[string]struct {
+		answer Found
+		before func(*Balancer, time.Time)
+		reset  bool
+	}{
+		"all deny":                  {reset: true},
+		"one is silent":             {answer: Found{Unanswered: 1}},
+		"one is not heard any more": {before: func(b *Balancer, now time.Time) { hearAgents(b, now.Add(-2*KnownTime), worldService, silent) }},
+		"one has left": {before: func(b *Balancer, now time.Time) {
+			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
+		}, reset: true},
+		"one is recorded": {before: func(b *Balancer, _ time.Time) { b.Record([]netip.AddrPort{agent, silent}) }},
+		"no records":      {before: func(b *Balancer, _ time.Time) { b.hasRecords = false }},
+		"just started":    {before: func(b *Balancer, now time.Time) { b.started = now }, reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b, now := settled(t, agent)
+			if test.before != nil {
+				test.before(b, now)
+			}
+			searcher, search := searchIn(t, b.FromCaller(now, unknownData(1)))
+			is.Equal(search.Agents, []netip.AddrPort{agent})
+			test.answer.Key = holdKey(1)
+			actions := b.FromPeer(now, searcher, test.answer)
+			is.Equal(hasReset(actions), test.reset)
+			if test.reset {
+				is.True(!hasReset(b.FromCaller(now, unknownData(1)))) // it is on its way
+				actions = b.FromCaller(now.Add(resetPause), unknownData(1))
+				is.Equal(actions, []Action{ResetCaller{Key: holdKey(1), Confirms: 50}})
+			}
+		})
+	}
+}
+
+// TestBackEndsThatMayHoldAFlowAreTried: if all give the datagram back, the flow is gone.
+func TestBackEndsThatMayHoldAFlowAreTried(t *testing.T) {
+	is := is.New(t)
+	agent, other := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	b, now := settled(t, agent, other)
+	searcher, _ := searchIn(t, b.FromCaller(now, unknownData(1)))
+	searcher, search := searchIn(t, b.FromPeer(now, searcher, Found{Key: holdKey(1), Perhaps: []netip.AddrPort{other}}))
+	is.Equal(search, Search{Key: holdKey(1), Confirms: 50, Agents: []netip.AddrPort{other}, Datagram: []byte{1}})
+	is.True(hasReset(b.FromPeer(now, searcher, Found{Key: holdKey(1)})))
+}
+
+// TestConfirmationBeforeTheAnswerToItsOffer: the caller's datagram may be handled before
+// the agent's answer, which waits in another socket.
+func TestConfirmationBeforeTheAnswerToItsOffer(t *testing.T) {
+	is := is.New(t)
+	agent := contactAddress(RoleAgent, 1)
+	b, now := settled(t, agent)
+	b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Bytes: []byte{7}})
+	b.FromCaller(now, unknownData(1))
+	actions := b.FromPeer(now, agent, Accepted{Key: holdKey(1), Number: 50, Load: Load{Accepts: true, Slots: 3}})
+	is.Equal(sentTo(actions, agent), []Message{Forward{Bytes: []byte{1}}})
+	is.Equal(b.findings, 0)
+}
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -195,7 +195,7 @@
 			case "late report":
 				w.reportLate(agent)
 			case "exchange":
-				if caller := w.callers[callerKey(port-1)]; caller != nil && caller.openAt != nil {
+				if caller := w.callers[holdKey(port-1)]; caller != nil && caller.openAt != nil {
 					w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
 				}
 			case "freeze":
@@ -248,7 +248,7 @@
 	w.startBalancer(w.balancers[0])
 	w.pass(worldCalm + time.Second)
 	is.True(!w.exchange(caller))
-	w.pass(LostTime)
+	w.pass(mostFindPause)
 	is.Equal(w.resets, 0)
 	is.Equal(w.violation, "")
 }
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -204,6 +204,23 @@
 	Holding Holding
 }
 
+// Search asks an agent to find out which of the agents holds a flow: it asks them, or, with
+// a datagram, tries that at their back ends. The agent that is asked may be among them.
+type Search struct {
+	Key      flow.Key
+	Confirms uint32           // of the datagram that is to be delivered
+	Agents   []netip.AddrPort // at most MaximumSearched
+	Datagram []byte           // to be tried; nil: the agents are asked
+}
+
+// Found is the answer to Search.
+type Found struct {
+	Key        flow.Key
+	Agent      netip.AddrPort   // that holds the flow; zero: none does, as far as they have answered
+	Perhaps    []netip.AddrPort // agents that may hold it
+	Unanswered uint32           // agents that have not answered
+}
+
 // Hint is a balancer's answer to Locate.
 type Hint struct {
 	Key   flow.Key
@@ -222,3 +239,5 @@
 func (Locate) message()   {}
 func (Located) message()  {}
 func (Hint) message()     {}
+func (Search) message()   {}
+func (Found) message()    {}
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -13,9 +13,6 @@
 // balancer that has just started may not know the agent yet, and no agent needs to be
 // asked that surely does not hold the flow.
 
-// MaximumNeighborsAsked is how many other balancers are asked for one flow at most.
-const MaximumNeighborsAsked = 16
-
 // neighbors is what a balancer knows of the others.
 type neighbors struct {
 	zone  catalog.ZoneName
@@ -60,7 +57,7 @@
 	slices.SortFunc(heard, func(a, b *neighbor) int {
 		return cmp.Or(cmp.Compare(n.distance(a), n.distance(b)), a.address.Compare(b.address))
 	})
-	heard = heard[:min(len(heard), MaximumNeighborsAsked)]
+	heard = heard[:min(len(heard), maximumNeighbors)]
 	addresses := make([]netip.AddrPort, 0, len(heard))
 	for _, other := range heard {
 		addresses = append(addresses, other.address)
@@ -95,14 +92,10 @@
 
 // hinted handles another balancer's answer. The agent that it names is asked itself:
 // what a balancer remembers may be of an earlier flow with the same key.
-func (b *Balancer) hinted(now time.Time, from netip.AddrPort, hint Hint) {
+func (b *Balancer) hinted(hint Hint) {
 	known := b.flows[hint.Key]
-	if known == nil || known.agent.IsValid() || !known.awaitsAnswer(from) {
+	if known == nil || known.finding == nil || !hint.Agent.IsValid() {
 		return
 	}
-	if hint.Agent.IsValid() && !slices.Contains(known.asked, hint.Agent) {
-		b.askOne(known, hint.Agent)
-		b.await(known, now.Add(LocateTime))
-	}
-	b.noteAnswer(now, known, from)
+	b.act(Send{To: hint.Agent, Message: Locate{Key: known.key, Confirms: known.confirms}})
 }
--- a/handshake/neighbors_test.go
+++ b/handshake/neighbors_test.go
@@ -67,11 +67,11 @@
 	now := time.Unix(1000, 0)
 	others := newNeighbors("a")
 	zones := []catalog.ZoneName{"a", "b", "c"}
-	for i := range 3 * MaximumNeighborsAsked {
+	for i := range 3 * maximumNeighbors {
 		others.take(now, contactAddress(RoleBalancer, i), Status{Role: RoleBalancer, Zone: zones[i%3]})
 	}
 	nearest := others.nearest(now)
-	is.Equal(len(nearest), MaximumNeighborsAsked)
+	is.Equal(len(nearest), maximumNeighbors)
 	for _, address := range nearest {
 		is.Equal(others.known[address].zone, catalog.ZoneName("a"))
 	}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -53,6 +53,9 @@
 // so another agent is asked.
 func (b *Balancer) openAgain(now time.Time, known *balancedFlow, datagram *Datagram) {
 	known.takeCopy(now, datagram.Copies)
+	if known.gone {
+		return
+	}
 	if known.agent.IsValid() || known.held || !known.deadline.IsZero() {
 		return
 	}
@@ -180,12 +183,15 @@
 	b.board.noteAnswer(from, now.Sub(known.sentAt))
 	same := func(a accept) bool { return a.agent == from }
 	known.accepts = append(slices.DeleteFunc(known.accepts, same), accept{from, message.Number})
-	if known.opening != nil {
+	if known.opening != nil && known.finding == nil {
 		b.settle(known)
 		b.release(known)
 	}
 	b.act(Decision{Event: EventAccepted, Key: known.key, Service: known.service, Peer: from, Attempts: len(known.tried),
 		Load: message.Load, Age: now.Sub(known.sentAt)})
+	if known.finding != nil && known.confirms == message.Number {
+		b.foundAt(now, known, from) // the caller's confirmation was handled before this
+	}
 }
 
 func (b *Balancer) refused(now time.Time, from netip.AddrPort, message Refused) {
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 
 	"github.com/burlmill/burlmill/flow"
 )
@@ -64,13 +63,8 @@
 	})
 }
 
-// callerKey returns the flow of the caller's port.
-func callerKey(port uint16) flow.Key {
-	return flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port), Service: worldAddress}
-}
-
 func (w *world) newCaller(port uint16) *worldCaller {
-	caller := &worldCaller{key: callerKey(port), opening: w.random.Uint32()}
+	caller := &worldCaller{key: holdKey(port), opening: w.random.Uint32()}
 	w.callers[caller.key] = caller
 	return caller
 }
@@ -88,7 +82,7 @@
 		if caller.openAt == nil && !caller.reset {
 			w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening, Copies: copies})
 		}
-		w.pass(callerPause)
+		w.pass(resendPause)
 		if caller.answered > 0 {
 			return true
 		}
@@ -104,7 +98,7 @@
 	before := caller.answered
 	for range callerPatience {
 		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
-		w.pass(callerPause)
+		w.pass(resendPause)
 		if caller.answered > before {
 			return true
 		}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -18,7 +18,7 @@
 const (
 	worldService   = catalog.ServiceName("lessons")
 	worldRest      = 10 * time.Millisecond // between two rounds
-	callerPause    = 200 * time.Millisecond
+	resendPause    = 200 * time.Millisecond
 	worldReports   = 10              // by which a report's sequence grows: most reports are not seen here
 	worldCalm      = 2 * time.Second // for all to hear of each other
 	callerPatience = 30              // rounds of sending after which a caller gives up
@@ -252,7 +252,7 @@
 		switch action := action.(type) {
 		case Send:
 			w.note(action.Message)
-			w.toAgent(from, action)
+			w.toAgent(from.address, action)
 			w.toBalancer(from.address, action)
 		case ResetCaller:
 			w.resetCaller(action)
@@ -266,14 +266,14 @@
 	}
 }
 
-func (w *world) toAgent(from *worldBalancer, send Send) {
+func (w *world) toAgent(from netip.AddrPort, send Send) {
 	for _, agent := range w.agents {
 		if agent.address != send.To {
 			continue
 		}
 		w.later(func() {
 			if agent.up {
-				w.performAgent(agent, w.agentReceives(agent, from.address, send.Message))
+				w.performAgent(agent, w.agentReceives(agent, from, send.Message))
 			}
 		})
 	}
@@ -289,6 +289,12 @@
 		return agent.decider.Forwarded(w.now, from, &datagram)
 	case Locate:
 		return agent.decider.Asked(w.now, from, message)
+	case Search:
+		return agent.decider.Searched(w.now, from, message)
+	case Located:
+		return agent.decider.Located(from, message)
+	case NotHeld:
+		return agent.decider.Returned(from, decodeWorld(message.Bytes).Key)
 	case Await:
 		return agent.decider.Awaited(w.now, from, message)
 	case Declined:
@@ -303,6 +309,7 @@
 		case Send:
 			w.note(action.Message)
 			w.toBalancer(agent.address, action)
+			w.toAgent(agent.address, action)
 		case Deliver:
 			w.toBackend(agent, decodeWorld(action.Bytes))
 		case Reply:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,7 +81,8 @@
 // present is what is believed of one instance.
 type present struct {
 	latest    Report
-	first     uint64 // sequence of its first report here; 0: none yet
+	began     bool // it has started since the tracker knows the back end
+	verified  bool // it has answered a health check by its id
 	state     State
 	heard     time.Time // last sign of life
 	coldUntil time.Time
@@ -105,11 +106,10 @@
 	return max(0, t.coldUntil.Sub(now))
 }
 
-// MayPredate says whether the present instance may have been at work before this
-// tracker heard of it, so that it may hold what the tracker's owner does not know.
-func (t *Tracker) MayPredate() bool {
-	return t.state != Absent && (t.first == 0 || t.first > firstReports)
-}
+// SawBegin says whether the present instance is proved to have started after the tracker
+// did, so that it holds nothing that the tracker's owner does not know: it was announced by
+// its first report, or came after another that this tracker knew, and has answered itself.
+func (t *Tracker) SawBegin() bool { return t.began && t.verified }
 
 // Heard returns when the present instance last gave a sign of life.
 func (t *Tracker) Heard() time.Time { return t.heard }
@@ -125,11 +125,13 @@
 	if report.ID == t.latest.ID {
 		return t.update(now, report)
 	}
+	began := report.Sequence == firstReports || t.verified
 	t.displace(now)
 	t.succeed(now)
 	t.retire(t.latest.ID)
 	t.latest = report
-	t.first = report.Sequence
+	t.began = began
+	t.verified = false
 	t.state = Unverified
 	t.heard = now
 	t.coldUntil = now.Add(report.Cold)
@@ -193,9 +195,6 @@
 	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
 		return false
 	}
-	if t.first == 0 {
-		t.first = report.Sequence
-	}
 	leaving := t.latest.Leaving || report.Leaving
 	t.latest = report
 	t.latest.Leaving = leaving
@@ -266,6 +265,7 @@
 	if t.state == Absent && check.Well && check.ID != "" && !t.gone[check.ID] {
 		t.latest = Report{ID: check.ID, Service: t.service} // its reports will say the rest
 		t.state = Ready
+		t.verified = true
 		t.heard = now
 		return true
 	}
@@ -273,6 +273,7 @@
 	switch {
 	case t.state == Unverified && check.Well && sameInstance:
 		t.state = Ready
+		t.verified = check.ID != ""
 		t.heard = now
 		t.displaced = nil
 	case t.state == Ready && check.Well && sameInstance:
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -90,21 +90,36 @@
 	is.Equal(tracker.State(), Unverified)
 }
 
-// TestMayPredate: only an instance whose first reports were seen here has surely
-// not been at work before.
-func TestMayPredate(t *testing.T) {
+// TestSawBegin: only an instance that has started since the tracker did, and has answered
+// itself, has surely not been at work before.
+func TestSawBegin(t *testing.T) {
 	is := is.New(t)
+	check := func(tracker *Tracker, now time.Time, id ID) {
+		is.True(tracker.CheckDue(now))
+		tracker.Checked(now, Check{Well: true, ID: id})
+	}
 	tracker := NewTracker("lessons", time.Second)
-	is.True(!tracker.MayPredate())
-	tracker.CheckDue(start)
-	tracker.Checked(start, Check{Well: true, ID: "a"})
-	is.True(tracker.MayPredate()) // nothing is known of its past
+	is.True(!tracker.SawBegin())
+	check(tracker, start, "a")
+	is.True(!tracker.SawBegin()) // nothing is known of its past
+	tracker.Report(start, Report{ID: "a", Sequence: firstReports})
+	is.True(!tracker.SawBegin()) // the report may have been late
+	later := start.Add(time.Second)
+	tracker.Report(later, Report{ID: "b", Sequence: firstReports + 5})
+	is.True(!tracker.SawBegin()) // it may be an old report of an earlier instance
+	check(tracker, later, "b")
+	is.True(tracker.SawBegin()) // it has come after one that was known
+
+	tracker = NewTracker("lessons", time.Second)
 	tracker.Report(start, Report{ID: "a", Sequence: firstReports})
-	is.True(!tracker.MayPredate()) // it has just started
-	tracker.Report(start, Report{ID: "a", Sequence: 50})
-	is.True(!tracker.MayPredate())
-	tracker.Report(start, Report{ID: "b", Sequence: firstReports + 1})
-	is.True(tracker.MayPredate())
+	is.True(!tracker.SawBegin())
+	check(tracker, start, "a")
+	is.True(tracker.SawBegin()) // it has just started
+
+	tracker = NewTracker("lessons", time.Second)
+	tracker.Report(start, Report{ID: "a", Sequence: firstReports + 1})
+	check(tracker, start, "a")
+	is.True(!tracker.SawBegin())
 }
 
 // TestLeavingIsForGood: whatever comes in whatever order, an instance that has
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -50,7 +50,7 @@
 	Bytes    []byte // nil: there is no newer one
 }
 
-// Store is where the configuration and the addresses of balancers last. Errors
+// Store is where the configuration and the addresses of processes last. Errors
 // carry a kind of package fault.
 type Store interface {
 	// Read returns the configuration; fault.NotFound if there is none.
@@ -61,11 +61,23 @@
 	Watch(ctx context.Context, revision uint64) (Document, error)
 	// ParseConfiguration reads a document. Errors are of kind fault.Invalid.
 	ParseConfiguration(document []byte) (*routing.Table, error)
-	// Publish notes that a balancer is at the address.
-	Publish(ctx context.Context, id string, address netip.AddrPort) error
-	// Balancers returns the addresses that were published, also of balancers that
-	// have ended since.
-	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+	// Publish notes where a process is, in place of an earlier record with its id. It returns
+	// the revision of the record.
+	Publish(ctx context.Context, record Record) (revision uint64, err error)
+	// Withdraw removes the record with the revision; fault.Conflict if it has been replaced.
+	Withdraw(ctx context.Context, record Record, revision uint64) error
+	// Recorded returns the addresses of all records of the role, also of processes that have
+	// ended without withdrawing theirs. It costs less where they may be seconds old. With an error of kind
+	// fault.Invalid they are those of the records that could be read.
+	Recorded(ctx context.Context, role handshake.Role, mayBeOld bool) ([]netip.AddrPort, error)
+}
+
+// Record says where a process is.
+type Record struct {
+	Role        handshake.Role
+	ID          string
+	Address     netip.AddrPort // at which other processes reach it
+	Incarnation uint64         // differs from start to start
 }
 
 // HostReports takes in what a back end says of itself. It may be called from
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -77,6 +77,7 @@
 		return err
 	}
 	a.spawn(a.directoryLoop)
+	a.spawn(a.publish)
 	a.spawn(func() { a.reloadLoop(changes) })
 	return nil
 }
@@ -127,6 +128,7 @@
 }
 
 func (a *agent) closeAll() error {
+	a.withdraw()
 	err := errors.Join(a.outbound.Load().Close(), a.data.Load().Close(), a.close())
 	a.log.Info("stopped")
 	return err
@@ -273,6 +275,14 @@
 		})
 	case handshake.Locate:
 		a.perform(a.flows.Asked(now, from, message))
+	case handshake.Search:
+		a.perform(a.flows.Searched(now, from, message))
+	case handshake.Located:
+		a.perform(a.flows.Located(from, message))
+	case handshake.NotHeld:
+		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
+			return a.flows.Returned(from, datagram.Key)
+		})
 	case handshake.Await:
 		a.perform(a.flows.Awaited(now, from, message))
 	case handshake.Declined:
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -68,6 +68,7 @@
 	b.spawn(b.watchLoop)
 	b.spawn(b.publish)
 	b.spawn(b.directoryLoop)
+	b.spawn(b.recordsLoop)
 	b.spawn(func() { b.reloadLoop(changes) })
 	return nil
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -52,6 +52,11 @@
 			Key: encodeKey(m.Key), Holding: uint32(m.Holding)}}}
 	case handshake.Hint:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: encodeHint(m)}}
+	case handshake.Search:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Search{Search: &burlmillv1.HandshakeSearch{
+			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram}}}
+	case handshake.Found:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Found{Found: encodeFound(m)}}
 	default:
 		return &burlmillv1.HandshakeMessage{}
 	}
@@ -93,6 +98,10 @@
 		return handshake.Located{Key: key, Holding: handshake.Holding(body.Located.GetHolding())}, err
 	case *burlmillv1.HandshakeMessage_Hint:
 		return decodeHint(body.Hint)
+	case *burlmillv1.HandshakeMessage_Search:
+		return decodeSearch(body.Search)
+	case *burlmillv1.HandshakeMessage_Found:
+		return decodeFound(body.Found)
 	default:
 		return nil, fault.New(fault.Invalid, "message of %d bytes without a known body", len(encoded))
 	}
@@ -116,9 +125,7 @@
 	if status.Load != (handshake.Load{}) {
 		encoded.Load = encodeLoad(status.Load)
 	}
-	for _, peer := range status.Peers {
-		encoded.Peers = append(encoded.Peers, encodeAddress(peer))
-	}
+	encoded.Peers = encodeAddresses(status.Peers)
 	return encoded
 }
 
@@ -138,14 +145,9 @@
 		Subscribe:   encoded.GetSubscribe(),
 		StoreFresh:  encoded.GetStoreFresh(),
 	}
-	for _, bytes := range encoded.GetPeers() {
-		address, err := decodeAddress(bytes)
-		if err != nil {
-			return nil, err
-		}
-		status.Peers = append(status.Peers, address)
-	}
-	return status, nil
+	var err error
+	status.Peers, err = decodeAddresses(encoded.GetPeers())
+	return status, err
 }
 
 func encodeLoad(load handshake.Load) *burlmillv1.HandshakeLoad {
@@ -198,6 +200,56 @@
 	return handshake.Hint{Key: key, Agent: agent}, err
 }
 
+func decodeSearch(encoded *burlmillv1.HandshakeSearch) (handshake.Message, error) {
+	key, err := decodeKey(encoded.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	agents, err := decodeAddresses(encoded.GetAgents())
+	return handshake.Search{Key: key, Confirms: encoded.GetConfirms(), Agents: agents, Datagram: encoded.GetDatagram()}, err
+}
+
+func encodeFound(found handshake.Found) *burlmillv1.HandshakeFound {
+	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(found.Key), Perhaps: encodeAddresses(found.Perhaps), Unanswered: found.Unanswered}
+	if found.Agent.IsValid() {
+		encoded.Agent = encodeAddress(found.Agent)
+	}
+	return encoded
+}
+
+func decodeFound(encoded *burlmillv1.HandshakeFound) (handshake.Message, error) {
+	key, err := decodeKey(encoded.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	found := handshake.Found{Key: key, Unanswered: encoded.GetUnanswered()}
+	if found.Perhaps, err = decodeAddresses(encoded.GetPerhaps()); err != nil || len(encoded.GetAgent()) == 0 {
+		return found, err
+	}
+	found.Agent, err = decodeAddress(encoded.GetAgent())
+	return found, err
+}
+
+func encodeAddresses(addresses []netip.AddrPort) [][]byte {
+	var encoded [][]byte
+	for _, address := range addresses {
+		encoded = append(encoded, encodeAddress(address))
+	}
+	return encoded
+}
+
+func decodeAddresses(encoded [][]byte) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for _, bytes := range encoded {
+		address, err := decodeAddress(bytes)
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
 func encodeAddress(address netip.AddrPort) []byte {
 	encoded, _ := address.MarshalBinary() // has no error to return
 	return encoded
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -35,6 +35,10 @@
 	}
 }
 
+func drawAddresses(t *rapid.T) []netip.AddrPort {
+	return rapid.SliceOfN(addresses, 1, 5).Draw(t, "addresses")
+}
+
 func drawStatus(t *rapid.T) handshake.Status {
 	status := handshake.Status{
 		ID:          rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "id"),
@@ -59,7 +63,7 @@
 
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	switch rapid.IntRange(0, 14).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
@@ -85,6 +89,10 @@
 		return handshake.Reserved{Load: drawLoad(t)}
 	case 11:
 		return handshake.Declined{}
+	case 12:
+		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram}
+	case 13:
+		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered")}
 	default:
 		return handshake.Located{Key: drawKey(t), Holding: handshake.Holds}
 	}
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,15 +19,13 @@
 
 // Times and bounds of fetching the configuration.
 const (
-	fetchDialTimeout    = 300 * time.Millisecond
-	fetchTimeout        = time.Second
-	fetchPause          = 50 * time.Millisecond  // after a fetch, before the next
-	agentFetchDelay     = 300 * time.Millisecond // on average: agents need it less than balancers, from whom they then take it
-	agentFetchInterval  = 4 * time.Second        // on average, between two fetches of an agent: it needs the path of health checks only, and keeps the rest for balancers that start while the store is down
-	maximumDocument     = 8 << 20                // bytes
-	readerLook          = 250 * time.Millisecond // between two looks whether to read the store
-	directoryInterval   = 2 * time.Second        // between two looks for balancers in the store
-	directoryFirstDelay = 150 * time.Millisecond
+	fetchDialTimeout   = 300 * time.Millisecond
+	fetchTimeout       = time.Second
+	fetchPause         = 50 * time.Millisecond  // after a fetch, before the next
+	agentFetchDelay    = 300 * time.Millisecond // on average: agents need it less than balancers, from whom they then take it
+	agentFetchInterval = 4 * time.Second        // on average, between two fetches of an agent: it needs the path of health checks only, and keeps the rest for balancers that start while the store is down
+	maximumDocument    = 8 << 20                // bytes
+	readerLook         = 250 * time.Millisecond // between two looks whether to read the store
 )
 
 // configurationServer hands out the configuration that a node holds.
@@ -216,48 +213,3 @@
 	n.metrics.called("read", begun, err)
 	return document, err
 }
-
-// publish notes in the store where this balancer is, so that others find it when
-// their seeds are of no use.
-func (n *node) publish() {
-	var retry backoff
-	for {
-		begun := time.Now()
-		err := n.adapter.Publish(n.context, n.settings.Node.ID, n.settings.Node.PeerAddress)
-		n.metrics.called("publish", begun, err)
-		if err == nil || errors.Is(err, context.Canceled) {
-			return
-		}
-		n.limited.Log(log.WarnLevel, "publish-failed", log.Fields{"error": err})
-		if !n.sleep(retry.next()) {
-			return
-		}
-	}
-}
-
-// directoryLoop looks for balancers in the store while none is heard.
-func (n *node) directoryLoop() {
-	pause := directoryFirstDelay
-	for n.sleep(jitter(pause)) {
-		pause = directoryInterval
-		n.mutex.Lock()
-		heard := n.contacts.Hears(time.Now(), handshake.RoleBalancer)
-		n.mutex.Unlock()
-		if heard {
-			continue
-		}
-		begun := time.Now()
-		addresses, err := n.adapter.Balancers(n.context)
-		n.metrics.called("list", begun, err)
-		if err != nil {
-			n.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"error": err})
-			continue
-		}
-		n.mutex.Lock()
-		for _, address := range addresses {
-			n.contacts.Add(time.Now(), address, false)
-		}
-		n.mutex.Unlock()
-		n.limited.Log(log.InfoLevel, "directory-read", log.Fields{"balancers": len(addresses)})
-	}
-}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -81,6 +82,8 @@
 	started      bool
 	nextLook     time.Time // for peers that have fallen silent
 
+	recorded atomic.Uint64 // revision of the own record in the store; 0: none
+
 	peers   *wire.Socket
 	servers []*http.Server
 	fetch   chan struct{} // a peer holds a newer configuration
