Datagrams are read by recvmmsg in the runtime's poller; records cost fewer calls

Each of nbio's pollers is a thread that blocks in epoll_wait: with one core, a datagram costs the runtime a hand-over of its processor and the monitor thread's wake-ups, and a further recvfrom that finds nothing. Change: one goroutine a socket waits in Go's poller and reads up to 8 datagrams a call.

--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -74,10 +74,9 @@
 
 // Record says where a process is.
 type Record struct {
-	Role        handshake.Role
-	ID          string
-	Address     netip.AddrPort // at which other processes reach it
-	Incarnation uint64         // differs from start to start
+	Role    handshake.Role
+	ID      string
+	Address netip.AddrPort // at which other processes reach it
 }
 
 // HostReports takes in what a back end says of itself. It may be called from
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -20,18 +20,20 @@
 	directoryInterval   = 2 * time.Second // between two looks for balancers while none is heard
 	directoryFirstDelay = 150 * time.Millisecond
 	recordsInterval     = 30 * time.Second       // between two looks for agents; a guess: records of agents that have left count for so long
+	recordsRetry        = time.Second            // after a look that failed: calls are priced, refused ones too
+	publishRetry        = 2 * time.Second        // the same for the own record, which nobody needs at once
+	configurationLook   = 50 * time.Millisecond  // between two looks whether a configuration is held
 	withdrawTimeout     = 500 * time.Millisecond // of a process that stops
 )
 
 // record returns the record of this process.
 func (n *node) record() Record {
-	return Record{Role: n.role, ID: n.settings.Node.ID, Address: n.settings.Node.PeerAddress, Incarnation: n.incarnation}
+	return Record{Role: n.role, ID: n.settings.Node.ID, Address: n.settings.Node.PeerAddress}
 }
 
 // publish notes in the store where this process is, so that others find it when
 // their seeds are of no use.
 func (n *node) publish() {
-	var retry backoff
 	for {
 		begun := time.Now()
 		revision, err := n.adapter.Publish(n.context, n.record())
@@ -44,7 +46,7 @@
 			return
 		}
 		n.limited.Log(log.WarnLevel, "publish-failed", log.Fields{"error": err})
-		if !n.sleep(retry.next()) {
+		if !n.sleep(jitter(publishRetry)) {
 			return
 		}
 	}
@@ -87,18 +89,19 @@
 }
 
 // recordsLoop reads which agents there are, so that the balancer greets them and knows when
-// it hears all.
+// it hears all. Until a configuration is held the store may be down.
 func (b *balancer) recordsLoop() {
-	var retry backoff
+	for b.sleep(configurationLook) && !b.holdsConfiguration() {
+	}
 	for {
 		agents, err := b.readRecords(handshake.RoleAgent, false)
-		pause := retry.next()
+		pause := jitter(recordsRetry)
 		if err == nil {
 			b.mutex.Lock()
 			b.flows.Record(agents)
 			b.mutex.Unlock()
 			b.limited.Log(log.InfoLevel, "directory-read", log.Fields{"agents": len(agents)})
-			retry, pause = backoff{}, jitter(recordsInterval)
+			pause = jitter(recordsInterval)
 		} else {
 			b.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"role": handshake.RoleAgent, "error": err})
 		}
--- a/internal/wire/reader_linux.go
+++ b/internal/wire/reader_linux.go
@@ -6,22 +6,32 @@
 	"net/netip"
 	"strconv"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
 
-// datagramReader reads datagrams that are already waiting, without blocking and
-// without allocating. The libraries' calls do one or the other: net's wait for a
-// datagram, those of syscall and unix allocate the sender's address. A
+// readBatch is how many datagrams one system call reads at most. A busy process reads what has
+// come meanwhile at once; a quiet one learns from a call that brings fewer that none is left,
+// which would take it a call more otherwise.
+const readBatch = 8
+
+// datagramReader reads datagrams, several with one system call and without allocating. The
+// libraries' calls read one each (net) or allocate the senders' addresses (x/net). A
 // datagramReader belongs to one goroutine.
 type datagramReader struct {
 	descriptor syscall.RawConn
-	buffer     []byte
-	source     unix.RawSockaddrAny
-	length     uintptr
-	failure    syscall.Errno
-	readOnce   func(descriptor uintptr) bool // the method value, built once
+	messages   [readBatch]message
+	buffers    [readBatch][]byte
+	vectors    [readBatch]unix.Iovec
+	sources    [readBatch]unix.RawSockaddrAny
+}
+
+// message is the kernel's mmsghdr.
+type message struct {
+	header unix.Msghdr
+	length uint32
 }
 
 // init prepares the reader for the connection.
@@ -31,50 +41,73 @@
 		return err
 	}
 	r.descriptor = descriptor
-	r.buffer = make([]byte, MaximumDatagram+1) // one more, to notice longer ones
-	r.readOnce = r.receive
+	for i := range r.messages {
+		r.buffers[i] = make([]byte, MaximumDatagram+1) // one more, to notice longer ones
+		r.vectors[i].Base = unsafe.SliceData(r.buffers[i])
+		r.vectors[i].SetLen(len(r.buffers[i]))
+		header := &r.messages[i].header
+		header.Iov = &r.vectors[i]
+		header.SetIovlen(1)
+		header.Name = (*byte)(unsafe.Pointer(&r.sources[i]))
+	}
 	return nil
 }
 
-// next returns one waiting datagram and its sender, or false if there is none.
-// The bytes are valid until the next call.
-func (r *datagramReader) next() (datagram []byte, from netip.AddrPort, ok bool) {
+// run reads until the connection is closed or its deadline passes, or deliver says false.
+// The bytes that deliver gets are valid during the call. emptied is told the latest time at
+// which nothing was unread.
+func (r *datagramReader) run(deliver func(datagram []byte, from netip.AddrPort) bool, emptied func(time.Time)) {
+	// An error says that the connection is closed or its deadline has passed.
+	_ = r.descriptor.Read(func(descriptor uintptr) bool { return !r.drain(descriptor, deliver, emptied) })
+}
+
+// drain reads what has come. It says whether to wait for more.
+func (r *datagramReader) drain(descriptor uintptr, deliver func([]byte, netip.AddrPort) bool, emptied func(time.Time)) bool {
 	for {
-		if err := r.descriptor.Read(r.readOnce); err != nil {
-			return nil, netip.AddrPort{}, false // closed
-		}
-		switch r.failure {
+		began := time.Now()
+		count, failure := r.receive(descriptor)
+		switch failure {
 		case 0:
-			return r.buffer[:r.length], r.sender(), true
-		case unix.EINTR:
-		default:
-			return nil, netip.AddrPort{}, false
+		case unix.EINTR, unix.ECONNREFUSED: // the latter is what an earlier datagram met that was sent
+			continue
+		default: // EAGAIN: there is none
+			emptied(began)
+			return true
+		}
+		for i := range count {
+			if !deliver(r.buffers[i][:r.messages[i].length], senderOf(&r.sources[i])) {
+				return false
+			}
+		}
+		if count < readBatch {
+			emptied(began)
+			return true
 		}
 	}
 }
 
-// receive makes one system call. It reports that it is done in any case, so that
-// the runtime never waits for the descriptor.
-func (r *datagramReader) receive(descriptor uintptr) bool {
-	sourceLength := uint32(unix.SizeofSockaddrAny)
-	r.length, _, r.failure = unix.Syscall6(unix.SYS_RECVFROM, descriptor,
-		uintptr(unsafe.Pointer(unsafe.SliceData(r.buffer))), uintptr(len(r.buffer)), unix.MSG_DONTWAIT,
-		uintptr(unsafe.Pointer(&r.source)), uintptr(unsafe.Pointer(&sourceLength)))
-	return true
+// receive makes one system call.
+func (r *datagramReader) receive(descriptor uintptr) (count int, failure syscall.Errno) {
+	for i := range r.messages {
+		r.messages[i].header.Namelen = unix.SizeofSockaddrAny
+	}
+	received, _, failure := unix.Syscall6(unix.SYS_RECVMMSG, descriptor,
+		uintptr(unsafe.Pointer(&r.messages[0])), readBatch, unix.MSG_DONTWAIT, 0, 0)
+	return int(received), failure
 }
 
-// sender returns the address that the last datagram came from.
-func (r *datagramReader) sender() netip.AddrPort {
-	if r.source.Addr.Family == unix.AF_INET {
-		source := (*unix.RawSockaddrInet4)(unsafe.Pointer(&r.source))
+// senderOf returns the address that a datagram came from.
+func senderOf(source *unix.RawSockaddrAny) netip.AddrPort {
+	if source.Addr.Family == unix.AF_INET {
+		source := (*unix.RawSockaddrInet4)(unsafe.Pointer(source))
 		return netip.AddrPortFrom(netip.AddrFrom4(source.Addr), hostOrder(source.Port))
 	}
-	source := (*unix.RawSockaddrInet6)(unsafe.Pointer(&r.source))
-	address := netip.AddrFrom16(source.Addr).Unmap()
-	if source.Scope_id != 0 {
-		address = address.WithZone(strconv.FormatUint(uint64(source.Scope_id), 10))
+	source6 := (*unix.RawSockaddrInet6)(unsafe.Pointer(source))
+	address := netip.AddrFrom16(source6.Addr).Unmap()
+	if source6.Scope_id != 0 {
+		address = address.WithZone(strconv.FormatUint(uint64(source6.Scope_id), 10))
 	}
-	return netip.AddrPortFrom(address, hostOrder(source.Port))
+	return netip.AddrPortFrom(address, hostOrder(source6.Port))
 }
 
 // hostOrder converts a port as the kernel stores it.
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -9,32 +9,31 @@
 	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"github.com/burlmill/burlmill/fault"
-	"github.com/burlmill/burlmill/internal/polling"
 )
 
-const (
-	socketBufferSize = 4 << 20 // bytes asked of the kernel for each direction
-	readsPerEvent    = 64      // datagrams read before nbio polls again
-)
+// socketBufferSize is asked of the kernel for each direction, in bytes.
+const socketBufferSize = 4 << 20
 
 // Receiver takes one received datagram. The bytes are valid only during the call.
 // arrived is the earliest time at which the datagram can have come, however long
 // it has waited to be read: the latest one known at which none was waiting.
 type Receiver func(datagram []byte, from netip.AddrPort, arrived time.Time)
 
-// Socket is a UDP socket driven by nbio. Send may be called from any goroutine.
+// Socket is a UDP socket. Send may be called from any goroutine.
+//
+// Its datagrams are read by a goroutine that waits in the Go runtime's poller, not by nbio: a
+// poller of nbio's is a thread that blocks in a system call of its own, so that on a machine
+// with one core each datagram costs the runtime two changes of threads (docs/DECISIONS.md).
 type Socket struct {
 	local      netip.AddrPort
 	receive    Receiver
-	connection *net.UDPConn // reads and sends
-	readiness  *nbio.Conn   // another descriptor of the same socket, watched by nbio
-	engine     *nbio.Engine // watches this socket alone
+	connection *net.UDPConn
 	reader     datagramReader
-	open       atomic.Bool // also orders Listen's writes before the poller's reads
-	emptied    time.Time   // no datagram that came before is unread; written by the poller alone
+	open       atomic.Bool
+	receiving  atomic.Bool   // the receiver is being called
+	done       chan struct{} // closed when nothing is read any more
+	emptied    time.Time     // no datagram that came before is unread; of the reading goroutine alone
 	close      sync.Once
 }
 
@@ -53,12 +52,15 @@
 		local:      canonical(connection.LocalAddr().(*net.UDPAddr).AddrPort()),
 		receive:    receive,
 		connection: connection,
+		done:       make(chan struct{}),
 		emptied:    opened,
 	}
-	if err := socket.attach(); err != nil {
+	if err := socket.reader.init(connection); err != nil {
 		_ = connection.Close()
 		return nil, fault.Wrap(fault.Unavailable, err, "listen on %v", address)
 	}
+	socket.open.Store(true)
+	go socket.read()
 	return socket, nil
 }
 
@@ -70,47 +72,6 @@
 	return "udp6"
 }
 
-// attach lets nbio watch the socket. nbio's own reading keeps an object for each
-// address that ever sent a datagram and can only answer those addresses, so nbio
-// just says when there is something to read.
-func (s *Socket) attach() error {
-	if err := s.reader.init(s.connection); err != nil {
-		return err
-	}
-	watched, err := duplicate(s.connection)
-	if err != nil {
-		return err
-	}
-	s.readiness, err = nbio.NBConn(watched)
-	if err != nil {
-		_ = watched.Close()
-		return err
-	}
-	s.engine = nbio.NewEngine(nbio.Config{Name: "wire", NPoller: 1})
-	s.engine.OnRead(readSocket)
-	if err := polling.Start(s.engine); err != nil {
-		_ = s.readiness.Close()
-		return err
-	}
-	s.readiness.SetSession(s)
-	s.open.Store(true)
-	if _, err := s.engine.AddConn(s.readiness); err != nil {
-		s.engine.Stop()
-		return err
-	}
-	return nil
-}
-
-// duplicate returns a second connection on the same socket.
-func duplicate(connection *net.UDPConn) (net.Conn, error) {
-	file, err := connection.File()
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	return net.FileConn(file)
-}
-
 // LocalAddress returns the address the socket is bound to.
 func (s *Socket) LocalAddress() netip.AddrPort { return s.local }
 
@@ -135,15 +96,16 @@
 	return fault.Unavailable
 }
 
-// Close closes the socket. A call of the receiver that has begun may end after
-// Close has returned; no further one begins.
+// Close closes the socket. It may be called by the receiver. A call of the receiver that has
+// begun may end after Close has returned; no further one begins.
 func (s *Socket) Close() error {
 	var err error
 	s.close.Do(func() {
 		s.open.Store(false)
-		err = errors.Join(s.readiness.Close(), s.connection.Close())
-		// Stopping waits for the poller, which may be the caller.
-		go s.engine.Stop()
+		err = s.connection.SetReadDeadline(time.Unix(0, 0)) // ends the wait for datagrams
+		if !s.receiving.Load() {
+			<-s.done
+		}
 	})
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "close %v", s.local)
@@ -151,22 +113,20 @@
 	return nil
 }
 
-// readSocket is called by nbio when datagrams are waiting.
-func readSocket(connection *nbio.Conn) {
-	socket, ok := connection.Session().(*Socket)
-	if !ok {
-		return
-	}
-	began := time.Now()
-	for range readsPerEvent {
-		if !socket.open.Load() {
-			return
-		}
-		datagram, from, ok := socket.reader.next()
-		if !ok {
-			socket.emptied = began
-			return
-		}
-		socket.receive(datagram, from, socket.emptied)
-	}
+// read hands the datagrams to the receiver until the socket is closed.
+func (s *Socket) read() {
+	defer close(s.done)
+	s.reader.run(s.deliver, func(now time.Time) { s.emptied = now })
+	_ = s.connection.Close() // nothing is done with it any more
+}
+
+// deliver hands one datagram to the receiver. It says whether the socket is still open.
+func (s *Socket) deliver(datagram []byte, from netip.AddrPort) bool {
+	s.receiving.Store(true)
+	defer s.receiving.Store(false)
+	if !s.open.Load() {
+		return false
+	}
+	s.receive(datagram, from, s.emptied)
+	return s.open.Load()
 }
