Fields of a log line are put together only for lines that are written; counters are looked up once

Each decision built a map of its fields and looked its counter up by two labels, also where the line was left out.

--- a/internal/logging/limiter.go
+++ b/internal/logging/limiter.go
@@ -44,15 +44,33 @@
 // Log logs the event at the level, or counts it as suppressed when the event's
 // rate is used up.
 func (l *Limiter) Log(level log.Level, event string, fields log.Fields) {
-	suppressed, allowed := l.admit(level, event)
-	if !allowed {
-		return
+	if line, admitted := l.Admit(level, event); admitted {
+		line.Log(fields)
 	}
-	entry := l.options.Log.WithFields(fields)
-	if suppressed > 0 {
-		entry = entry.WithField(suppressedKey, suppressed)
+}
+
+// Line is a line that may be written.
+type Line struct {
+	limiter    *Limiter
+	level      log.Level
+	event      string
+	suppressed uint64 // lines of the event left out before it
+}
+
+// Admit says whether a line of the event may be written, and counts it as suppressed if not:
+// for those that put fields together only for lines that are written.
+func (l *Limiter) Admit(level log.Level, event string) (Line, bool) {
+	suppressed, admitted := l.admit(level, event)
+	return Line{l, level, event, suppressed}, admitted
+}
+
+// Log writes the line.
+func (l Line) Log(fields log.Fields) {
+	entry := l.limiter.options.Log.WithFields(fields)
+	if l.suppressed > 0 {
+		entry = entry.WithField(suppressedKey, l.suppressed)
 	}
-	write(entry, level, event)
+	write(entry, l.level, l.event)
 }
 
 // Flush logs one line for each event of which lines were suppressed since its
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -139,7 +139,7 @@
 	if a.outbound.Load() == nil {
 		return
 	}
-	a.metrics.datagrams.WithLabelValues(sourceBackend).Inc()
+	a.metrics.fromBackend.Inc()
 	datagram, err := a.adapter.ParseBackend(bytes)
 	if err != nil {
 		a.metrics.invalid.WithLabelValues(sourceBackend).Inc()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -132,7 +132,7 @@
 	if b.socket.Load() == nil {
 		return
 	}
-	b.metrics.datagrams.WithLabelValues(sourceCaller).Inc()
+	b.metrics.fromCaller.Inc()
 	datagram, err := b.adapter.ParseCaller(bytes)
 	if err != nil {
 		b.metrics.invalid.WithLabelValues(sourceCaller).Inc()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -39,6 +39,16 @@
 	reports   prometheus.Histogram // silence of the back end before each of its reports
 	delay     prometheus.Histogram // by which ticks come late
 	gaps      prometheus.Histogram // silence of a peer before each of its statuses
+
+	// Counters that are used for each datagram or decision, looked up once.
+	fromCaller, fromBackend, fromPeer prometheus.Counter
+	byDecision                        map[decisionLabels]prometheus.Counter // guarded by the node's lock
+}
+
+// decisionLabels are the labels of the counter of decisions.
+type decisionLabels struct {
+	event  handshake.Event
+	reason string
 }
 
 func newMetrics() *metrics {
@@ -56,6 +66,10 @@
 		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observability.Namespace, Name: "store_call_seconds",
 			Help: "Calls to the store; watches wait on purpose.", Buckets: secondsBuckets}, []string{"call", "outcome"}),
 	}
+	m.fromCaller = m.datagrams.WithLabelValues(sourceCaller)
+	m.fromBackend = m.datagrams.WithLabelValues(sourceBackend)
+	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
+	m.byDecision = map[decisionLabels]prometheus.Counter{}
 	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
 	return m
 }
@@ -73,9 +87,15 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: observability.Namespace, Name: name, Help: help}, read))
 }
 
-// decided counts a decision and what it says about times.
+// decided counts a decision and what it says about times. The node's lock is held.
 func (m *metrics) decided(d handshake.Decision) {
-	m.decisions.WithLabelValues(string(d.Event), d.Reason).Inc()
+	labels := decisionLabels{d.Event, d.Reason}
+	counter := m.byDecision[labels]
+	if counter == nil {
+		counter = m.decisions.WithLabelValues(string(d.Event), d.Reason)
+		m.byDecision[labels] = counter
+	}
+	counter.Inc()
 	switch d.Event {
 	case handshake.EventAccepted:
 		m.opening.Observe(d.Age.Seconds())
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -69,9 +69,16 @@
 	}
 }
 
-// note counts and logs a decision of a decider.
+// note counts and logs a decision of a decider. The lock is held.
 func (n *node) note(d handshake.Decision) {
 	n.metrics.decided(d)
+	if line, admitted := n.limited.Admit(log.InfoLevel, string(d.Event)); admitted {
+		line.Log(decisionFields(d))
+	}
+}
+
+// decisionFields returns what the log says of a decision.
+func decisionFields(d handshake.Decision) log.Fields {
 	fields := log.Fields{"caller": d.Key.Caller, "address": d.Key.Service}
 	if d.Service != "" {
 		fields["service"] = d.Service
@@ -95,5 +102,5 @@
 	if d.Age != 0 {
 		fields["age"] = d.Age
 	}
-	n.limited.Log(log.InfoLevel, string(d.Event), fields)
+	return fields
 }
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -63,7 +63,7 @@
 
 // receivePeer is called by the socket.
 func (n *node) receivePeer(datagram []byte, from netip.AddrPort, _ time.Time) {
-	n.metrics.datagrams.WithLabelValues(sourcePeer).Inc()
+	n.metrics.fromPeer.Inc()
 	message, err := Decode(datagram)
 	if err != nil {
 		n.metrics.invalid.WithLabelValues(sourcePeer).Inc()
