The fleet in virtual time is the tests' world of package exchange; its measurement at 3,200 nodes is removed

The users want no scale run of ours and no hollow fleet any more. The package was used by tests alone; TestFaults, TestRegionCut, TestReplacedUnderOneAddress, TestNewcomer and TestStartTogether, which prove promises with small fleets, stay and moved beside the decider that they test.

--- a/internal/coordination/exchange/decider.go
+++ b/internal/coordination/exchange/decider.go
@@ -1,7 +1,7 @@
 // Package exchange joins membership and dissemination into the one decider that
 // a burlmill process runs, and gives it the form of request and response
 // messages. It does no I/O and starts no goroutine: the process in package
-// coordination and the simulated fleet in package hollow drive the same code.
+// coordination and the tests' world in virtual time drive the same code.
 package exchange
 
 import (
--- a/internal/coordination/hollow/scenario_test.go
+++ b/internal/coordination/exchange/scenario_test.go
@@ -1,4 +1,4 @@
-package hollow
+package exchange_test
 
 import (
 	"fmt"
@@ -12,6 +12,26 @@
 	"github.com/burlmill/burlmill/membership"
 )
 
+// options are those of a world of the size.
+func options(nodes, regions int) Options {
+	return Options{
+		Nodes: nodes, Regions: regions, ZonesPerRegion: 2, Readers: 2,
+		ZoneDelay: 500 * time.Microsecond, RegionDelay: time.Millisecond, WideDelay: 40 * time.Millisecond,
+		Seed: 1,
+	}
+}
+
+// body is a service object of about 1 KB.
+func body(name catalog.ServiceName, port int) []byte {
+	backends := ""
+	for i := range 4 {
+		backends += fmt.Sprintf(`,{"id":"%s-host-%d","site":"old","zone":"zone-0-%d","agent":"10.1.%d.%d:7001","address":"10.2.%d.%d:8080","weight":100,"slots":7,"connections":2000,"state":"active","incarnation":%d}`,
+			name, i, i, port%250, i+1, port%250, i+1, port)
+	}
+	return fmt.Appendf(nil, `{"name":%q,"protocol":"udp","address":"10.9.%d.1:%d","shares":[{"site":"old","percent":100}],"backends":[%s]}`,
+		name, len(name), port, backends[1:])
+}
+
 // trial is a small fleet with faults.
 type trial struct {
 	fleet  *Fleet
--- a/internal/coordination/hollow/queue.go
+++ b/internal/coordination/exchange/world_queue_test.go
@@ -1,4 +1,4 @@
-package hollow
+package exchange_test
 
 import (
 	"container/heap"
--- a/internal/coordination/hollow/store.go
+++ b/internal/coordination/exchange/world_store_test.go
@@ -1,4 +1,4 @@
-package hollow
+package exchange_test
 
 import (
 	"cmp"
@@ -71,8 +71,6 @@
 		return
 	}
 	slices.SortFunc(changed, func(a, b catalog.Object) int { return cmp.Compare(a.Revision, b.Revision) })
-	f.timed(func() {
-		output, _ := node.Decider.StoreChanged(f.now, changed, changed[len(changed)-1].Revision)
-		f.apply(node, output)
-	})
+	output, _ := node.Decider.StoreChanged(f.now, changed, changed[len(changed)-1].Revision)
+	f.apply(node, output)
 }
--- a/internal/coordination/hollow/fleet.go
+++ b/internal/coordination/exchange/world_test.go
@@ -1,9 +1,6 @@
-// Package hollow runs a fleet of deciders of package exchange in one process,
-// on a simulated network in virtual time. It counts the bytes that each node
-// would send and receive, and the time until a change is known everywhere. The
-// nodes are hollow in that they have no sockets and carry no traffic; every
-// decision is made by the code of real processes.
-package hollow
+// Tests of package exchange run some deciders in one process, on a simulated
+// network in virtual time. Every decision is made by the code of real processes.
+package exchange_test
 
 import (
 	"container/heap"
@@ -23,8 +20,7 @@
 // What an exchange costs besides its two messages, as measured by
 // BenchmarkExchange of package coordination on connections that persist.
 const (
-	FramingBytes     = 50     // HTTP/2 and connect, request and response together
-	PacketBytes      = 6 * 52 // IPv4 and TCP headers of the packets of one exchange
+	FramingBytes     = 50 // HTTP/2 and connect, request and response together
 	refusedDelay     = time.Millisecond
 	maximumSeeds     = 16              // addresses that a node takes from the machine list at once
 	joinInterval     = 2 * time.Second // between two readings of the machine list by a newcomer
@@ -43,7 +39,7 @@
 	Seed           uint64        // of everything random
 }
 
-// Fleet is a set of hollow nodes. It is not safe for concurrent use.
+// Fleet is a set of nodes. It is not safe for concurrent use.
 type Fleet struct {
 	options  Options
 	now      time.Time
@@ -55,10 +51,9 @@
 	cut      map[string]bool // regions and zones that are apart
 	store    Store
 	lastPort int
-	CPU      time.Duration // wall time spent in deciders
 }
 
-// Node is one hollow process.
+// Node is one process.
 type Node struct {
 	Decider  *exchange.Decider
 	Member   membership.Member
@@ -203,16 +198,10 @@
 	if !node.Running {
 		return
 	}
-	f.timed(func() { f.apply(node, node.Decider.Tick(f.now)) })
+	f.apply(node, node.Decider.Tick(f.now))
 	f.after(exchange.TickInterval, func() { f.tick(node) })
 }
 
-func (f *Fleet) timed(work func()) {
-	began := time.Now()
-	work()
-	f.CPU += time.Since(began)
-}
-
 // apply sends what a decider wants sent.
 func (f *Fleet) apply(node *Node, output exchange.Output) {
 	for _, send := range output.Sends {
@@ -234,12 +223,8 @@
 		f.after(exchange.Timeout, func() { f.fail(from, send.ID) })
 		return
 	}
-	var response *burlmillv1.ExchangeResponse
-	f.timed(func() {
-		var output exchange.Output
-		response, output = to.Decider.Receive(f.now, send.Request)
-		f.apply(to, output)
-	})
+	response, output := to.Decider.Receive(f.now, send.Request)
+	f.apply(to, output)
 	bytes := int64(proto.Size(send.Request) + proto.Size(response) + FramingBytes)
 	for _, side := range []*Node{from, to} {
 		side.Bytes += bytes
@@ -254,13 +239,13 @@
 		return
 	}
 	if from.Running {
-		f.timed(func() { f.apply(from, from.Decider.Answered(f.now, id, response)) })
+		f.apply(from, from.Decider.Answered(f.now, id, response))
 	}
 }
 
 func (f *Fleet) fail(node *Node, id uint64) {
 	if node.Running {
-		f.timed(func() { f.apply(node, node.Decider.Failed(f.now, id)) })
+		f.apply(node, node.Decider.Failed(f.now, id))
 	}
 }
 
