--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -15,6 +15,7 @@
 	switch {
 	case held == nil:
 		held = a.hold(now, datagram.Key, stateTentative)
+		held.unsure = true
 	case held.state == stateTentative:
 	case !held.owns(datagram):
 		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
@@ -36,7 +37,7 @@
 
 // fromCaller notes what a caller's datagram does to its flow.
 func (a *Agent) fromCaller(now time.Time, held *heldFlow, datagram *Datagram) {
-	if datagram.Payload > 0 {
+	if held.takeContent(datagram) {
 		a.owe(now, held)
 	}
 	if datagram.Finish {
@@ -47,6 +48,21 @@
 	}
 }
 
+// takeContent says whether the caller's datagram has content that has not passed before. What
+// the caller sends once more is no further work: the back end may have answered it already,
+// and then would seem busy with it for BusyTime.
+func (f *heldFlow) takeContent(datagram *Datagram) bool {
+	if datagram.Payload == 0 {
+		return false
+	}
+	end := datagram.Number + uint32(datagram.Payload)
+	if f.hasContent && int32(end-f.contentEnd) <= 0 {
+		return false
+	}
+	f.hasContent, f.contentEnd = true, end
+	return true
+}
+
 func (a *Agent) finish(held *heldFlow, end uint8) {
 	held.finished |= end
 	if held.finished == bothFinished && held.state != stateEnded {
@@ -158,6 +174,7 @@
 	}
 	if datagram.Payload > 0 {
 		a.settle(held)
+		held.unsure = false
 	}
 	if datagram.Finish {
 		a.finish(held, backendFinished)
@@ -218,7 +235,7 @@
 	a.reservations.expire(now)
 	a.expireSearches(now)
 	for held := range a.owing {
-		if now.Sub(held.owedAt) > a.busyTime(held.state) {
+		if now.Sub(held.owedAt) > a.busyTime(held) {
 			a.settle(held)
 		}
 	}
@@ -241,10 +258,11 @@
 }
 
 // busyTime returns how long a flow counts as work without an answer. Callers that have
-// given up never confirm: in an overload most of a back end's room would go to them.
-func (a *Agent) busyTime(state flowState) time.Duration {
+// given up never confirm: in an overload most of a back end's room would go to them. Nor
+// may the back end ever answer what is unsure.
+func (a *Agent) busyTime(held *heldFlow) time.Duration {
 	switch {
-	case state == stateOpen:
+	case held.state == stateOpen && !held.unsure:
 		return BusyTime
 	case a.confirm == 0:
 		return mostUnconfirmedTime
--- /dev/null
+++ b/handshake/agent_work_test.go
@@ -0,0 +1,55 @@
+package handshake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// openAtAgent lets a caller open a flow at the agent's back end, with 100 bytes that are owed an answer.
+func openAtAgent(agent *Agent, now time.Time, port uint16) {
+	agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(port), Kind: Opening, Number: 7})
+	agent.FromBackend(now, &Datagram{Key: holdKey(port), Kind: Accept, Number: 50})
+	agent.Forwarded(now, holdAgent, &Datagram{Key: holdKey(port), Kind: Data, Number: 8, Confirms: 50, Payload: 100})
+}
+
+// TestRepeatedContentIsNoWork: a caller that has waited sends its request again while the
+// answer is on its way. After the restart of all processes most did, and for BusyTime back ends
+// seemed full that were idle: openings waited and were rejected (synthesis-plan trouble-3, 35 to 39 s).
+func TestRepeatedContentIsNoWork(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := readyAgent(t, now)
+	openAtAgent(agent, now, 1)
+	is.Equal(agent.Load(now).Busy, uint32(1))
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data, Payload: 10})
+	is.Equal(agent.Load(now).Busy, uint32(0))
+	agent.Forwarded(now, holdAgent, &Datagram{Key: holdKey(1), Kind: Data, Number: 8, Confirms: 50, Payload: 100})
+	is.Equal(agent.Load(now).Busy, uint32(0))
+	agent.Forwarded(now, holdAgent, &Datagram{Key: holdKey(1), Kind: Data, Number: 108, Confirms: 60, Payload: 100})
+	is.Equal(agent.Load(now).Busy, uint32(1)) // the next request
+}
+
+// TestWorkOfAnUnknownFlowIsForgottenSoon: an agent that has started cannot tell whether a
+// request was answered before. Once it has seen an answer it can.
+func TestWorkOfAnUnknownFlowIsForgottenSoon(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := readyAgent(t, now)
+	data := &Datagram{Key: holdKey(1), Kind: Data, Number: 8, Confirms: 50, Payload: 100}
+	agent.Forwarded(now, holdAgent, data)
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data}) // holds it, and acknowledges no more than that
+	is.Equal(agent.Load(now).Busy, uint32(1))
+	now = now.Add(mostUnconfirmedTime + time.Millisecond)
+	agent.Tick(now)
+	is.Equal(agent.Load(now).Busy, uint32(0))
+	data.Number = 108
+	agent.Forwarded(now, holdAgent, data)
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data, Payload: 10})
+	data.Number = 208
+	agent.Forwarded(now, holdAgent, data)
+	now = now.Add(mostUnconfirmedTime + time.Millisecond)
+	agent.Tick(now)
+	is.Equal(agent.Load(now).Busy, uint32(1))
+}
--- a/handshake/datagram.go
+++ b/handshake/datagram.go
@@ -60,7 +60,8 @@
 	Key  flow.Key
 	Kind Kind
 	// Number is, in an opening datagram, what tells one opening of the caller
-	// from the next with the same key; in an Accept, the back end's own number.
+	// from the next with the same key; in an Accept, the back end's own number; in
+	// data, where its content stands in all that its sender sends.
 	Number uint32
 	// Confirms is, in data from a caller, the back end's number as it stands when
 	// the caller has received nothing but the Accept: equal to the Accept's
