--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -166,7 +166,7 @@
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
 			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
-			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "freeze", "resume", "pass"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "pass"}).Draw(t, "step") {
 			case "call":
 				w.call(port)
 				port++
@@ -198,6 +198,8 @@
 				if caller := w.callers[holdKey(port-1)]; caller != nil && caller.openAt != nil {
 					w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
 				}
+			case "lose sight":
+				w.loseSight(agent)
 			case "freeze":
 				balancer.frozen = true
 			case "resume":
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/burlmill/burlmill/flow"
 )
@@ -69,6 +70,18 @@
 	return caller
 }
 
+// callersOf returns the callers whose flows are open at the back end, in order of port.
+func (w *world) callersOf(backend *worldBackend) []*worldCaller {
+	var callers []*worldCaller
+	for _, caller := range w.callers {
+		if caller.openAt == backend && backend.open[caller.key] {
+			callers = append(callers, caller)
+		}
+	}
+	slices.SortFunc(callers, func(a, b *worldCaller) int { return a.key.Caller.Compare(b.key.Caller) })
+	return callers
+}
+
 // begin lets a caller send its first opening datagram.
 func (w *world) begin(port uint16) {
 	caller := w.newCaller(port)
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -100,9 +100,21 @@
 		w.agents = append(w.agents, agent)
 		w.startAgent(agent)
 	}
+	for _, balancer := range w.balancers {
+		balancer.decider.Record(w.recorded())
+	}
 	return w
 }
 
+// recorded returns the addresses of all agents, which have recorded themselves.
+func (w *world) recorded() []netip.AddrPort {
+	var recorded []netip.AddrPort
+	for _, agent := range w.agents {
+		recorded = append(recorded, agent.address)
+	}
+	return recorded
+}
+
 func newWorldBackend(id instance.ID) *worldBackend {
 	return &worldBackend{id: id, slots: 7, alive: true, sequence: 1, half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}}
 }
@@ -119,6 +131,20 @@
 	agent.backend = newWorldBackend(agent.backend.id + "+")
 }
 
+// loseSight starts all balancers anew while the agent does not run, and lets the callers of
+// its back end's flows go on: nobody may tell them that their flows are gone.
+func (w *world) loseSight(agent *worldAgent) {
+	agent.up = false
+	for _, balancer := range w.balancers {
+		w.startBalancer(balancer)
+	}
+	w.pass(worldCalm)
+	for _, caller := range w.callersOf(agent.backend) {
+		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+	}
+	w.pass(worldCalm)
+}
+
 // reportLate delivers a report that the back end before the present one sent long ago.
 func (w *world) reportLate(agent *worldAgent) {
 	before, replaced := strings.CutSuffix(string(agent.backend.id), "+")
@@ -131,6 +157,7 @@
 func (w *world) startBalancer(balancer *worldBalancer) {
 	balancer.decider = NewBalancer(w.now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
 	balancer.decider.Configure(w.table)
+	balancer.decider.Record(w.recorded())
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
 }
 
