--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -72,6 +72,7 @@
 	sentAt  time.Time
 	held    bool // in Balancer.held
 	heldAt  time.Time
+	urgency uint      // the priority of its route when it was last placed; 0 is the highest
 	begun   time.Time // when the caller sent the first copy of the opening datagram, as far as can be told
 	copies  uint32    // number of the latest copy of the opening datagram
 	copyAt  time.Time // when it came
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -1,6 +1,7 @@
 package handshake
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -10,8 +11,9 @@
 
 // Openings wait at the balancer while every back end of their service has as much
 // work as it gets, while the balancer does not know the configuration yet, and
-// while it hears no agent. The youngest is served first, by when its caller began:
-// that one may still be answered in time, while the oldest have missed that already.
+// while it hears no agent. Those of the route with the highest priority are served first,
+// among them the youngest, by when its caller began: that one may still be answered in time,
+// while the oldest have missed that already.
 
 // keep lets an opening wait for an agent.
 func (b *Balancer) keep(now time.Time, known *balancedFlow) {
@@ -59,7 +61,7 @@
 	}
 }
 
-// reserved offers the youngest opening that waits for the agent's service to the agent.
+// reserved offers the first of the openings that wait for the agent's service to the agent.
 func (b *Balancer) reserved(now time.Time, from netip.AddrPort, message Reserved) {
 	b.board.takeAnswer(now, from, message.Load)
 	agent := b.board.agents[from]
@@ -67,7 +69,7 @@
 		return
 	}
 	for {
-		known := b.takeYoungest(agent.status.Service)
+		known := b.takeFirst(agent.status.Service)
 		if known == nil {
 			b.act(Send{To: from, Message: Declined{}})
 			return
@@ -81,20 +83,24 @@
 	}
 }
 
-// takeYoungest takes the youngest of the openings that wait for a service, nil if none
-// does.
-func (b *Balancer) takeYoungest(service catalog.ServiceName) *balancedFlow {
-	var youngest *balancedFlow
+// takeFirst takes the first of the openings that wait for a service, nil if none does.
+func (b *Balancer) takeFirst(service catalog.ServiceName) *balancedFlow {
+	var first *balancedFlow
 	for _, known := range b.held {
-		if known.held && known.service == service && (youngest == nil || known.begun.After(youngest.begun)) {
-			youngest = known
+		if known.held && known.service == service && (first == nil || known.turn(first) < 0) {
+			first = known
 		}
 	}
-	if youngest != nil {
-		b.release(youngest)
-		b.held = slices.DeleteFunc(b.held, func(known *balancedFlow) bool { return known == youngest })
+	if first != nil {
+		b.release(first)
+		b.held = slices.DeleteFunc(b.held, func(known *balancedFlow) bool { return known == first })
 	}
-	return youngest
+	return first
+}
+
+// turn compares two openings that wait by who is served first: negative if f is.
+func (f *balancedFlow) turn(other *balancedFlow) int {
+	return cmp.Or(cmp.Compare(f.urgency, other.urgency), other.begun.Compare(f.begun))
 }
 
 // waits says whether any opening waits for the service.
@@ -105,7 +111,7 @@
 // release lets an opening wait no more.
 func (b *Balancer) release(known *balancedFlow) { known.held = false }
 
-// placeHeld offers openings that wait, the youngest first, and ends the wait of
+// placeHeld offers openings that wait, in the order of their turns, and ends the wait of
 // those that have waited for too long.
 func (b *Balancer) placeHeld(now time.Time) {
 	if len(b.held) == 0 {
@@ -113,7 +119,7 @@
 	}
 	held := b.held
 	b.held = nil
-	slices.SortStableFunc(held, func(x, y *balancedFlow) int { return x.begun.Compare(y.begun) })
+	slices.SortStableFunc(held, func(x, y *balancedFlow) int { return y.turn(x) })
 	full := map[catalog.ServiceName]bool{}
 	var still []*balancedFlow
 	for _, known := range slices.Backward(held) {
--- a/handshake/hold_test.go
+++ b/handshake/hold_test.go
@@ -105,6 +105,35 @@
 	is.True(hasReset(b.Tick(now))) // the first one has waited for long enough and is told
 }
 
+// TestUrgentOpeningsGoFirst: of openings that wait for the same back ends, those of the route
+// with the higher priority, whatever their age.
+func TestUrgentOpeningsGoFirst(t *testing.T) {
+	is := is.New(t)
+	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
+	urgent := netip.MustParseAddrPort("198.18.0.2:443")
+	targets := []routing.Target{{Service: worldService, Weight: 1}}
+	table, err := routing.New(routing.Content{Version: 2, Routes: []routing.Route{
+		{Name: "r", Address: worldAddress, Targets: targets, Priority: 2}, {Name: "u", Address: urgent, Targets: targets, Priority: 1}}})
+	is.NoErr(err)
+	is.True(b.Configure(table))
+	limit := Load{Slots: 3}.Limit()
+	hearLoad(b, now, limit)
+	ports := map[string]uint16{}
+	for port := uint16(1); port <= 4; port++ {
+		key, bytes := holdKey(port), []byte{byte(port)}
+		if port <= 2 {
+			key.Service = urgent
+		}
+		ports[string(bytes)] = port
+		b.FromCaller(now, &Datagram{Key: key, Kind: Opening, Number: 7, Bytes: bytes})
+		now = now.Add(10 * time.Millisecond)
+	}
+	offered := offersIn(b.FromPeer(now, holdAgent, Reserved{Load: Load{Accepts: true, Slots: 3, Busy: limit - 1}}), ports)
+	is.Equal(offered, []uint16{2})
+	hearLoad(b, now, limit-2)
+	is.Equal(offersIn(b.Tick(now), ports), []uint16{1, 4})
+}
+
 // TestOpeningWhoseCopyWentElsewhereIsNotReset: while an opening waited here, the
 // routers sent the caller's next copy to another balancer, which may have opened the
 // flow by now.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -36,6 +36,9 @@
 	Name    string
 	Address netip.AddrPort // the address that callers see
 	Targets []Target       // at least one with a weight above 0
+	// Priority of the route's requests: where not all can be served, those of a lower number
+	// go first; 0 is the highest.
+	Priority uint
 }
 
 // Has says whether the service takes new flows of the route.
