--- a/test/days/vary.py
+++ b/test/days/vary.py
@@ -21,6 +21,20 @@
     return edit
 
 
+def scale(pattern, factor):
+    """Returns an edit that multiplies the numbers that stand behind the pattern."""
+    return replace(rf"({pattern})([\d.]+)", lambda found: f"{found[1]}{float(found[2]) * factor:.4g}")
+
+
+def both(*edits):
+    """Returns an edit that makes all of them."""
+    def edit(text):
+        for one in edits:
+            text = one(text)
+        return text
+    return edit
+
+
 def two_regions(text):
     """Moves the last zone to a region of its own."""
     zones = re.search(r"^zones = \[\n(.*?)^\]", text, flags=re.M | re.S)
@@ -40,7 +54,18 @@
     return head + bracket + "\n".join(more(line) for line in machines.split("\n")) + end + tail
 
 
+PROCESSORS = r"cpu_share = "
+TRAFFIC = r"\bper_s = (?=\d+\.?\d*, clients)"
+
 VARIANTS = {
+    "weak": scale(PROCESSORS, 0.7),
+    "weak-and-more-traffic": both(scale(PROCESSORS, 0.7), scale(TRAFFIC, 1.3)),
+    "half-processors": scale(PROCESSORS, 0.5),
+    "double-processors": scale(PROCESSORS, 2),
+    "two-balancers-a-zone": replace(r"(class = \"front\".*)count = \d+", r"\1count = 2"),
+    "many-slots": replace(r"slots = \d+, queue = \d+", "slots = 12, queue = 24"),
+    "fresh-flows-only": replace(r"(late_worth = [\d.]+, priority = \d+, )(?!.*habit)", r'\1habit = "fresh", '),
+    "tight-targets": scale(r"aim_ms = ", 0.6),
     "mod": replace(r'^hash = "steady"', 'hash = "mod"'),
     "regions": two_regions,
     "slow-heartbeats": replace(r"^beat_ms = \d+", "beat_ms = 3000"),
