Read as a newcomer: names, reasons of thresholds, what is dropped is logged; a late copy does not make an agent deny a flow

Found by reading: an agent that has started anew and is offered a late copy of an opening whose flow its back end holds open said for certain that it does not hold the flow, whose caller would have been reset had all others denied it. It now says perhaps, and the back end decides (TestLateCopyDoesNotDenyAnOpenFlow). Flows that are put out of a full queue of searches are logged.

--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -17,9 +17,12 @@
 		held = a.hold(now, datagram.Key, stateTentative)
 		held.unsure = true
 	case held.state == stateTentative:
-	case !held.owns(datagram):
+	case !held.owns(datagram) && a.unknownHolding(now) == HoldsNot:
 		a.giveBack(from, NotHeld{Bytes: datagram.Bytes}, datagram.Key)
 		return a.take()
+	case !held.owns(datagram):
+		a.act(Deliver{Bytes: datagram.Bytes}) // an earlier flow of the same caller's port may be open there
+		return a.take()
 	case held.state == stateHalfOpen:
 		if !held.acceptedAt.IsZero() {
 			a.noteConfirm(now.Sub(held.acceptedAt))
@@ -115,7 +118,7 @@
 	case held == nil || held.state == stateTentative:
 		return a.unknownHolding(now)
 	case !held.opened(question.Confirms):
-		return HoldsNot
+		return a.unknownHolding(now)
 	default:
 		return Holds
 	}
--- a/handshake/agent_work_test.go
+++ b/handshake/agent_work_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/instance"
 )
 
 // openAtAgent lets a caller open a flow at the agent's back end, with 100 bytes that are owed an answer.
@@ -53,3 +55,26 @@
 	agent.Tick(now)
 	is.Equal(agent.Load(now).Busy, uint32(1))
 }
+
+// TestLateCopyDoesNotDenyAnOpenFlow: an agent that has started anew is offered a late copy of
+// the opening of a flow that its back end holds open. It knows that offer alone, and must not
+// say for certain that the flow is not there.
+func TestLateCopyDoesNotDenyAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, seen := range []bool{true, false} {
+		agent := readyAgent(t, now)
+		holding := HoldsNot
+		if !seen {
+			agent = NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+			is.True(agent.Tracker().CheckDue(now))
+			agent.Tracker().Checked(now, instance.Check{Well: true, ID: "i"})
+			holding = HoldsPerhaps
+		}
+		agent.Offered(now, holdAgent, Offer{Service: worldService}, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Copies: 2})
+		agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Accept, Number: 50})
+		is.Equal(agent.Asked(now, holdAgent, Locate{Key: holdKey(1), Confirms: 9000})[0],
+			Send{To: holdAgent, Message: Located{Key: holdKey(1), Holding: holding}})
+		is.Equal(delivers(agent.Forwarded(now, holdAgent, &Datagram{Key: holdKey(1), Kind: Data, Confirms: 9000})), !seen)
+	}
+}
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -64,18 +64,18 @@
 	deadline time.Time // of the offer or question under way; zero: none
 
 	// Of an opening.
-	number  uint32
-	opening []byte           // the datagram
-	tried   []netip.AddrPort // agents that got it and may answer
-	refused int
-	accepts []accept // answers so far
-	sentAt  time.Time
-	held    bool // in Balancer.held
-	heldAt  time.Time
-	urgency uint      // the priority of its route when it was last placed; 0 is the highest
-	begun   time.Time // when the caller sent the first copy of the opening datagram, as far as can be told
-	copies  uint32    // number of the latest copy of the opening datagram
-	copyAt  time.Time // when it came
+	number   uint32
+	opening  []byte           // the datagram
+	tried    []netip.AddrPort // agents that got it and may answer
+	refused  int
+	accepts  []accept // answers so far
+	sentAt   time.Time
+	held     bool // in Balancer.held
+	heldAt   time.Time
+	priority uint      // the priority of its route when it was last placed; 0 is the highest
+	begun    time.Time // when the caller sent the first copy of the opening datagram, as far as can be told
+	copies   uint32    // number of the latest copy of the opening datagram
+	copyAt   time.Time // when it came
 	// uncertain says that the flow may have opened without this balancer's
 	// knowing it: through another one, or by an offer whose answer was lost. Such a
 	// flow is never reset for want of an agent.
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -18,14 +18,14 @@
 
 // Times and bounds of finding flows.
 const (
-	LocateTime       = 60 * time.Millisecond  // for agents to say who holds a flow
+	LocateTime       = 60 * time.Millisecond  // for agents to say who holds a flow: some round trips between zones, and the work of a busy agent (a guess)
 	MaximumBuffered  = 16                     // datagrams of one flow that wait for its agent
 	maximumFindings  = 16                     // flows that are searched for at once (a guess: at 10 ms each, more than all flows of a balancer that move in a second)
-	maximumUnfound   = 4096                   // flows that wait to be searched for
-	maximumMissed    = 2                      // searches for one flow that may stay without an answer
-	firstFindPause   = 50 * time.Millisecond  // for which a flow that was not found is left alone; doubled each time
-	mostFindPause    = time.Second            // at most
-	resetPause       = 100 * time.Millisecond // between two resets of one flow
+	maximumUnfound   = 4096                   // flows that wait to be searched for, as MaximumHeld
+	maximumMissed    = 2                      // searches for one flow that may stay without an answer: one agent may be dead, hardly two
+	firstFindPause   = 50 * time.Millisecond  // for which a flow that was not found is left alone; doubled each time (a guess)
+	mostFindPause    = time.Second            // at most: below the longest pause between two copies of a caller
+	resetPause       = 100 * time.Millisecond // between two resets of one flow: half of a caller's shortest pause between copies
 	callerPause      = 2 * time.Second        // silence after which a caller has given up: the longest between two of its copies is 1.6 s
 	DiscoveryTime    = 4 * time.Second        // after a balancer's start, in which it may not know all agents (measured: 2.2 s at 300 machines)
 	maximumNeighbors = 16                     // other balancers asked for one flow
@@ -33,12 +33,11 @@
 
 // finding is the search for the agent that holds one flow.
 type finding struct {
-	begun     time.Time
 	queued    bool             // waits for its turn
 	running   bool             // counts as one of maximumFindings
 	searcher  netip.AddrPort   // agent that searches; zero: none
 	under     []netip.AddrPort // agents of the question under way
-	asked     []netip.AddrPort // agents that were asked, those of the question under way included
+	asked     []netip.AddrPort // agents that were asked before it
 	perhaps   []netip.AddrPort // agents that may hold the flow
 	tries     bool             // the question under way is a datagram tried at back ends
 	undecided bool             // some have not answered
@@ -63,8 +62,8 @@
 		return
 	}
 	known.confirms = datagram.Confirms
-	known.finding = &finding{begun: now}
-	b.queueFinding(known)
+	known.finding = &finding{}
+	b.queueFinding(now, known)
 	b.startFindings(now)
 }
 
@@ -78,10 +77,14 @@
 	b.act(ResetCaller{Key: known.key, Confirms: known.latest})
 }
 
-func (b *Balancer) queueFinding(known *balancedFlow) {
+// queueFinding lets a flow wait until it is its turn to be searched for.
+func (b *Balancer) queueFinding(now time.Time, known *balancedFlow) {
 	if len(b.unfound) >= maximumUnfound {
-		b.endFinding(b.unfound[0])
+		first := b.unfound[0]
 		b.unfound = slices.Delete(b.unfound, 0, 1)
+		if first.finding != nil && first.finding.queued {
+			b.giveUpFinding(now, first)
+		}
 	}
 	known.finding.queued = true
 	b.unfound = append(b.unfound, known)
@@ -233,7 +236,7 @@
 	f := known.finding
 	if f.under == nil {
 		b.settle(known)
-		b.queueFinding(known)
+		b.queueFinding(now, known)
 		return
 	}
 	f.missed++
@@ -308,7 +311,7 @@
 	b.board.grown = false
 	for _, known := range b.waitingBy(func(known *balancedFlow) bool { return known.finding != nil && known.finding.under == nil }) {
 		b.settle(known)
-		b.queueFinding(known)
+		b.queueFinding(now, known)
 	}
 }
 
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -20,8 +20,8 @@
 // settled returns a balancer that knows all agents, and the time.
 func settled(t *testing.T, agents ...netip.AddrPort) (*Balancer, time.Time) {
 	t.Helper()
-	b, now := newConfiguredBalancer(t, time.Unix(1000, 0))
-	now = b.started.Add(DiscoveryTime)
+	b, _ := newConfiguredBalancer(t, time.Unix(1000, 0))
+	now := b.started.Add(DiscoveryTime)
 	hearAgents(b, now, worldService, agents...)
 	b.Record(agents)
 	b.Tick(now)
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -100,7 +100,7 @@
 
 // turn compares two openings that wait by who is served first: negative if f is.
 func (f *balancedFlow) turn(other *balancedFlow) int {
-	return cmp.Or(cmp.Compare(f.urgency, other.urgency), other.begun.Compare(f.begun))
+	return cmp.Or(cmp.Compare(f.priority, other.priority), other.begun.Compare(f.begun))
 }
 
 // waits says whether any opening waits for the service.
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -80,7 +80,7 @@
 		b.refuse(now, known)
 		return
 	}
-	known.urgency = route.Priority
+	known.priority = route.Priority
 	if !route.Has(known.service) {
 		known.service = b.splitter.Next(b.table, route)
 	}
