--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -26,7 +26,9 @@
 	if balancer == nil {
 		balancer = w.balancers[w.random.IntN(len(w.balancers))]
 	}
-	w.reach(balancer, func() { w.performBalancer(balancer, balancer.decider.FromCaller(w.now, &datagram)) })
+	w.reach(balancer, func() {
+		w.process(balancer, func() { w.performBalancer(balancer, balancer.decider.FromCaller(w.now, &datagram)) })
+	})
 }
 
 // resetCaller notes a reset of the system's own. It breaks the promise when the
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -52,8 +52,10 @@
 	address netip.AddrPort
 	decider *Balancer
 	up      bool
+	started int
 	frozen  bool
-	inbox   []func() // what has come while it was frozen
+	inbox   []func()  // what has come while it was frozen
+	busy    time.Time // until when its processor works on what came before, if world.cost is set
 }
 
 // world is everything.
@@ -72,6 +74,7 @@
 	work      time.Duration // that a back end takes to answer a request
 	sent      func(Message) // sees what processes send each other; nil: nobody does
 	reports   uint64        // by which a report's sequence grows
+	cost      time.Duration // that a balancer's processor takes for each datagram or message; 0: none
 }
 
 // worldEvent is something on its way.
@@ -119,6 +122,7 @@
 	balancer.decider.Configure(w.table)
 	balancer.decider.Record(w.recorded())
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
+	balancer.started++
 }
 
 func (w *world) startAgent(agent *worldAgent) {
@@ -225,6 +229,26 @@
 	})
 }
 
+// process lets the balancer handle a datagram or message that has come, once its processor has
+// done all that came before. Statuses cost nothing here, as they are sent far more often than
+// real ones.
+func (w *world) process(balancer *worldBalancer, handle func()) {
+	if w.cost == 0 {
+		handle()
+		return
+	}
+	if balancer.busy.Before(w.now) {
+		balancer.busy = w.now
+	}
+	balancer.busy = balancer.busy.Add(w.cost)
+	started := balancer.started
+	w.queue = append(w.queue, worldEvent{balancer.busy, func() {
+		if balancer.up && balancer.started == started {
+			handle()
+		}
+	}})
+}
+
 // resume lets a frozen balancer run on.
 func (w *world) resume(balancer *worldBalancer) {
 	balancer.frozen = false
@@ -311,16 +335,20 @@
 			continue
 		}
 		w.reach(balancer, func() {
-			if notHeld, ok := send.Message.(NotHeld); ok {
-				datagram := decodeWorld(notHeld.Bytes)
-				w.performBalancer(balancer, balancer.decider.Returned(w.now, from, &datagram, notHeld))
-				return
-			}
-			w.performBalancer(balancer, balancer.decider.FromPeer(w.now, from, send.Message))
+			w.process(balancer, func() { w.balancerReceives(balancer, from, send.Message) })
 		})
 	}
 }
 
+func (w *world) balancerReceives(balancer *worldBalancer, from netip.AddrPort, message Message) {
+	if notHeld, ok := message.(NotHeld); ok {
+		datagram := decodeWorld(notHeld.Bytes)
+		w.performBalancer(balancer, balancer.decider.Returned(w.now, from, &datagram, notHeld))
+		return
+	}
+	w.performBalancer(balancer, balancer.decider.FromPeer(w.now, from, message))
+}
+
 // toBackend delivers a datagram to the agent's back end, which answers at once.
 func (w *world) toBackend(agent *worldAgent, datagram Datagram) {
 	backend := agent.backend
