An agent that stops beside a back end that lives on may still hold flows: its record stays, and its word that it leaves is not enough

Found by reading before the landing: an agent withdrew its record at every stop, and balancers did not miss an agent that had said that it leaves. A planned restart of an agent beside a host with long flows would then let a balancer to which routers move one of them tell its caller that nobody holds it. Now a record is withdrawn only where the back end has left and no flow is open there, and a silent agent is missed until its record, read after it was last heard, is gone.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -142,6 +142,11 @@
 	return open
 }
 
+// HoldsNothing says whether the back end has left and holds no flow for certain.
+func (a *Agent) HoldsNothing(now time.Time) bool {
+	return a.tracker.State() == instance.Leaving && a.Unfinished() == 0 && a.unknownHolding(now) == HoldsNot
+}
+
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -47,7 +47,7 @@
 	unfound    []*balancedFlow                   // flows that wait to be searched for; some may have been found
 	findings   int                               // flows that are searched for; at most maximumFindings
 	recorded   []netip.AddrPort                  // agents that have recorded themselves
-	hasRecords bool                              // recorded has been read
+	recordedAt time.Time                         // when these records were read; zero: not yet
 	nextAwait  map[catalog.ServiceName]time.Time // when agents may be asked for reservations again
 	started    time.Time
 	lastTick   time.Time
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -189,15 +189,16 @@
 }
 
 // hearsAll says whether all agents that were ever heard, and all those that are recorded, can
-// be asked for flows; but for those that have said that they leave.
-func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort) bool {
+// be asked for flows; but for those that have withdrawn their records since they were heard.
+func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort, recordedAt time.Time) bool {
 	for _, address := range recorded {
 		if b.agents[address] == nil {
 			return false
 		}
 	}
 	for _, agent := range b.order {
-		if !agent.known(now) && !agent.status.Leaving {
+		withdrawn := agent.status.Leaving && recordedAt.After(agent.heard) && !slices.Contains(recorded, agent.address)
+		if !agent.known(now) && !withdrawn {
 			return false
 		}
 	}
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -282,17 +282,18 @@
 	return now.Sub(b.started) < DiscoveryTime && !b.knowsAll(now)
 }
 
-// Record takes in the addresses of all agents that have recorded themselves where it lasts.
-func (b *Balancer) Record(agents []netip.AddrPort) {
+// Record takes in the addresses of all agents that have recorded themselves where it lasts,
+// as they stood at the time.
+func (b *Balancer) Record(at time.Time, agents []netip.AddrPort) {
 	b.recorded = agents
-	b.hasRecords = true
+	b.recordedAt = at
 }
 
 // knowsAll says whether the balancer hears every agent that may hold flows: those that have
 // recorded themselves, and those that it has heard itself. Agents that were started while
 // the records could not be read or written tell it within DiscoveryTime.
 func (b *Balancer) knowsAll(now time.Time) bool {
-	return b.hasRecords && b.board.hearsAll(now, b.recorded)
+	return !b.recordedAt.IsZero() && b.board.hearsAll(now, b.recorded, b.recordedAt)
 }
 
 // hint asks other balancers which agent holds a flow: it may be one that is not known here.
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -23,7 +23,7 @@
 	b, _ := newConfiguredBalancer(t, time.Unix(1000, 0))
 	now := b.started.Add(DiscoveryTime)
 	hearAgents(b, now, worldService, agents...)
-	b.Record(agents)
+	b.Record(now, agents)
 	b.Tick(now)
 	return b, now
 }
@@ -143,11 +143,19 @@
 		"all deny":                  {reset: true},
 		"one is silent":             {answer: Found{Unanswered: 1}},
 		"one is not heard any more": {before: func(b *Balancer, now time.Time) { hearAgents(b, now.Add(-2*KnownTime), worldService, silent) }},
-		"one has left": {before: func(b *Balancer, now time.Time) {
+		"one has withdrawn its record": {before: func(b *Balancer, now time.Time) {
 			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
 		}, reset: true},
-		"one is recorded": {before: func(b *Balancer, _ time.Time) { b.Record([]netip.AddrPort{agent, silent}) }},
-		"no records":      {before: func(b *Balancer, _ time.Time) { b.hasRecords = false }},
+		"one has stopped beside its back end": {before: func(b *Balancer, now time.Time) {
+			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
+			b.Record(now, []netip.AddrPort{agent, silent})
+		}},
+		"one has stopped since the records were read": {before: func(b *Balancer, now time.Time) {
+			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
+			b.Record(now.Add(-3*KnownTime), []netip.AddrPort{agent})
+		}},
+		"one is recorded": {before: func(b *Balancer, now time.Time) { b.Record(now, []netip.AddrPort{agent, silent}) }},
+		"no records":      {before: func(b *Balancer, _ time.Time) { b.recordedAt = time.Time{} }},
 		"just started":    {before: func(b *Balancer, now time.Time) { b.started = now }, reset: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -166,7 +166,7 @@
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
 			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
-			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "pass"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "agent leaves", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "pass"}).Draw(t, "step") {
 			case "call":
 				w.call(port)
 				port++
@@ -177,6 +177,10 @@
 				w.startBalancer(balancer)
 			case "stop agent":
 				agent.up = false
+			case "agent leaves":
+				agent.decider.Leave() // and is to start again beside its back end
+				w.pass(resendPause)
+				agent.up = false
 			case "leave":
 				if !agent.backend.leaving && agent.up {
 					agent.backend.leaving = true
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -103,7 +103,7 @@
 		w.startAgent(agent)
 	}
 	for _, balancer := range w.balancers {
-		balancer.decider.Record(w.recorded())
+		balancer.decider.Record(w.now, w.recorded())
 	}
 	return w
 }
@@ -120,7 +120,7 @@
 func (w *world) startBalancer(balancer *worldBalancer) {
 	balancer.decider = NewBalancer(w.now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
 	balancer.decider.Configure(w.table)
-	balancer.decider.Record(w.recorded())
+	balancer.decider.Record(w.now, w.recorded())
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
 	balancer.started++
 }
@@ -186,7 +186,8 @@
 		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
 	}
 	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: "a", Incarnation: uint64(agent.started),
-		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now)}
+		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
+		Leaving: agent.decider.leaving}
 	for _, balancer := range w.balancers {
 		if agent.heardBy == nil || agent.heardBy == balancer {
 			w.reach(balancer, func() { balancer.decider.TakeStatus(w.now, agent.address, status) })
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -127,8 +127,18 @@
 	return a.flows.Unfinished()
 }
 
+// holdsNothing says whether the agent is needed no more: its back end has left, and no flow is
+// open there. An agent that stops beside a back end that lives on starts again.
+func (a *agent) holdsNothing() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.flows.HoldsNothing(time.Now())
+}
+
 func (a *agent) closeAll() error {
-	a.withdraw()
+	if a.holdsNothing() {
+		a.withdraw()
+	}
 	err := errors.Join(a.outbound.Load().Close(), a.data.Load().Close(), a.close())
 	a.log.Info("stopped")
 	return err
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// withdraw removes the record of this process, which stops for good as far as it knows.
+// withdraw removes the record of this process, which nobody needs to find any more.
 func (n *node) withdraw() {
 	revision := n.recorded.Load()
 	if revision == 0 {
@@ -94,11 +94,12 @@
 	for b.sleep(configurationLook) && !b.holdsConfiguration() {
 	}
 	for {
+		begun := time.Now() // what the answer holds may have changed since
 		agents, err := b.readRecords(handshake.RoleAgent, false)
 		pause := jitter(recordsRetry)
 		if err == nil {
 			b.mutex.Lock()
-			b.flows.Record(agents)
+			b.flows.Record(begun, agents)
 			b.mutex.Unlock()
 			b.limited.Log(log.InfoLevel, "directory-read", log.Fields{"agents": len(agents)})
 			pause = jitter(recordsInterval)
