Evacuated zones get no new flows: read by the balancers that read the store, told with statuses, enforced by the agents

It rides on statuses and costs nothing until an evacuation is known. Balancers do not place there; the agent refuses whatever balancers believe (without that the rapid test fails). Open flows stay; with all zones evacuated callers are reset at once.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/instance"
 )
@@ -29,6 +30,7 @@
 
 // AgentOptions are what an agent's decider is made of.
 type AgentOptions struct {
+	Zone    catalog.ZoneName    // of the agent and its back end
 	Service catalog.ServiceName // of the back end
 	// FlowLifetime is how long a flow may last. For that time after its start an
 	// agent may stand beside a back end that holds flows the agent does not know.
@@ -45,6 +47,7 @@
 	flows        map[flow.Key]*heldFlow
 	owing        map[*heldFlow]bool // flows whose back end owes an answer: its work
 	leaving      bool
+	evacuated    bool          // its zone is evacuated
 	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	reservations reservations
 	searches     []*search // for balancers, in the order in which they began
@@ -153,6 +156,10 @@
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
+// Evacuate takes in which zones are evacuated. An agent of one of them refuses new flows, whatever
+// balancers believe; open flows stay.
+func (a *Agent) Evacuate(set evacuation.Set) { a.evacuated = set.Has(a.options.Zone) }
+
 // Load returns how busy the back end is. Reservations count as work.
 func (a *Agent) Load(now time.Time) Load {
 	return Load{
@@ -169,6 +176,8 @@
 	switch {
 	case a.leaving || a.tracker.State() == instance.Leaving:
 		return RefusedLeaving
+	case a.evacuated:
+		return RefusedEvacuated
 	case a.tracker.State() != instance.Ready:
 		return RefusedNoBackend
 	case a.tracker.Latest().Service != a.options.Service:
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/routing"
 )
@@ -135,6 +136,11 @@
 	return true
 }
 
+// Evacuate takes in which zones are evacuated: no new flow goes to their back ends. Openings
+// that wait for one of these are placed elsewhere at the next tick, or refused at once where
+// nobody is left; those that were offered there come back refused.
+func (b *Balancer) Evacuate(set evacuation.Set) { b.board.evacuations = set }
+
 // Ready says whether the balancer can serve: it holds a configuration and hears agents.
 func (b *Balancer) Ready(now time.Time) bool {
 	return b.table != nil && b.board.Hears(now)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 )
 
 // Times by which a balancer judges what it has heard from agents.
@@ -83,12 +84,13 @@
 
 // Board holds what a balancer knows about agents.
 type Board struct {
-	zone   catalog.ZoneName
-	region string
-	agents map[netip.AddrPort]*agentState
-	order  []*agentState // by address, so that every run decides alike
-	random *rand.Rand
-	grown  bool // an agent has been heard for the first time since this was last looked at
+	zone        catalog.ZoneName
+	region      string
+	agents      map[netip.AddrPort]*agentState
+	order       []*agentState // by address, so that every run decides alike
+	random      *rand.Rand
+	evacuations evacuation.Set
+	grown       bool // an agent has been heard for the first time since this was last looked at
 }
 
 // NewBoard returns an empty board of a balancer in the zone of the region.
@@ -250,7 +252,7 @@
 	bestScore := 0.0
 	outcome := nobodyElse
 	for _, agent := range b.order {
-		if agent.status.Service != service || !agent.usable(now) || slices.Contains(except, agent.address) {
+		if agent.status.Service != service || !b.usable(now, agent) || slices.Contains(except, agent.address) {
 			continue
 		}
 		if agent.full() {
@@ -274,7 +276,7 @@
 	}
 	var usable []rated
 	for _, agent := range b.order {
-		if agent.status.Service == service && agent.usable(now) {
+		if agent.status.Service == service && b.usable(now, agent) {
 			usable = append(usable, rated{agent, b.score(agent)})
 		}
 	}
@@ -300,8 +302,9 @@
 }
 
 // usable says whether the agent may get new flows.
-func (a *agentState) usable(now time.Time) bool {
-	return a.load.Accepts && !a.status.Leaving && now.Sub(a.heard) <= a.freshTime()
+func (b *Board) usable(now time.Time, agent *agentState) bool {
+	return agent.load.Accepts && !agent.status.Leaving && now.Sub(agent.heard) <= agent.freshTime() &&
+		!b.evacuations.Has(agent.status.Zone)
 }
 
 // score is the load of an agent's back end, in shares of its slots; lower is better.
--- /dev/null
+++ b/handshake/evacuation_test.go
@@ -0,0 +1,254 @@
+package handshake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
+	"github.com/burlmill/burlmill/instance"
+)
+
+// TestEvacuatedZoneGetsNoNewFlows: new flows go elsewhere, open ones stay, and the zone gets flows
+// again once it is taken back.
+func TestEvacuatedZoneGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 11, 3, 4)
+	w.inZones("b", "c")
+	for port := uint16(1000); port < 1040; port++ {
+		is.True(w.call(port))
+	}
+	open := w.callersOf(w.agents[1].backend)
+	is.True(len(open) > 0)
+	w.evacuate("b", false)
+	w.pass(50 * time.Millisecond)
+	before := w.offeredIn("b")
+	for port := uint16(2000); port < 2040; port++ {
+		is.True(w.call(port))
+	}
+	is.Equal(w.offeredIn("b"), before)
+	for _, caller := range open {
+		is.True(w.exchange(caller))
+	}
+	w.evacuate("b", true)
+	w.pass(50 * time.Millisecond)
+	for port := uint16(3000); port < 3040; port++ {
+		is.True(w.call(port))
+	}
+	is.True(w.offeredIn("b") > before)
+	is.Equal(w.violation, "")
+	is.Equal(w.resets, 0)
+}
+
+// TestAllZonesEvacuated: callers are told at once.
+func TestAllZonesEvacuated(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 12, 2, 4)
+	w.inZones("b", "c")
+	w.evacuate("c", false)
+	w.evacuate("b", false)
+	w.pass(50 * time.Millisecond)
+	before := w.offeredIn("b") + w.offeredIn("c")
+	caller := w.newCaller(1000)
+	w.fromCaller(Datagram{Key: caller.key, Kind: Opening, Number: caller.opening})
+	w.pass(50 * time.Millisecond)
+	is.True(caller.reset)
+	is.Equal(w.offeredIn("b")+w.offeredIn("c"), before)
+}
+
+// TestEvacuatedAgentRefuses: an agent refuses whatever balancers believe, also an opening that it has
+// taken before and one for which it has reserved capacity.
+func TestEvacuatedAgentRefuses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := NewAgent(now, AgentOptions{Zone: "b", Service: worldService, ReportInterval: time.Second})
+	agent.Tracker().Report(now, instance.Report{ID: "i-1", Service: worldService, Slots: 1, Sequence: 1})
+	agent.Tracker().Checked(now, instance.Check{Well: true, ID: "i-1"})
+	from := contactAddress(RoleBalancer, 1)
+	opening := Datagram{Key: holdKey(1000), Kind: Opening, Number: 5}
+	offer := Offer{Service: worldService}
+	is.True(delivers(agent.Offered(now, from, offer, &opening)))
+	for range minimumWaiting {
+		other := Datagram{Key: holdKey(uint16(2000 + agent.Flows())), Kind: Opening, Number: 5}
+		is.True(delivers(agent.Offered(now, from, offer, &other)))
+	}
+	is.True(agent.Load(now).Full())
+	agent.Awaited(now, from, Await{Service: worldService})
+	now = now.Add(2 * mostUnconfirmedTime)
+	agent.Tick(now)
+	is.Equal(agent.Reservations(), 1)
+
+	set, err := evacuation.New(7, "b")
+	is.NoErr(err)
+	agent.Evacuate(set)
+	is.True(!agent.Load(now).Accepts)
+	for _, datagram := range []Datagram{opening, {Key: holdKey(3000), Kind: Opening, Number: 6}} {
+		actions := agent.Offered(now, from, offer, &datagram)
+		is.True(!delivers(actions))
+		refused := actions[0].(Send).Message.(Refused)
+		is.Equal(refused.Reason, RefusedEvacuated)
+	}
+	agent.Awaited(now, from, Await{Service: worldService})
+	is.Equal(agent.BalancersWaiting(), 0)
+
+	set, err = evacuation.New(9, "a")
+	is.NoErr(err)
+	agent.Evacuate(set)
+	is.True(delivers(agent.Offered(now, from, offer, &opening)))
+}
+
+// TestReservationInEvacuatedZoneIsDeclined: the zone is evacuated while the reservation is on its way.
+func TestReservationInEvacuatedZoneIsDeclined(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := newWorld(13, 1, 1)
+	balancer := w.balancers[0].decider
+	agent := contactAddress(RoleAgent, 1)
+	full := Load{Accepts: true, Slots: 1, Busy: 9}
+	balancer.TakeStatus(now, agent, Status{Role: RoleAgent, Zone: "b", Service: worldService, Load: full})
+	opening := Datagram{Key: holdKey(1000), Kind: Opening, Number: 5, Bytes: []byte("opening")}
+	balancer.FromCaller(now, &opening)
+	is.Equal(balancer.Held(), 1)
+	set, err := evacuation.New(7, "b")
+	is.NoErr(err)
+	balancer.Evacuate(set)
+	actions := balancer.FromPeer(now, agent, Reserved{Load: Load{Accepts: true, Slots: 1}})
+	is.Equal(actions, []Action{Send{To: agent, Message: Declined{}}})
+	is.Equal(balancer.Held(), 1)
+}
+
+// evacuationBound is the time after which evacuations must be in force in the test world, in which
+// statuses are sent each ten milliseconds and one in ten is lost.
+const evacuationBound = 500 * time.Millisecond
+
+// TestEvacuationsHoldUnderFaults lets operators evacuate zones and take them back while
+// processes are frozen, woken and started anew and the store goes and comes. No opening
+// reaches a back end of a zone that has been evacuated for longer than the bound, while the
+// back end's agent and one balancer that has read of it have run all the time; and every zone that is taken back gets flows again.
+func TestEvacuationsHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
+		w.inZones("b", "c")
+		w.loss = 0.1
+		watch := newEvacuationWatch(w)
+		port := uint16(1000)
+		balancer := func() *worldBalancer { return rapid.SampledFrom(w.balancers).Draw(t, "balancer") }
+		t.Repeat(map[string]func(*rapid.T){
+			"evacuate": func(t *rapid.T) {
+				zone := rapid.SampledFrom([]catalog.ZoneName{"b", "c"}).Draw(t, "zone")
+				w.evacuate(zone, w.evacuated.Has(zone))
+			},
+			"call": func(t *rapid.T) {
+				for range 5 {
+					w.begin(port)
+					port++
+				}
+			},
+			"freeze": func(*rapid.T) { balancer().frozen = true },
+			"wake": func(*rapid.T) {
+				if b := balancer(); b.frozen {
+					w.resume(b)
+				}
+			},
+			"restart balancer": func(*rapid.T) { w.startBalancer(balancer()) },
+			"restart agent":    func(t *rapid.T) { w.startAgent(rapid.SampledFrom(w.agents).Draw(t, "agent")) },
+			"store":            func(*rapid.T) { w.storeDown = !w.storeDown },
+			"pass":             func(t *rapid.T) { watch.pass(rapid.IntRange(1, 100).Draw(t, "rounds")) },
+			"": func(t *rapid.T) {
+				watch.pass(1)
+				if watch.violation != "" {
+					t.Fatal(watch.violation)
+				}
+			},
+		})
+		w.storeDown = false
+		for _, one := range w.balancers {
+			if one.frozen {
+				w.resume(one)
+			}
+		}
+		for _, zone := range w.evacuated.Zones() {
+			w.evacuate(zone, true)
+		}
+		w.pass(2 * worldCalm)
+		for _, agent := range w.agents {
+			if !agent.decider.Load(w.now).Accepts {
+				t.Fatalf("back end %s in zone %s gets no flows though its zone was taken back", agent.backend.id, agent.zone)
+			}
+		}
+	})
+}
+
+// evacuationWatch checks that no opening reaches a back end too late.
+type evacuationWatch struct {
+	world     *world
+	known     map[*worldAgent]time.Time // since when an agent could know that its zone is evacuated; zero: it could not
+	started   map[*worldAgent]int
+	violation string
+}
+
+func newEvacuationWatch(w *world) *evacuationWatch {
+	return &evacuationWatch{world: w, known: map[*worldAgent]time.Time{}, started: map[*worldAgent]int{}}
+}
+
+// pass lets rounds pass and looks at each.
+func (e *evacuationWatch) pass(rounds int) {
+	w := e.world
+	for range rounds {
+		before := map[*worldAgent]int{}
+		for _, agent := range w.agents {
+			before[agent] = agent.backend.offered
+		}
+		w.pass(worldRest)
+		for _, agent := range w.agents {
+			since := e.since(agent)
+			if !since.IsZero() && w.now.Sub(since) > evacuationBound && agent.backend.offered > before[agent] {
+				e.violation = "an opening reached a back end in zone " + string(agent.zone) + " long after its evacuation"
+			}
+		}
+	}
+}
+
+// since returns since when the agent has been able to know: a balancer that runs has told it
+// of the zone's evacuation all that time.
+func (e *evacuationWatch) since(agent *worldAgent) time.Time {
+	w := e.world
+	tells := false
+	for _, balancer := range w.balancers {
+		tells = tells || balancer.up && !balancer.frozen && balancer.view.Set().Has(agent.zone)
+	}
+	if !tells || !w.evacuated.Has(agent.zone) || e.started[agent] != agent.started {
+		e.started[agent] = agent.started
+		e.known[agent] = time.Time{}
+		return time.Time{}
+	}
+	if e.known[agent].IsZero() {
+		e.known[agent] = w.now
+	}
+	return e.known[agent]
+}
+
+// TestBalancerKnowsOfAnEvacuationBeforeTheAgent: it does not offer in vain.
+func TestBalancerKnowsOfAnEvacuationBeforeTheAgent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	near := Status{Role: RoleAgent, Zone: "a", Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: 2}}
+	idle := Status{Role: RoleAgent, Zone: "b", Service: worldService, Load: Load{Accepts: true, Slots: 3}}
+	board := newTestBoard(now, near, idle)
+	agent, _ := board.choose(now, worldService, nil)
+	is.Equal(agent.address, boardAgent(1))
+	set, err := evacuation.New(7, "b")
+	is.NoErr(err)
+	board.evacuations = set
+	agent, _ = board.choose(now, worldService, nil)
+	is.Equal(agent.address, boardAgent(0))
+	is.Equal(len(board.leastBusy(now, worldService, 8)), 1)
+	set, err = evacuation.New(8, "a", "b")
+	is.NoErr(err)
+	board.evacuations = set
+	_, outcome := board.choose(now, worldService, nil)
+	is.Equal(outcome, nobodyElse)
+}
--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -68,6 +68,10 @@
 	if agent == nil || b.table == nil {
 		return
 	}
+	if b.board.evacuations.Has(agent.status.Zone) {
+		b.act(Send{To: from, Message: Declined{}})
+		return
+	}
 	for {
 		known := b.takeFirst(agent.status.Service)
 		if known == nil {
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/routing"
 )
@@ -77,6 +78,7 @@
 	Subscribe   bool                // the sender wants the receiver's load often; balancers only
 	StoreFresh  bool                // the sender has heard the store of late; balancers only
 	Peers       []netip.AddrPort    // some processes that the sender has heard lately
+	Evacuations evacuation.Set      // zero: the sender knows of none, and of no end of one
 }
 
 // Brief returns the status without what stays the same for the life of the process.
@@ -128,6 +130,7 @@
 	RefusedWrongService                          // the back end is of another service
 	RefusedFull                                  // the back end gave the datagram back
 	RefusedBusy                                  // the back end has as much work as it gets
+	RefusedEvacuated                             // the zone is evacuated
 )
 
 // String returns the reason's name in logs and metrics.
@@ -143,6 +146,8 @@
 		return "full"
 	case RefusedBusy:
 		return "busy"
+	case RefusedEvacuated:
+		return "evacuated"
 	default:
 		return "unknown"
 	}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/routing"
@@ -44,6 +45,8 @@
 	backend *worldBackend
 	up      bool
 	started int
+	zone    catalog.ZoneName
+	view    evacuation.View
 	heardBy *worldBalancer // the only one that hears its statuses; nil: all do
 }
 
@@ -54,6 +57,7 @@
 	up      bool
 	started int
 	frozen  bool
+	view    evacuation.View
 	inbox   []func()  // what has come while it was frozen
 	busy    time.Time // until when its processor works on what came before, if world.cost is set
 }
@@ -71,9 +75,11 @@
 	loss      float64
 	violation string
 	resets    int
-	work      time.Duration // that a back end takes to answer a request
-	sent      func(Message) // sees what processes send each other; nil: nobody does
-	reports   uint64        // by which a report's sequence grows
+	work      time.Duration  // that a back end takes to answer a request
+	sent      func(Message)  // sees what processes send each other; nil: nobody does
+	reports   uint64         // by which a report's sequence grows
+	evacuated evacuation.Set // as the store holds it; its readers are the first two balancers
+	storeDown bool
 	cost      time.Duration // that a balancer's processor takes for each datagram or message; 0: none
 }
 
@@ -97,7 +103,7 @@
 		w.startBalancer(balancer)
 	}
 	for i := range agents {
-		agent := &worldAgent{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
+		agent := &worldAgent{zone: "a", address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
 			backend: newWorldBackend(instance.ID(fmt.Sprintf("i-%d", i)))}
 		w.agents = append(w.agents, agent)
 		w.startAgent(agent)
@@ -122,11 +128,13 @@
 	balancer.decider.Configure(w.table)
 	balancer.decider.Record(w.now, w.now, w.recorded())
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
+	balancer.view = evacuation.View{}
 	balancer.started++
 }
 
 func (w *world) startAgent(agent *worldAgent) {
-	agent.decider = NewAgent(w.now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+	agent.view = evacuation.View{}
+	agent.decider = NewAgent(w.now, AgentOptions{Zone: agent.zone, Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
 	agent.up = true
 	agent.started++
 }
@@ -166,10 +174,12 @@
 }
 
 func (w *world) tick() {
-	for _, balancer := range w.balancers {
+	for i, balancer := range w.balancers {
 		if balancer.up && !balancer.frozen {
 			w.performBalancer(balancer, balancer.decider.Tick(w.now))
+			w.readEvacuations(i, balancer)
 			w.tellBalancers(balancer)
+			w.tellAgents(balancer)
 		}
 	}
 	for _, agent := range w.agents {
@@ -185,21 +195,28 @@
 	if agent.decider.Tracker().CheckDue(w.now) {
 		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
 	}
-	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: "a", Incarnation: uint64(agent.started),
+	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: agent.zone, Evacuations: agent.view.Told(), Incarnation: uint64(agent.started),
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
 		Leaving: agent.decider.leaving}
 	for _, balancer := range w.balancers {
 		if agent.heardBy == nil || agent.heardBy == balancer {
-			w.reach(balancer, func() { balancer.decider.TakeStatus(w.now, agent.address, status) })
+			w.reach(balancer, func() {
+				balancer.decider.TakeStatus(w.now, agent.address, status)
+				w.tellBalancer(balancer, status.Evacuations)
+			})
 		}
 	}
 }
 
 // tellBalancers sends a balancer's status to the others.
 func (w *world) tellBalancers(from *worldBalancer) {
+	told := from.view.Told()
 	for _, to := range w.balancers {
 		if to != from {
-			w.reach(to, func() { to.decider.TakeStatus(w.now, from.address, Status{Role: RoleBalancer, Zone: "a"}) })
+			w.reach(to, func() {
+				to.decider.TakeStatus(w.now, from.address, Status{Role: RoleBalancer, Zone: "a"})
+				w.tellBalancer(to, told)
+			})
 		}
 	}
 }
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
@@ -50,7 +52,7 @@
 	Bytes    []byte // nil: there is no newer one
 }
 
-// Store is where the configuration and the addresses of processes last. Errors
+// Store is where the configuration, the evacuations and the addresses of processes last. Errors
 // carry a kind of package fault.
 type Store interface {
 	// Read returns the configuration; fault.NotFound if there is none. It costs less where
@@ -63,6 +65,12 @@
 	Watch(ctx context.Context, revision uint64, mayBeOld bool) (Document, error)
 	// ParseConfiguration reads a document. Errors are of kind fault.Invalid.
 	ParseConfiguration(document []byte) (*routing.Table, error)
+	// Evacuations returns the zones that are to be empty, as the store holds them. It costs
+	// less where the answer may be seconds old.
+	Evacuations(ctx context.Context, mayBeOld bool) (evacuation.Set, error)
+	// WatchEvacuations waits until evacuations begin or end after the revision, or for the store's own
+	// time limit; fault.Stale and the cost as with Watch.
+	WatchEvacuations(ctx context.Context, after catalog.Revision, mayBeOld bool) (evacuation.Changes, error)
 	// Publish notes where a process is, in place of an earlier record with its id. It returns
 	// the revision of the record.
 	Publish(ctx context.Context, record Record) (revision uint64, err error)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
@@ -53,6 +54,7 @@
 	}
 	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger), backend: newSighting()}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
+		Zone:           s.Node.Zone,
 		Service:        s.Backend.Service,
 		FlowLifetime:   s.Flows.Lifetime,
 		ReportInterval: s.Backend.ReportInterval,
@@ -217,6 +219,8 @@
 
 func (a *agent) configured(time.Time, *routing.Table) {}
 
+func (a *agent) evacuated(set evacuation.Set) { a.flows.Evacuate(set) }
+
 // tick looks at the clock. The lock is held.
 func (a *agent) tick(now time.Time) {
 	a.perform(a.flows.Tick(now))
@@ -238,8 +242,8 @@
 	a.urgent = true
 	tracker := a.flows.Tracker()
 	a.log.WithFields(log.Fields{"backend": tracker.Latest().ID, "state": tracker.State(), "accepts": load.Accepts,
-		"suspect": load.Suspect,
-		"slots":   load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
+		"suspect": load.Suspect, "evacuated": a.evacuations.Set().Has(a.settings.Node.Zone),
+		"slots": load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
 }
 
 // tellChange notes a change of the back end and tells at once those who need it. The
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/internal/wire"
@@ -67,6 +68,7 @@
 		return err
 	}
 	b.spawn(b.watchLoop)
+	b.spawn(b.evacuationLoop)
 	b.spawn(b.publish)
 	b.spawn(b.directoryLoop)
 	b.spawn(b.recordsLoop)
@@ -178,6 +180,8 @@
 
 func (b *balancer) status(time.Time) handshake.Status { return handshake.Status{} }
 
+func (b *balancer) evacuated(set evacuation.Set) { b.flows.Evacuate(set) }
+
 func (b *balancer) configured(_ time.Time, table *routing.Table) { b.flows.Configure(table) }
 
 // tick looks at the clock. The lock is held.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/flow"
 	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
@@ -126,6 +127,7 @@
 		encoded.Load = encodeLoad(status.Load)
 	}
 	encoded.Peers = encodeAddresses(status.Peers)
+	encoded.Evacuations = encodeEvacuations(status.Evacuations)
 	return encoded
 }
 
@@ -146,10 +148,33 @@
 		StoreFresh:  encoded.GetStoreFresh(),
 	}
 	var err error
-	status.Peers, err = decodeAddresses(encoded.GetPeers())
+	if status.Peers, err = decodeAddresses(encoded.GetPeers()); err != nil {
+		return nil, err
+	}
+	status.Evacuations, err = decodeEvacuations(encoded.GetEvacuations())
 	return status, err
 }
 
+// encodeEvacuations returns nil, which takes no bytes, for the zero set.
+func encodeEvacuations(set evacuation.Set) *burlmillv1.HandshakeEvacuations {
+	if set.Revision() == 0 {
+		return nil
+	}
+	encoded := &burlmillv1.HandshakeEvacuations{Revision: uint64(set.Revision())}
+	for _, zone := range set.Zones() {
+		encoded.Zones = append(encoded.Zones, string(zone))
+	}
+	return encoded
+}
+
+func decodeEvacuations(encoded *burlmillv1.HandshakeEvacuations) (evacuation.Set, error) {
+	var zones []catalog.ZoneName
+	for _, zone := range encoded.GetZones() {
+		zones = append(zones, catalog.ZoneName(zone))
+	}
+	return evacuation.New(catalog.Revision(encoded.GetRevision()), zones...)
+}
+
 func encodeLoad(load handshake.Load) *burlmillv1.HandshakeLoad {
 	return &burlmillv1.HandshakeLoad{
 		Accepts: load.Accepts,
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -11,6 +11,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/flow"
+	burlmillv1 "github.com/burlmill/burlmill/gen/burlmill/v1"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/routing"
 )
@@ -55,6 +56,14 @@
 		Subscribe:   rapid.Bool().Draw(t, "subscribe"),
 		StoreFresh:  rapid.Bool().Draw(t, "store fresh"),
 	}
+	zones := rapid.SliceOfN(rapid.StringMatching("[a-z]{1,9}"), 0, 4).Draw(t, "evacuated zones")
+	set, err := decodeEvacuations(&burlmillv1.HandshakeEvacuations{Revision: rapid.Uint64().Draw(t, "revision"), Zones: zones})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if set.Revision() > 0 {
+		status.Evacuations = set
+	}
 	if peers := rapid.SliceOfN(addresses, 0, 5).Draw(t, "peers"); len(peers) > 0 {
 		status.Peers = peers
 	}
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -227,6 +227,9 @@
 	}
 	n.urgent = n.urgent || n.storeFresh(now)
 	n.storeHeard = time.Time{}
+	if n.endWatch != nil {
+		n.endWatch() // its connection may have fallen silent as well
+	}
 }
 
 // storeFresh says whether the store has answered of late. The lock is held.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/internal/logging"
@@ -48,6 +49,7 @@
 	status(now time.Time) handshake.Status
 	received(now time.Time, from netip.AddrPort, message handshake.Message)
 	configured(now time.Time, table *routing.Table)
+	evacuated(set evacuation.Set)
 	tick(now time.Time)
 	backendRows(now time.Time, into *query.Collector)
 	flowRows(now time.Time, into *query.Collector)
@@ -73,11 +75,13 @@
 	decider      decider
 	contacts     *handshake.Contacts
 	table        *routing.Table
-	document     []byte            // of the table
-	configuredAt time.Time         // when the table was taken in; at first the start
-	reading      handshake.Reading // how the store is read
-	storeHeard   time.Time         // last answer of the store; zero: none, or it has refused a call since
-	storeRefused time.Time         // last call for the present configuration that was refused; zero: none
+	document     []byte    // of the table
+	configuredAt time.Time // when the table was taken in; at first the start
+	evacuations  evacuation.View
+	reading      handshake.Reading  // how the store is read
+	storeHeard   time.Time          // last answer of the store; zero: none, or it has refused a call since
+	endWatch     context.CancelFunc // of the evacuations, which waits longer than that of the configuration; nil: none
+	storeRefused time.Time          // last call for the present configuration that was refused; zero: none
 	leaving      bool
 	urgent       bool // the status has changed in a way that others must know at once
 	started      bool
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -18,6 +18,12 @@
 	n.metrics.gauge("configuration_age_seconds", "Time since the configuration in force was taken in.", n.locked(func(now time.Time) float64 {
 		return now.Sub(n.configuredAt).Seconds()
 	}))
+	n.metrics.gauge("evacuated_zones", "Zones that get no new flows because they are evacuated.", n.locked(func(time.Time) float64 {
+		return float64(len(n.evacuations.Set().Zones()))
+	}))
+	n.metrics.gauge("evacuations_age_seconds", "Time since the evacuated zones changed as far as this process knows, 0 if they never did.", n.locked(func(now time.Time) float64 {
+		return n.evacuations.Age(now).Seconds()
+	}))
 	n.metrics.gauge("peers_heard", "Processes heard of late.", n.locked(func(now time.Time) float64 {
 		return float64(n.contacts.CountHeard(now))
 	}))
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -42,6 +42,7 @@
 	own.Version = n.table.Version()
 	own.Leaving = n.leaving
 	own.StoreFresh = n.storeFresh(now)
+	own.Evacuations = n.evacuations.Told()
 	return own
 }
 
@@ -99,4 +100,5 @@
 	if told.Version > n.table.Version() {
 		n.wantFetch()
 	}
+	n.takeEvacuations(now, told.Evacuations, told.ID)
 }
