Cold back ends get no more new flows in any second than the configuration says they bear

Cause: coldPerS was not decoded. The agent bounds it (coldPerS x coldOvershoot + coldSlack in any span of 1.05 s, each flow remembered: a token bucket would let nearly twice as many through around a pause); the bound comes with the offers, as an agent may not hold the configuration when the first ones come; the load tells it, so that balancers wait for a reservation.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -50,6 +50,7 @@
 	evacuated    bool          // its zone is evacuated
 	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	reservations reservations
+	pace         pace
 	searches     []*search // for balancers, in the order in which they began
 	refusals     uint64
 	started      time.Time
@@ -158,7 +159,13 @@
 
 // Evacuate takes in which zones are evacuated. An agent of one of them refuses new flows, whatever
 // balancers believe; open flows stay.
-func (a *Agent) Evacuate(set evacuation.Set) { a.evacuated = set.Has(a.options.Zone) }
+func (a *Agent) Evacuate(set evacuation.Set) {
+	before := a.evacuated
+	a.evacuated = set.Has(a.options.Zone)
+	if before && !a.evacuated {
+		a.tracker.ExpectCold() // back ends may turn cold before their zone is taken back
+	}
+}
 
 // Load returns how busy the back end is. Reservations count as work.
 func (a *Agent) Load(now time.Time) Load {
@@ -168,6 +175,7 @@
 		Slots:   a.tracker.Latest().Slots,
 		Cold:    a.tracker.Cold(now),
 		Suspect: a.tracker.Outcomes().Suspect(now),
+		Paced:   a.paced(now),
 	}
 }
 
@@ -199,10 +207,11 @@
 func (a *Agent) Offered(now time.Time, from netip.AddrPort, offer Offer, datagram *Datagram) []Action {
 	held := a.flows[datagram.Key]
 	a.reservations.end(from)
+	a.pace.configure(offer)
 	if offer.Waiting && offer.Service == a.options.Service {
 		a.reservations.join(from)
 	}
-	if reason := a.refusal(now, held, offer); reason != 0 {
+	if reason := a.refusal(now, held, offer, datagram); reason != 0 {
 		a.refuse(now, from, datagram.Key, reason)
 		a.reserve(now)
 		return a.take()
@@ -210,8 +219,9 @@
 	if held != nil && held.opening == datagram.Number && held.state == stateOpen {
 		return a.take() // a late copy
 	}
-	if held == nil || held.opening != datagram.Number || held.state > stateHalfOpen {
+	if held.isOther(datagram) {
 		a.drop(held)
+		a.pace.note(now)
 		held = a.hold(now, datagram.Key, stateOffered)
 		held.opening = datagram.Number
 		a.owe(now, held)
@@ -225,19 +235,30 @@
 }
 
 // refusal returns why an offer is refused, 0 if it is not.
-func (a *Agent) refusal(now time.Time, held *heldFlow, offer Offer) RefusalReason {
+func (a *Agent) refusal(now time.Time, held *heldFlow, offer Offer, datagram *Datagram) RefusalReason {
 	if reason := a.accepts(); reason != 0 {
 		return reason
 	}
 	if offer.Service != a.options.Service {
 		return RefusedWrongService
 	}
-	if held == nil && a.Load(now).Full() {
+	if held == nil && a.Load(now).Full() || held.isOther(datagram) && a.paced(now) {
 		return RefusedBusy
 	}
 	return 0
 }
 
+// isOther says whether the opening datagram is of another flow than the one that is held, which may be none.
+func (f *heldFlow) isOther(datagram *Datagram) bool {
+	return f == nil || f.opening != datagram.Number || f.state > stateHalfOpen
+}
+
+// paced says whether the back end is cold, or may be, and gets no new flow before the latest second has
+// passed. Reservations count as flows.
+func (a *Agent) paced(now time.Time) bool {
+	return a.pace.bound > 0 && a.tracker.MayBeCold(now) && a.pace.reached(now, len(a.reservations.until))
+}
+
 func (a *Agent) refuse(now time.Time, to netip.AddrPort, key flow.Key, reason RefusalReason) {
 	if reason == RefusedBusy || reason == RefusedFull {
 		a.reservations.join(to)
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -34,10 +34,14 @@
 	Zone   catalog.ZoneName
 	Region string
 	Random *rand.Rand
+	// ColdOvershoot and ColdSlack say how many new flows a cold back end gets in any span of one second: the
+	// rate that the configuration gives for it times ColdOvershoot (at least 1), and ColdSlack more.
+	ColdOvershoot, ColdSlack float64
 }
 
 // Balancer decides for one balancer.
 type Balancer struct {
+	options    BalancerOptions
 	board      *Board
 	neighbors  *neighbors
 	table      *routing.Table
@@ -107,6 +111,7 @@
 // NewBalancer returns a decider that knows nothing yet.
 func NewBalancer(now time.Time, options BalancerOptions) *Balancer {
 	return &Balancer{
+		options:   options,
 		board:     NewBoard(options.Zone, options.Region, options.Random),
 		neighbors: newNeighbors(options.Zone),
 		splitter:  routing.NewSplitter(),
--- a/handshake/evacuation_test.go
+++ b/handshake/evacuation_test.go
@@ -81,9 +81,7 @@
 	agent.Tick(now)
 	is.Equal(agent.Reservations(), 1)
 
-	set, err := evacuation.New(7, "b")
-	is.NoErr(err)
-	agent.Evacuate(set)
+	agent.Evacuate(evacuationSet(t, 7, "b"))
 	is.True(!agent.Load(now).Accepts)
 	for _, datagram := range []Datagram{opening, {Key: holdKey(3000), Kind: Opening, Number: 6}} {
 		actions := agent.Offered(now, from, offer, &datagram)
@@ -94,12 +92,18 @@
 	agent.Awaited(now, from, Await{Service: worldService})
 	is.Equal(agent.BalancersWaiting(), 0)
 
-	set, err = evacuation.New(9, "a")
-	is.NoErr(err)
-	agent.Evacuate(set)
+	agent.Evacuate(evacuationSet(t, 9, "a"))
 	is.True(delivers(agent.Offered(now, from, offer, &opening)))
 }
 
+// evacuationSet returns a set of the zones.
+func evacuationSet(t *testing.T, revision catalog.Revision, zones ...catalog.ZoneName) evacuation.Set {
+	t.Helper()
+	set, err := evacuation.New(revision, zones...)
+	is.New(t).NoErr(err)
+	return set
+}
+
 // TestReservationInEvacuatedZoneIsDeclined: the zone is evacuated while the reservation is on its way.
 func TestReservationInEvacuatedZoneIsDeclined(t *testing.T) {
 	is := is.New(t)
@@ -112,9 +116,7 @@
 	opening := Datagram{Key: holdKey(1000), Kind: Opening, Number: 5, Bytes: []byte("opening")}
 	balancer.FromCaller(now, &opening)
 	is.Equal(balancer.Held(), 1)
-	set, err := evacuation.New(7, "b")
-	is.NoErr(err)
-	balancer.Evacuate(set)
+	balancer.Evacuate(evacuationSet(t, 7, "b"))
 	actions := balancer.FromPeer(now, agent, Reserved{Load: Load{Accepts: true, Slots: 1}})
 	is.Equal(actions, []Action{Send{To: agent, Message: Declined{}}})
 	is.Equal(balancer.Held(), 1)
@@ -240,15 +242,11 @@
 	board := newTestBoard(now, near, idle)
 	agent, _ := board.choose(now, worldService, nil)
 	is.Equal(agent.address, boardAgent(1))
-	set, err := evacuation.New(7, "b")
-	is.NoErr(err)
-	board.evacuations = set
+	board.evacuations = evacuationSet(t, 7, "b")
 	agent, _ = board.choose(now, worldService, nil)
 	is.Equal(agent.address, boardAgent(0))
 	is.Equal(len(board.leastBusy(now, worldService, 8)), 1)
-	set, err = evacuation.New(8, "a", "b")
-	is.NoErr(err)
-	board.evacuations = set
+	board.evacuations = evacuationSet(t, 8, "a", "b")
 	_, outcome := board.choose(now, worldService, nil)
 	is.Equal(outcome, nobodyElse)
 }
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -41,6 +41,8 @@
 	// Suspect says that it has failed flows of late (instance.Outcomes): it gets
 	// new ones only where every other one is full.
 	Suspect bool
+	// Paced says that it is cold and has had as many flows in the latest second as it bears then.
+	Paced bool
 }
 
 // Bounds of the work that a back end gets beyond its slots: it waits there for a
@@ -59,8 +61,8 @@
 	return l.Slots + max(l.Slots, minimumWaiting)
 }
 
-// Full says whether the back end has as much work as it gets.
-func (l Load) Full() bool { return l.Busy >= l.Limit() }
+// Full says whether the back end has as much work as it gets, or as many new flows as it bears while it is cold.
+func (l Load) Full() bool { return l.Paced || l.Busy >= l.Limit() }
 
 // Status is what a process tells others about itself.
 type Status struct {
@@ -99,7 +101,10 @@
 	Service catalog.ServiceName // that the flow is for
 	Version routing.Version     // of the configuration that said so
 	Waiting bool                // further openings for the service wait at the balancer
-	Bytes   []byte
+	// ColdBound is how many new flows a cold back end gets in any span of one second; 0: any number. Agents
+	// may not hold the configuration yet when the first offers come.
+	ColdBound uint32
+	Bytes     []byte
 }
 
 // Await asks an agent for a reservation as soon as its back end has capacity: openings for the
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/burlmill/burlmill/catalog"
 )
 
 // Openings: a caller's opening datagram is offered to one agent after the other until a
@@ -109,11 +111,21 @@
 	agent.unanswered++
 	b.await(known, now.Add(agent.patience()))
 	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(),
-		Waiting: b.waits(known.service), Bytes: known.opening}})
+		Waiting: b.waits(known.service), ColdBound: b.coldBound(known.service), Bytes: known.opening}})
 	b.act(Decision{Event: EventOffered, Key: known.key, Service: known.service, Peer: agent.address,
 		Version: b.table.Version(), Attempts: len(known.tried), Load: agent.load, Age: now.Sub(agent.loadHeard)})
 }
 
+// coldBound returns how many new flows a cold back end of the service gets in any span of one second, 0 if
+// that is not bounded.
+func (b *Balancer) coldBound(name catalog.ServiceName) uint32 {
+	service, _ := b.table.Service(name)
+	if service.ColdRate == 0 {
+		return 0
+	}
+	return max(1, uint32(service.ColdRate*b.options.ColdOvershoot+b.options.ColdSlack))
+}
+
 // runOut handles an opening that no further agent can be asked to take. Where
 // every agent that was asked has refused, the caller is told at once; otherwise
 // an answer may still come. A balancer that hears nobody has just started or is
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -30,6 +30,8 @@
 type worldBackend struct {
 	id       instance.ID
 	slots    uint32
+	cold     time.Time   // until when it is slow after its start
+	passed   []time.Time // when new flows reached it
 	sequence uint64
 	leaving  bool
 	alive    bool
@@ -80,7 +82,8 @@
 	reports   uint64         // by which a report's sequence grows
 	evacuated evacuation.Set // as the store holds it; its readers are the first two balancers
 	storeDown bool
-	cost      time.Duration // that a balancer's processor takes for each datagram or message; 0: none
+	options   BalancerOptions // of balancers that start; zone and chance are filled in
+	cost      time.Duration   // that a balancer's processor takes for each datagram or message; 0: none
 }
 
 // worldEvent is something on its way.
@@ -97,11 +100,7 @@
 		panic(err)
 	}
 	w.table = table
-	for i := range balancers {
-		balancer := &worldBalancer{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i+1))}
-		w.balancers = append(w.balancers, balancer)
-		w.startBalancer(balancer)
-	}
+	w.addBalancers(balancers)
 	for i := range agents {
 		agent := &worldAgent{zone: "a", address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
 			backend: newWorldBackend(instance.ID(fmt.Sprintf("i-%d", i)))}
@@ -114,6 +113,15 @@
 	return w
 }
 
+// addBalancers starts balancers beside those that there are.
+func (w *world) addBalancers(count int) {
+	for range count {
+		balancer := &worldBalancer{address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", len(w.balancers)+1))}
+		w.balancers = append(w.balancers, balancer)
+		w.startBalancer(balancer)
+	}
+}
+
 // recorded returns the addresses of all agents, which have recorded themselves.
 func (w *world) recorded() []netip.AddrPort {
 	var recorded []netip.AddrPort
@@ -124,7 +132,9 @@
 }
 
 func (w *world) startBalancer(balancer *worldBalancer) {
-	balancer.decider = NewBalancer(w.now, BalancerOptions{Zone: "a", Random: rand.New(rand.NewPCG(w.random.Uint64(), 1))})
+	options := w.options
+	options.Zone, options.Random = "a", rand.New(rand.NewPCG(w.random.Uint64(), 1))
+	balancer.decider = NewBalancer(w.now, options)
 	balancer.decider.Configure(w.table)
 	balancer.decider.Record(w.now, w.now, w.recorded())
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
@@ -229,7 +239,7 @@
 	}
 	backend.sequence += w.reports
 	agent.decider.Tracker().Report(w.now, instance.Report{ID: backend.id, Service: worldService, Slots: backend.slots,
-		Leaving: backend.leaving, Sequence: backend.sequence})
+		Leaving: backend.leaving, Sequence: backend.sequence, Cold: max(0, backend.cold.Sub(w.now))})
 	return true
 }
 
@@ -382,6 +392,7 @@
 		}
 		if _, known := backend.half[datagram.Key]; !known {
 			backend.half[datagram.Key] = w.random.Uint32()
+			backend.passed = append(backend.passed, w.now)
 		}
 		answer.Kind, answer.Number = Accept, backend.half[datagram.Key]
 	case backend.open[datagram.Key]:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	missedReports = 3                      // reports missed in a row after which the instance is checked
 	rememberLimit = 64                     // ids of instances that are gone
 	recallTime    = time.Second            // after a report of another instance, in which the one before it may prove that it is still there
+	coldReports   = 2                      // that must come before a back end which may have turned cold unseen is taken for warm: one may have been sent before
 	firstReports  = 1                      // sequence of the report with which an instance begins
 )
 
@@ -76,6 +77,7 @@
 	goneOrder   []ID
 	nextCheck   time.Time
 	checking    bool
+	coldDoubt   int       // reports that are still wanted before it is believed that the back end is not cold
 	refusedFrom time.Time // since when every health check was refused; zero: the latest was not
 	// foundNobody says that no instance ran at some time since the tracker began, and none was
 	// known before: whatever runs now has started since.
@@ -110,6 +112,15 @@
 	return max(0, t.coldUntil.Sub(now))
 }
 
+// ExpectCold notes that the back end may have turned cold without starting anew, as those of a zone
+// that was evacuated do. Only its reports say so, and one may be on its way from before.
+func (t *Tracker) ExpectCold() { t.coldDoubt = coldReports }
+
+// MayBeCold says whether the present instance is slow after its start, or may be for all that is known.
+func (t *Tracker) MayBeCold(now time.Time) bool {
+	return t.Cold(now) > 0 || t.latest.Sequence == 0 || t.coldDoubt > 0
+}
+
 // SawBegin says whether the present instance is proved to have started after the tracker
 // did, so that it holds nothing that the tracker's owner does not know: it was announced by
 // its first report, or came after another that this tracker knew, and has answered itself;
@@ -203,6 +214,7 @@
 	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
 		return false
 	}
+	t.coldDoubt = max(0, t.coldDoubt-1)
 	leaving := t.latest.Leaving || report.Leaving
 	t.latest = report
 	t.latest.Leaving = leaving
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -40,9 +40,11 @@
 func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger *log.Logger, changes <-chan settings.Settings) error {
 	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger), recordsDue: make(chan struct{}, 1)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
-		Zone:   s.Node.Zone,
-		Region: s.Node.Region,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Zone:          s.Node.Zone,
+		Region:        s.Node.Region,
+		ColdOvershoot: s.Flows.ColdOvershoot,
+		ColdSlack:     s.Flows.ColdSlack,
+		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err := b.openAll(changes); err != nil {
 		return errors.Join(err, b.close())
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -27,7 +27,7 @@
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Status{Status: encodeStatus(m)}}
 	case handshake.Offer:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Offer{Offer: &burlmillv1.HandshakeOffer{
-			Service: string(m.Service), Version: uint64(m.Version), Waiting: m.Waiting, Datagram: m.Bytes}}}
+			Service: string(m.Service), Version: uint64(m.Version), Waiting: m.Waiting, ColdBound: m.ColdBound, Datagram: m.Bytes}}}
 	case handshake.Await:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Await{Await: &burlmillv1.HandshakeAwait{Service: string(m.Service)}}}
 	case handshake.Reserved:
@@ -74,7 +74,8 @@
 		return decodeStatus(body.Status)
 	case *burlmillv1.HandshakeMessage_Offer:
 		return handshake.Offer{Service: catalog.ServiceName(body.Offer.GetService()),
-			Version: routing.Version(body.Offer.GetVersion()), Waiting: body.Offer.GetWaiting(), Bytes: body.Offer.GetDatagram()}, nil
+			Version: routing.Version(body.Offer.GetVersion()), Waiting: body.Offer.GetWaiting(),
+			ColdBound: body.Offer.GetColdBound(), Bytes: body.Offer.GetDatagram()}, nil
 	case *burlmillv1.HandshakeMessage_Await:
 		return handshake.Await{Service: catalog.ServiceName(body.Await.GetService())}, nil
 	case *burlmillv1.HandshakeMessage_Reserved:
@@ -182,6 +183,7 @@
 		Slots:   load.Slots,
 		ColdMs:  uint32(load.Cold.Milliseconds()),
 		Suspect: load.Suspect,
+		Paced:   load.Paced,
 	}
 }
 
@@ -192,6 +194,7 @@
 		Slots:   encoded.GetSlots(),
 		Cold:    time.Duration(encoded.GetColdMs()) * time.Millisecond,
 		Suspect: encoded.GetSuspect(),
+		Paced:   encoded.GetPaced(),
 	}
 }
 
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -33,6 +33,7 @@
 		Slots:   rapid.Uint32().Draw(t, "slots"),
 		Cold:    time.Duration(rapid.Uint32().Draw(t, "cold")) * time.Millisecond,
 		Suspect: rapid.Bool().Draw(t, "suspect"),
+		Paced:   rapid.Bool().Draw(t, "paced"),
 	}
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -13,6 +13,7 @@
 var (
 	errNotText     = errors.New("must be a text; put it in quotes")
 	errNotInteger  = errors.New("must be a whole number")
+	errNotNumber   = errors.New("must be a number")
 	errNotDuration = errors.New("must be a duration with a unit, such as 90s or 5m")
 	errNotSingle   = errors.New("must be a single value")
 	errNotList     = errors.New("must be a list")
@@ -30,10 +31,20 @@
 	case string:
 		return decodeText(target, value)
 	case int:
-		if target.Kind() != reflect.Int {
+		switch target.Kind() {
+		case reflect.Int:
+			target.SetInt(int64(value))
+		case reflect.Float64:
+			target.SetFloat(float64(value))
+		default:
 			return wrongForm(target)
 		}
-		target.SetInt(int64(value))
+		return nil
+	case float64:
+		if target.Kind() != reflect.Float64 {
+			return wrongForm(target)
+		}
+		target.SetFloat(value)
 		return nil
 	case nil:
 		return errors.New("must be given or left out")
@@ -72,6 +83,8 @@
 		return decodeDuration(target, text)
 	case target.Kind() == reflect.Int:
 		return decodeInteger(target, text)
+	case target.Kind() == reflect.Float64:
+		return decodeNumber(target, text)
 	case target.Kind() == reflect.String:
 		target.SetString(text)
 		return nil
@@ -98,6 +111,15 @@
 	return nil
 }
 
+func decodeNumber(target reflect.Value, text string) error {
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return errNotNumber
+	}
+	target.SetFloat(number)
+	return nil
+}
+
 // wrongForm says what a value of the target's type must look like.
 func wrongForm(target reflect.Value) error {
 	switch {
@@ -107,6 +129,8 @@
 		return errNotDuration
 	case target.Kind() == reflect.Int:
 		return errNotInteger
+	case target.Kind() == reflect.Float64:
+		return errNotNumber
 	case target.Kind() == reflect.String:
 		return errNotText
 	default:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,9 @@
 			`flows.idle-timeout = "25h0m0s": must be at most 24h`, `flows.cache-size = "1023": must be at least 1024`, `platform.readers = "17": must be at most 16`}},
 		{"wrong types", replacement{"platform:", "flows: {idle-timeout: 60, cache-size: many}\nplatform:\n  readers: 2.5"}, []string{
 			`flows.idle-timeout = "60": must be a duration`, `flows.cache-size = "many": must be a whole number`, `platform.readers = "2.5": must be a whole number`}},
+		{"numbers", replacement{"platform:", "flows: {cold-overshoot: 0.5, cold-slack: many}\nplatform:"}, []string{
+			`flows.cold-overshoot = "0.5": must be at least 1`, `flows.cold-slack = "many": must be a number`}},
+		{"not a number", replacement{"platform:", "flows: {cold-slack: NaN}\nplatform:"}, []string{`flows.cold-slack = "NaN"`}},
 		{"level", replacement{"platform:", "log: {level: loud}\nplatform:"}, []string{`log.level = "loud": must be one of: debug, info, warn, error`}},
 		{"relative url", replacement{"http://192.0.2.9:8080", "192.0.2.9:8080"}, []string{`platform.url = "192.0.2.9:8080": must be an absolute`}},
 		{"bad seed", replacement{"platform:", "peers: {seeds: [192.0.2.3:7000, '192.0.2.4:0']}\nplatform:"}, []string{`peers.seeds[1] = "192.0.2.4:0"`}},
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -20,6 +20,8 @@
 	MaximumRoutes  = 100_000
 	MaximumTargets = 64      // services of one route
 	MaximumWeight  = 1 << 20 // of one target
+	// MaximumColdRate is above what any host takes; agents remember so many flows at most.
+	MaximumColdRate = 1 << 16 // flows a second
 )
 
 // Version orders configurations. A process never goes back to a lower one.
@@ -51,6 +53,9 @@
 	Name         catalog.ServiceName
 	HealthPath   string // HTTP path at which a host answers 200 while it is well
 	MaximumFlows int    // flows that one host holds; 0: not told
+	// ColdRate is how many new flows a second a host bears that is cold after its start; 0: it is
+	// not bounded. How long a host is cold it says itself.
+	ColdRate float64
 }
 
 // Table is one version of the configuration. It never changes.
@@ -85,6 +90,9 @@
 		services:    make(map[catalog.ServiceName]Service, len(content.Services)),
 	}
 	for _, service := range content.Services {
+		if !(service.ColdRate >= 0 && service.ColdRate <= MaximumColdRate) {
+			return nil, fault.InvalidField("service "+string(service.Name)+" cold rate", service.ColdRate, fmt.Sprintf("must be 0 to %d flows a second", MaximumColdRate))
+		}
 		table.services[service.Name] = service
 	}
 	for i := range content.Routes {
