--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -55,6 +55,10 @@
 	Connections uint32         `json:"connections"` // flows it can hold at once, at least 1
 	State       BackendState   `json:"state"`
 	Incarnation uint64         `json:"incarnation"` // raised when another host takes over the id or the address
+
+	// Evacuated says that the back end's zone is evacuated. It is set in snapshots only, where the
+	// State is BackendLeaving then whatever the object says.
+	Evacuated bool `json:"-"`
 }
 
 // SiteShare is the part of a service's new flows that one site carries.
@@ -70,6 +74,9 @@
 	Address  netip.AddrPort `json:"address"` // address that callers use, unique in the catalog
 	Shares   []SiteShare    `json:"shares"`
 	Backends []Backend      `json:"backends"`
+	// Evacuated lists the zones whose back ends take no new work until they are taken back.
+	// What is written of each back end stays as it is meanwhile.
+	Evacuated []ZoneName `json:"evacuated,omitempty"`
 
 	// Revision is the store revision of the object this service was read from.
 	// It is not part of the object's body.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -159,3 +160,37 @@
 		}
 	})
 }
+
+// TestEvacuatedZone: the back ends of an evacuated zone take no new work, and what is written of each
+// comes into force again once the zone is taken back.
+func TestEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	service := validService("lessons")
+	for i, zone := range []ZoneName{"z1", "z2", "z2"} {
+		backend := service.Backends[0]
+		backend.ID, backend.Zone = BackendID(fmt.Sprintf("host-%d", i+1)), zone
+		service.Backends = append(service.Backends[:i:i], backend)
+	}
+	service.Backends[2].State = BackendLeaving
+	states := func(evacuated ...ZoneName) []BackendState {
+		service.Evacuated = evacuated
+		snapshot, err := Empty().With([]Object{objectOf(t, service, 1)}, 1)
+		is.NoErr(err)
+		var found []BackendState
+		for _, backend := range snapshot.Service("lessons").Backends {
+			is.Equal(backend.Evacuated, slices.Contains(evacuated, backend.Zone))
+			found = append(found, backend.State)
+		}
+		return found
+	}
+	is.Equal(states(), []BackendState{BackendActive, BackendActive, BackendLeaving})
+	is.Equal(states("z2"), []BackendState{BackendActive, BackendLeaving, BackendLeaving})
+	is.Equal(states("z1", "z2"), []BackendState{BackendLeaving, BackendLeaving, BackendLeaving})
+	is.Equal(states(), []BackendState{BackendActive, BackendActive, BackendLeaving})
+
+	service.Evacuated = []ZoneName{"z1", "Z", "z1"}
+	err := service.Validate()
+	is.Equal(fault.Of(err), fault.Invalid)
+	is.True(strings.Contains(err.Error(), `evacuated[1] = "Z"`))
+	is.True(strings.Contains(err.Error(), `evacuated[2] = "z1": is listed twice`))
+}
--- a/catalog/parse.go
+++ b/catalog/parse.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"regexp"
+	"slices"
 
 	"github.com/burlmill/burlmill/fault"
 )
@@ -51,6 +52,7 @@
 	rules.checkAddress("address", s.Address)
 	s.validateShares(&rules)
 	s.validateBackends(&rules)
+	s.validateEvacuated(&rules)
 	return errors.Join(rules.found...)
 }
 
@@ -102,6 +104,29 @@
 	}
 }
 
+func (s *Service) validateEvacuated(rules *violations) {
+	seen := map[ZoneName]bool{}
+	for i, zone := range s.Evacuated {
+		field := fmt.Sprintf("evacuated[%d]", i)
+		rules.checkName(field, string(zone))
+		if seen[zone] {
+			rules.add(field, zone, "is listed twice")
+		}
+		seen[zone] = true
+	}
+}
+
+// applyEvacuations lets the back ends of evacuated zones take no new work.
+func (s *Service) applyEvacuations() {
+	for i := range s.Backends {
+		backend := &s.Backends[i]
+		if slices.Contains(s.Evacuated, backend.Zone) {
+			backend.Evacuated = true
+			backend.State = BackendLeaving
+		}
+	}
+}
+
 func (b *Backend) validate(field string, rules *violations) {
 	rules.checkName(field+".id", string(b.ID))
 	rules.checkName(field+".zone", string(b.Zone))
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -133,6 +133,7 @@
 			return err
 		}
 		parsed.Revision = object.Revision
+		parsed.applyEvacuations()
 		service = &parsed
 	}
 	object.ClaimedAt = s.claimedAt(object, service)
--- a/cmd/burlmill/main_test.go
+++ b/cmd/burlmill/main_test.go
@@ -102,6 +102,14 @@
 		{"shift lessons old=90", fault.Internal, "lessons: unchanged at version 4\n"},
 		{"shift lessons old=x", fault.Invalid, ""},
 		{"shift absent old=90", fault.NotFound, "absent: not applied: service \"absent\" does not exist\n"},
+		{"evacuate z1", fault.Invalid, "SERVICE  BACKENDS  LEFT  SLOTS  LEFT\nlessons  1         0     7      0\n" +
+			"warning: lessons has no back end left that takes new work; its callers will be refused\n"},
+		{"evacuate z1 --yes", fault.Internal, "lessons: applied at version 5\n"},
+		{"evacuate z1 --yes", fault.Internal, "lessons: unchanged at version 5\n"},
+		{"restore z1", fault.Internal, "lessons: applied at version 6\n"},
+		{"restore z1", fault.Internal, "lessons: unchanged at version 6\n"},
+		{"evacuate z9 --yes", fault.NotFound, ""},
+		{"evacuate Z_9 --yes", fault.Invalid, ""},
 		{"drain lessons a --author a\tb", fault.Invalid, ""},
 		{"drain lessons a --platform.url=ftp://192.0.2.1", fault.Invalid, ""},
 	}
--- a/cmd/burlmill/operate.go
+++ b/cmd/burlmill/operate.go
@@ -20,6 +20,8 @@
 	l.add("apply", "Write the services in a YAML or JSON file to the platform's store.", applyAction)
 	l.add("drain", "Stop new work to a back end.", stateAction((*operator.Operator).Drain))
 	l.add("undrain", "Allow new work to a back end again.", stateAction((*operator.Operator).Undrain))
+	l.add("evacuate", "Stop new work to all back ends of a zone, of all services.", evacuateAction)
+	l.add("restore", "Allow new work to the back ends of an evacuated zone again.", restoreAction)
 	l.add("shift", "Set the shares of new flows that sites carry.", shiftAction)
 }
 
@@ -122,6 +124,50 @@
 	}
 }
 
+func evacuateAction(clause *kingpin.CmdClause) action {
+	zone := clause.Arg("zone", "Name of the zone.").Required().String()
+	yes := clause.Flag("yes", "Do it. Without this the capacity that would be left is printed and nothing is written.").Bool()
+	flags := bindWriterFlags(clause)
+	return func(ctx context.Context, stdout io.Writer) error {
+		return flags.operate(func(commander *operator.Operator) error {
+			if !*yes {
+				return printEvacuation(ctx, stdout, commander, catalog.ZoneName(*zone))
+			}
+			results, err := commander.Evacuate(ctx, catalog.ZoneName(*zone))
+			if err != nil {
+				return err
+			}
+			return report(stdout, results...)
+		})
+	}
+}
+
+// printEvacuation prints what an evacuation would leave. Its error says that nothing was written.
+func printEvacuation(ctx context.Context, stdout io.Writer, commander *operator.Operator, zone catalog.ZoneName) error {
+	plan, err := commander.PlanEvacuation(ctx, zone)
+	if err != nil {
+		return err
+	}
+	if err := plan.Write(stdout); err != nil {
+		return err
+	}
+	return fault.InvalidField("yes", false, "must be given to evacuate the zone; nothing was written")
+}
+
+func restoreAction(clause *kingpin.CmdClause) action {
+	zone := clause.Arg("zone", "Name of the zone.").Required().String()
+	flags := bindWriterFlags(clause)
+	return func(ctx context.Context, stdout io.Writer) error {
+		return flags.operate(func(commander *operator.Operator) error {
+			results, err := commander.Restore(ctx, catalog.ZoneName(*zone))
+			if err != nil {
+				return err
+			}
+			return report(stdout, results...)
+		})
+	}
+}
+
 func shiftAction(clause *kingpin.CmdClause) action {
 	service := clause.Arg("service", "Name of the service.").Required().String()
 	texts := clause.Arg("share", "SITE=PERCENT. Sites left out keep their share; all must add up to 100.").Required().Strings()
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -140,7 +140,7 @@
 		query.TextValue(string(tracker.Latest().ID)),
 		query.TextValue(a.settings.Node.Region),
 		query.TextValue(string(a.settings.Node.Zone)),
-		query.TextValue(tracker.State().String()),
+		query.TextValue(a.stateText()),
 		query.TextValue(a.settings.Node.ID),
 		query.TextValue("yes"),
 		query.AddressValue(a.settings.Backend.Address),
@@ -151,6 +151,14 @@
 	})
 }
 
+// stateText says for operators what is believed of the back end.
+func (a *agent) stateText() string {
+	if a.evacuations.Set().Has(a.settings.Node.Zone) {
+		return status.StateEvacuated
+	}
+	return a.flows.Tracker().State().String()
+}
+
 // flowRows adds the open flows of the back end beside this agent.
 func (a *agent) flowRows(now time.Time, into *query.Collector) {
 	for _, open := range a.flows.Open() {
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -162,7 +162,7 @@
 		query.TextValue(string(backend.ID)),
 		query.TextValue(string(backend.Site)),
 		query.TextValue(string(backend.Zone)),
-		query.TextValue(string(backend.State)),
+		query.TextValue(stateText(backend)),
 		query.TextValue(node),
 		query.TextValue(reachable),
 		query.AddressValue(backend.Address),
@@ -173,6 +173,16 @@
 	}
 }
 
+// StateEvacuated is the state of a back end in an evacuated zone, in the table of back ends.
+const StateEvacuated = "evacuated"
+
+func stateText(backend *catalog.Backend) string {
+	if backend.Evacuated {
+		return StateEvacuated
+	}
+	return string(backend.State)
+}
+
 func (s *source) flows(ctx context.Context, into *query.Collector) error {
 	if s.work == nil {
 		return nil
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -79,7 +79,7 @@
 		{Name: ColumnBackend, Type: query.Text, Help: "id, unique within its service"},
 		{Name: ColumnSite, Type: query.Text, Help: "data centre"},
 		{Name: "zone", Type: query.Text, Help: "failure zone"},
-		{Name: ColumnState, Type: query.Text, Help: "active or leaving"},
+		{Name: ColumnState, Type: query.Text, Help: "active, leaving or evacuated"},
 		{Name: ColumnNode, Type: query.Text, Help: "id of its agent, empty if that cannot be reached"},
 		{Name: ColumnReachable, Type: query.Text, Help: "whether its agent can be reached: yes or no"},
 		{Name: ColumnAddress, Type: query.Address, Help: "address of the back end itself"},
--- a/test/days/generate.py
+++ b/test/days/generate.py
@@ -1,9 +1,11 @@
 #!/usr/bin/env python3
 """Writes days for the users' bench: each kind of trouble twice in a day, alone or in pairs.
 
-usage: generate.py SITE.toml FOLDER [PAIRS SEED]
+usage: generate.py SITE.toml FOLDER [PAIRS SEED | --evacuated]
 
-Without PAIRS one day for each kind; with PAIRS so many days with two kinds drawn by SEED.
+Without PAIRS one day for each kind; with PAIRS so many days with two kinds drawn by SEED. With --evacuated one
+day for each kind beside evacuations of a zone: first the evacuation comes while the other trouble lasts, later the
+other trouble comes while the zone is evacuated, and its end too.
 """
 import random
 import sys
@@ -80,7 +82,7 @@
     {"kind": "srv_cut", "share": 0.2, "for_s": 5.0, "how": "some", "x": 0.3},
     {"kind": "shift", "share": 0.6, "for_s": 6.0},
 ]
-PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "config_storm", "big_config", "hup"}
+PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "config_storm", "big_config", "hup", "evacuate"}
 TIMES = [6.0, 19.0]
 
 
@@ -95,12 +97,14 @@
 
 
 def day(site, name, seed, troubles):
+    return day_of(site, name, seed, [dict(trouble, at=at + 0.7 * index) for index, trouble in enumerate(troubles) for at in TIMES])
+
+
+def day_of(site, name, seed, entries):
+    """Returns a day with the entries, each with its time."""
     quiet = next(d for d in site["day"] if d["slot"] == "quiet")
-    plan, faults = [], []
-    for index, trouble in enumerate(troubles):
-        for at in TIMES:
-            entry = dict(trouble, at=at + 0.7 * index)
-            (plan if trouble["kind"] in PLANNED else faults).append(entry)
+    plan = [entry for entry in entries if entry["kind"] in PLANNED]
+    faults = [entry for entry in entries if entry["kind"] not in PLANNED]
     content = dict(name=name, slot="trouble", seed=seed, one=quiet["one"], zero=quiet["zero"], goal=quiet["goal"],
                    labels=[], wall=quiet["wall"], light=True, plan=plan, faults=faults, traffic=quiet["traffic"])
     if "small" in quiet:
@@ -108,12 +112,27 @@
     return "[[day]]\n" + "".join(f"{key} = {text(value)}\n" for key, value in content.items())
 
 
+def evacuated_day(site, name, seed, trouble):
+    """Returns a day with the trouble and evacuations of one zone."""
+    zone = site["zones"][-1]["name"]
+    before = dict(trouble, at=5.0)
+    while_evacuated = dict(trouble, at=20.0)
+    evacuations = [{"kind": "evacuate", "zone": zone, "for_s": 7.0, "how": "", "at": 6.0},
+                   {"kind": "evacuate", "zone": zone, "for_s": 7.0, "how": "warm", "at": 19.0}]
+    return day_of(site, name, seed, [before, while_evacuated] + evacuations)
+
+
 def main():
     site = tomllib.loads(Path(sys.argv[1]).read_text())
     folder = Path(sys.argv[2])
     folder.mkdir(parents=True, exist_ok=True)
     troubles = site["troubles"] + FURTHER + (HEALTH if "health" in site["contracts"] else [])
     label = lambda t: "-".join([t["kind"], t.get("on", ""), t.get("how", "").replace(" ", "_")]).strip("-")
+    if sys.argv[3:] == ["--evacuated"]:
+        for index, trouble in enumerate(troubles):
+            name = f"evacuated-{index:02}-{label(trouble)}"
+            (folder / f"{name}.toml").write_text(evacuated_day(site, name, 8000 + index, trouble))
+        return
     if len(sys.argv) > 3:
         draw = random.Random(int(sys.argv[4]))
         for index in range(int(sys.argv[3])):
--- a/test/days/vary.py
+++ b/test/days/vary.py
@@ -76,6 +76,7 @@
     "few-slots": replace(r"slots = \d+, queue = \d+", "slots = 2, queue = 4"),
     "far-clients": replace(r"^client_ms = [\d.]+", "client_ms = 25.0"),
     "small-machines": replace(r"cpu_share = 0\.(24|4)\b", "cpu_share = 0.12"),
+    "cold-hosts-bounded": replace(r"cold_s = [\d.]+,", "cold_s = 2.0, cold_per_s = 2.0,"),
     "throttled-store": replace(r"^writes_per_s = [\d.]+\nreads_per_s = [\d.]+", "writes_per_s = 20.0\nreads_per_s = 40.0"),
 }
 
