A reader of old answers asks a lagging store less and less often

Now an answer that came at once and brought no news lengthens the pause, up to 4 s (0.7 s for a reader of the present). Tests in virtual time: 45 and 20 calls in a minute where the pause of 0.1 s gave 1,200 (worked out); changes are read as they come; a silent watch of evacuations ends with that of the configuration.

--- a/internal/relay/backoff.go
+++ b/internal/relay/backoff.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/burlmill/burlmill/handshake"
 )
 
 // Pauses between calls to a store that does not answer or refuses. The longest is short:
@@ -28,6 +30,21 @@
 // reset notes that a try has succeeded.
 func (b *backoff) reset() { b.latest = 0 }
 
+// pauseAfter returns the pause after a call that the store has answered. What it has let wait, or what brought news,
+// costs no more than it is worth. An answer that came at once and says nothing new, as of a store whose
+// old answers lag behind its history, is a reason to ask less and less often.
+func (b *backoff) pauseAfter(reading handshake.Reading, took time.Duration, news bool) time.Duration {
+	switch {
+	case news || took >= readerLook:
+		b.reset()
+		return 0
+	case reading == handshake.ReadsCurrent:
+		return b.next(storeRetryMost)
+	default:
+		return b.next(storeRetryServed)
+	}
+}
+
 // jitter spreads a pause over half to one and a half of it.
 func jitter(pause time.Duration) time.Duration {
 	return pause/2 + time.Duration(rand.Int64N(int64(pause)))
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -15,6 +15,7 @@
 	"github.com/burlmill/burlmill/gen/burlmill/v1/burlmillv1connect"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/internal/status"
+	"github.com/burlmill/burlmill/routing"
 )
 
 // Times and bounds of fetching the configuration.
@@ -158,12 +159,9 @@
 		health.note(err)
 		if err == nil {
 			n.noteServed(duty.Reading)
-			retry.reset()
 			revision = max(revision, document.Revision)
-			if document.Bytes != nil {
-				_ = n.configure(document.Bytes, "store") // logged there
-			} else if time.Since(begun) < readerLook {
-				n.sleep(readerLook) // a store whose old answers lag behind the revision need not wait for one
+			if pause := retry.pauseAfter(duty.Reading, time.Since(begun), n.takeDocument(document)); pause > 0 {
+				n.sleep(pause)
 			}
 			continue
 		}
@@ -178,6 +176,23 @@
 	}
 }
 
+// takeDocument puts what the store has answered in force and says whether it was news.
+func (n *node) takeDocument(document Document) (news bool) {
+	if document.Bytes == nil {
+		return false
+	}
+	before := n.heldVersion()
+	_ = n.configure(document.Bytes, "store") // logged there
+	return n.heldVersion() > before
+}
+
+// heldVersion returns the version of the configuration in force.
+func (n *node) heldVersion() routing.Version {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.table.Version()
+}
+
 // mostPause returns the longest pause between two calls that fail.
 func mostPause(duty handshake.StoreDuty) time.Duration {
 	if duty.Served {
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -15,39 +15,32 @@
 // evacuations too, by a watch of their own; all other processes hear of them with the
 // statuses, which carry the newest set. A change is told at once.
 
-// evacuationLoop keeps the evacuations in step with the store while this balancer reads it.
-func (b *balancer) evacuationLoop() {
+// evacuationLoop keeps the evacuations in step with the store while this process reads it.
+func (n *node) evacuationLoop() {
 	var retry backoff
-	reader := &evacuationReader{node: b.node}
-	for b.sleep(readerLook) && !b.holdsConfiguration() {
+	reader := &evacuationReader{node: n}
+	for n.sleep(readerLook) && !n.holdsConfiguration() {
 	}
-	for b.context.Err() == nil {
-		duty := b.storeDuty()
-		if duty.Reading == handshake.ReadsNothing || !b.storeServes() {
+	for n.context.Err() == nil {
+		duty := n.storeDuty()
+		if duty.Reading == handshake.ReadsNothing || !n.storeServes() {
 			reader.forget()
-			b.sleep(readerLook)
+			n.sleep(readerLook)
 			continue
 		}
 		begun := time.Now()
-		err := reader.step(duty.Reading)
-		switch {
-		case err != nil:
-			b.limited.Log(log.WarnLevel, "evacuations-failed", log.Fields{"error": err, "kind": fault.Of(err), "after": reader.latest.Revision()})
-			b.sleep(retry.next(mostPause(duty)))
-		case time.Since(begun) < evacuationPause:
-			b.sleep(evacuationPause)
-			retry.reset()
-		default:
-			retry.reset()
+		news, err := reader.step(duty.Reading)
+		pause := retry.pauseAfter(duty.Reading, time.Since(begun), news)
+		if err != nil {
+			n.limited.Log(log.WarnLevel, "evacuations-failed", log.Fields{"error": err, "kind": fault.Of(err), "after": reader.latest.Revision()})
+			pause = retry.next(mostPause(duty))
+		}
+		if pause > 0 {
+			n.sleep(pause)
 		}
 	}
 }
 
-// evacuationPause is the time between two calls that are answered at once: a store whose old
-// answers lag behind the revision need not wait for one, and changes may come in quick succession. It
-// is far below the second within which an evacuation is to be in force.
-const evacuationPause = 100 * time.Millisecond
-
 // storeServes says whether the store has answered this process of late. While it does not, only the loop that
 // watches the configuration calls it.
 func (n *node) storeServes() bool {
@@ -66,24 +59,21 @@
 // forget lets the next step begin anew.
 func (r *evacuationReader) forget() { r.known = false }
 
-// step makes one call. Its error is that of the call, or of kind fault.Invalid.
-func (r *evacuationReader) step(reading handshake.Reading) error {
+// step makes one call, and a second one where the history is gone. It says whether other zones are evacuated now. Its
+// error is that of the call, or of kind fault.Invalid.
+func (r *evacuationReader) step(reading handshake.Reading) (news bool, err error) {
 	next, err := r.read(reading)
-	switch {
-	case fault.Of(err) == fault.Stale:
+	if fault.Of(err) == fault.Stale {
 		r.forget() // the store has answered: its history is gone
 		next, err = r.list(reading == handshake.ReadsLatest)
-	case err != nil:
-		return err
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	r.latest, r.known = next, true
 	r.node.mutex.Lock()
 	defer r.node.mutex.Unlock()
-	r.node.takeEvacuations(time.Now(), next, "store")
-	return nil
+	return r.node.takeEvacuations(time.Now(), next, "store"), nil
 }
 
 // read returns the next set. The first list may be old, which costs less: the watch from
@@ -122,13 +112,14 @@
 }
 
 // takeEvacuations takes in a set that was read or told; source says where it came from, for the
-// log. What changes is told to others at once. The lock is held.
-func (n *node) takeEvacuations(now time.Time, set evacuation.Set, source string) {
+// log. What changes is told to others at once. It says whether other zones are evacuated now. The lock is held.
+func (n *node) takeEvacuations(now time.Time, set evacuation.Set, source string) (changed bool) {
 	before := n.evacuations.Set()
 	if !n.evacuations.Take(now, set) {
-		return
+		return false
 	}
 	n.log.WithFields(log.Fields{"zones": set.Zones(), "previous": before.Zones(), "revision": set.Revision(), "source": source}).Info("evacuations")
 	n.urgent = true
 	n.decider.evacuated(set)
+	return true
 }
--- /dev/null
+++ b/internal/relay/evacuations_test.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/evacuation"
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/query"
+	"github.com/burlmill/burlmill/routing"
+)
+
+// evacuationStore is a store of evacuations and one configuration. Its watches wait; those that may be
+// answered with what is old find that their history is gone, while it lags.
+type evacuationStore struct {
+	Adapter
+	mutex   sync.Mutex
+	set     evacuation.Set
+	ended   []catalog.ZoneName // that the latest change has taken back
+	lags    bool
+	hangs   bool // watches of evacuations are never answered
+	changed chan struct{}
+	calls   int
+}
+
+func newEvacuationStore() *evacuationStore {
+	return &evacuationStore{changed: make(chan struct{})}
+}
+
+// put lets the zones be evacuated from the revision on.
+func (s *evacuationStore) put(revision catalog.Revision, zones ...catalog.ZoneName) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	set, err := evacuation.New(revision, zones...)
+	if err != nil {
+		panic(err)
+	}
+	s.ended = s.set.Zones()
+	s.set = set
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *evacuationStore) Evacuations(context.Context, bool) (evacuation.Set, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	return s.set, nil
+}
+
+// storeWait is how long the store's watches wait.
+const storeWait = 10 * time.Second
+
+func (s *evacuationStore) WatchEvacuations(ctx context.Context, after catalog.Revision, mayBeOld bool) (evacuation.Changes, error) {
+	s.mutex.Lock()
+	s.calls++
+	set, changed, lags, hangs := s.set, s.changed, s.lags, s.hangs
+	s.mutex.Unlock()
+	if lags && mayBeOld {
+		return evacuation.Changes{}, fault.New(fault.Stale, "history is gone")
+	}
+	if hangs {
+		<-ctx.Done()
+		return evacuation.Changes{}, fault.Wrap(fault.Unavailable, ctx.Err(), "watch")
+	}
+	if set.Revision() <= after {
+		select {
+		case <-changed:
+		case <-time.After(storeWait):
+		case <-ctx.Done():
+			return evacuation.Changes{}, fault.Wrap(fault.Unavailable, ctx.Err(), "watch")
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	changes := evacuation.Changes{At: s.set.Revision()}
+	for _, zone := range s.ended {
+		changes.List = append(changes.List, evacuation.Change{Zone: zone, Ended: true})
+	}
+	for _, zone := range s.set.Zones() {
+		changes.List = append(changes.List, evacuation.Change{Zone: zone})
+	}
+	return changes, nil
+}
+
+func (s *evacuationStore) Read(context.Context, bool) (Document, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	return Document{Revision: 5, Bytes: []byte("document")}, nil
+}
+
+func (s *evacuationStore) Watch(ctx context.Context, _ uint64, mayBeOld bool) (Document, error) {
+	s.mutex.Lock()
+	s.calls++
+	lags := s.lags
+	s.mutex.Unlock()
+	if lags && mayBeOld {
+		return Document{}, fault.New(fault.Stale, "history is gone")
+	}
+	select {
+	case <-time.After(storeWait):
+		return Document{Revision: 5}, nil
+	case <-ctx.Done():
+		return Document{}, fault.Wrap(fault.Unavailable, ctx.Err(), "watch")
+	}
+}
+
+func (s *evacuationStore) ParseConfiguration([]byte) (*routing.Table, error) {
+	return routing.New(routing.Content{Version: 1})
+}
+
+// takenSets is a decider that remembers which evacuations it was told.
+type takenSets struct{ latest evacuation.Set }
+
+func (d *takenSets) status(time.Time) handshake.Status                     { return handshake.Status{} }
+func (d *takenSets) received(time.Time, netip.AddrPort, handshake.Message) {}
+func (d *takenSets) configured(time.Time, *routing.Table)                  {}
+func (d *takenSets) evacuated(set evacuation.Set)                          { d.latest = set }
+func (d *takenSets) tick(time.Time)                                        {}
+func (d *takenSets) backendRows(time.Time, *query.Collector)               {}
+func (d *takenSets) flowRows(time.Time, *query.Collector)                  {}
+
+// newStoreReader returns a node that holds a configuration and has been served by the store. Two others that
+// are served come before it if old answers are to be enough for it.
+func newStoreReader(t *testing.T, store *evacuationStore, latest bool) (*node, *takenSets) {
+	n := newReadingNode(t, store)
+	told := &takenSets{}
+	n.decider = told
+	n.table, _ = store.ParseConfiguration(nil)
+	n.noteServed(handshake.ReadsCurrent)
+	now := time.Now()
+	for port := uint16(1); latest && n.storeDuty().Reading != handshake.ReadsLatest; port++ {
+		other := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+		n.contacts.Heard(now, other, handshake.Status{Role: handshake.RoleBalancer, Incarnation: 1, StoreFresh: true, Interval: time.Hour})
+	}
+	return n, told
+}
+
+// keepServed lets the store count as having answered, as the watch of the configuration does.
+func (n *node) keepServed(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		n.noteServed(handshake.ReadsCurrent)
+		time.Sleep(time.Second)
+	}
+}
+
+// TestEvacuationsAreReadAsTheyChange, and with one call for each time that a watch waits.
+func TestEvacuationsAreReadAsTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newEvacuationStore()
+		n, told := newStoreReader(t, store, false)
+		n.spawn(n.evacuationLoop)
+		n.keepServed(time.Minute)
+		is.True(store.calls <= 8) // a list and six watches
+		store.put(7, "a")
+		synctest.Wait()
+		is.True(told.latest.Has("a"))
+		is.True(n.urgent) // the others are told at once
+		n.keepServed(time.Second)
+		store.put(9)
+		synctest.Wait()
+		is.Equal(len(told.latest.Zones()), 0)
+		n.cancel()
+	})
+}
+
+// TestLaggingStoreIsAskedSeldom: while what may be old cannot be watched, as its history is gone, a reader of
+// old answers asks less and less often; a pause of a tenth of a second cost 20 calls a second.
+func TestLaggingStoreIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newEvacuationStore()
+		store.lags = true
+		n, _ := newStoreReader(t, store, true)
+		is.Equal(n.storeDuty().Reading, handshake.ReadsLatest)
+		n.spawn(n.evacuationLoop)
+		n.keepServed(time.Minute)
+		t.Logf("%d calls for evacuations in a minute", store.calls)
+		is.True(store.calls <= 60)
+		n.cancel()
+	})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newEvacuationStore()
+		store.lags = true
+		n, _ := newStoreReader(t, store, true)
+		n.spawn(n.watchLoop)
+		time.Sleep(time.Minute)
+		t.Logf("%d calls for the configuration in a minute", store.calls)
+		is.True(store.calls <= 60)
+		n.cancel()
+	})
+}
+
+// TestSilentWatchEndsWithThatOfTheConfiguration: its own connection would show it much later.
+func TestSilentWatchEndsWithThatOfTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newEvacuationStore()
+		n, told := newStoreReader(t, store, false)
+		store.hangs = true
+		n.spawn(n.evacuationLoop)
+		time.Sleep(time.Second)
+		store.mutex.Lock()
+		store.hangs = false
+		store.mutex.Unlock()
+		store.put(7, "a")
+		synctest.Wait()
+		is.True(!told.latest.Has("a"))
+		n.noteRefused(handshake.ReadsCurrent) // the watch of the configuration was not answered
+		n.keepServed(2 * time.Second)
+		is.True(told.latest.Has("a"))
+		n.cancel()
+	})
+}
