After a call that was not answered the store is asked with a short one: a change is known 2.5 s after it is back, not 5

Now the next call after a failed one reads, with a limit of 1 s. Test in virtual time over 40 moments of the return, fails before.

--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -165,9 +165,10 @@
 			}
 			continue
 		}
-		if fault.Of(err) == fault.Stale {
-			revision = 0 // the store has answered: its history is gone
-		} else {
+		// The next call is a short one: a store that was silent does not answer what it got meanwhile, and a
+		// watch would notice up to 5 s late.
+		revision = 0
+		if fault.Of(err) != fault.Stale { // then the store has answered: its history is gone
 			n.noteRefused(duty.Reading)
 		}
 		if !n.sleep(retry.next(mostPause(duty))) {
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -32,6 +32,7 @@
 		news, err := reader.step(duty.Reading)
 		pause := retry.pauseAfter(duty.Reading, time.Since(begun), news)
 		if err != nil {
+			reader.forget() // the next call is a short one
 			n.limited.Log(log.WarnLevel, "evacuations-failed", log.Fields{"error": err, "kind": fault.Of(err), "after": reader.latest.Revision()})
 			pause = retry.next(mostPause(duty))
 		}
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -27,6 +27,7 @@
 	ended   []catalog.ZoneName // that the latest change has taken back
 	lags    bool
 	hangs   bool // watches of evacuations are never answered
+	silent  bool // no call is answered, also not later
 	changed chan struct{}
 	calls   int
 }
@@ -49,19 +50,42 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *evacuationStore) Evacuations(context.Context, bool) (evacuation.Set, error) {
+// hang counts a call and waits for its limit if the store is silent.
+func (s *evacuationStore) hang(ctx context.Context, limit time.Duration) error {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.calls++
+	silent := s.silent
+	s.mutex.Unlock()
+	if !silent {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(limit):
+	}
+	return fault.New(fault.Unavailable, "no answer")
+}
+
+func (s *evacuationStore) Evacuations(ctx context.Context, _ bool) (evacuation.Set, error) {
+	if err := s.hang(ctx, storeShort); err != nil {
+		return evacuation.Set{}, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	return s.set, nil
 }
 
-// storeWait is how long the store's watches wait.
-const storeWait = 10 * time.Second
+// Times of the store's calls.
+const (
+	storeWait  = 10 * time.Second // that its watches wait
+	storeShort = time.Second      // after which other calls are given up
+)
 
 func (s *evacuationStore) WatchEvacuations(ctx context.Context, after catalog.Revision, mayBeOld bool) (evacuation.Changes, error) {
+	if err := s.hang(ctx, storeWait+storeShort); err != nil {
+		return evacuation.Changes{}, err
+	}
 	s.mutex.Lock()
-	s.calls++
 	set, changed, lags, hangs := s.set, s.changed, s.lags, s.hangs
 	s.mutex.Unlock()
 	if lags && mayBeOld {
@@ -91,16 +115,18 @@
 	return changes, nil
 }
 
-func (s *evacuationStore) Read(context.Context, bool) (Document, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.calls++
+func (s *evacuationStore) Read(ctx context.Context, _ bool) (Document, error) {
+	if err := s.hang(ctx, storeShort); err != nil {
+		return Document{}, err
+	}
 	return Document{Revision: 5, Bytes: []byte("document")}, nil
 }
 
 func (s *evacuationStore) Watch(ctx context.Context, _ uint64, mayBeOld bool) (Document, error) {
+	if err := s.hang(ctx, storeWait+storeShort); err != nil {
+		return Document{}, err
+	}
 	s.mutex.Lock()
-	s.calls++
 	lags := s.lags
 	s.mutex.Unlock()
 	if lags && mayBeOld {
@@ -223,3 +249,37 @@
 		n.cancel()
 	})
 }
+
+// longestUnheard is how long a change may stay unheard once a store that was silent is back: a call that it got while it
+// was silent, a pause, the next call for the configuration, a look, a list of the evacuations.
+const longestUnheard = 2500 * time.Millisecond
+
+// TestStoreThatWasSilentIsReadSoonAfter: what changed while it was silent is known soon after, whenever that ends.
+// A call that it got meanwhile is never answered, and a watch would wait for its limit.
+func TestStoreThatWasSilentIsReadSoonAfter(t *testing.T) {
+	for quarter := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := newEvacuationStore()
+			n, told := newStoreReader(t, store, false)
+			n.spawn(n.watchLoop)
+			n.spawn(n.evacuationLoop)
+			time.Sleep(5 * time.Second)
+			store.mutex.Lock()
+			store.silent = true
+			store.mutex.Unlock()
+			time.Sleep(30*time.Second + time.Duration(quarter)*250*time.Millisecond)
+			store.put(7, "a")
+			store.mutex.Lock()
+			store.silent = false
+			store.mutex.Unlock()
+			time.Sleep(longestUnheard)
+			synctest.Wait()
+			n.mutex.Lock()
+			known := told.latest.Has("a")
+			n.mutex.Unlock()
+			n.cancel()
+			is.True(known)
+		})
+	}
+}
