--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -144,6 +144,13 @@
 	return routing.New(routing.Content{Version: 1})
 }
 
+// called returns how many calls the store has had.
+func (s *evacuationStore) called() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
 // takenSets is a decider that remembers which evacuations it was told.
 type takenSets struct{ latest evacuation.Set }
 
@@ -155,6 +162,13 @@
 func (d *takenSets) backendRows(time.Time, *query.Collector)               {}
 func (d *takenSets) flowRows(time.Time, *query.Collector)                  {}
 
+// has says whether the zone is evacuated as far as the node's decider was told.
+func (d *takenSets) has(n *node, zone catalog.ZoneName) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return d.latest.Has(zone)
+}
+
 // newStoreReader returns a node that holds a configuration and has been served by the store. Two others that
 // are served come before it if old answers are to be enough for it.
 func newStoreReader(t *testing.T, store *evacuationStore, latest bool) (*node, *takenSets) {
@@ -187,15 +201,21 @@
 		n, told := newStoreReader(t, store, false)
 		n.spawn(n.evacuationLoop)
 		n.keepServed(time.Minute)
-		is.True(store.calls <= 8) // a list and six watches
+		is.True(store.called() <= 8) // a list and six watches
 		store.put(7, "a")
 		synctest.Wait()
-		is.True(told.latest.Has("a"))
-		is.True(n.urgent) // the others are told at once
+		n.mutex.Lock()
+		known, urgent := told.latest.Has("a"), n.urgent
+		n.mutex.Unlock()
+		is.True(known)
+		is.True(urgent) // the others are told at once
 		n.keepServed(time.Second)
 		store.put(9)
 		synctest.Wait()
-		is.Equal(len(told.latest.Zones()), 0)
+		n.mutex.Lock()
+		zones := told.latest.Zones()
+		n.mutex.Unlock()
+		is.Equal(len(zones), 0)
 		n.cancel()
 	})
 }
@@ -211,8 +231,8 @@
 		is.Equal(n.storeDuty().Reading, handshake.ReadsLatest)
 		n.spawn(n.evacuationLoop)
 		n.keepServed(time.Minute)
-		t.Logf("%d calls for evacuations in a minute", store.calls)
-		is.True(store.calls <= 60)
+		t.Logf("%d calls for evacuations in a minute", store.called())
+		is.True(store.called() <= 60)
 		n.cancel()
 	})
 	synctest.Test(t, func(t *testing.T) {
@@ -222,8 +242,8 @@
 		n, _ := newStoreReader(t, store, true)
 		n.spawn(n.watchLoop)
 		time.Sleep(time.Minute)
-		t.Logf("%d calls for the configuration in a minute", store.calls)
-		is.True(store.calls <= 60)
+		t.Logf("%d calls for the configuration in a minute", store.called())
+		is.True(store.called() <= 60)
 		n.cancel()
 	})
 }
@@ -242,10 +262,10 @@
 		store.mutex.Unlock()
 		store.put(7, "a")
 		synctest.Wait()
-		is.True(!told.latest.Has("a"))
+		is.True(!told.has(n, "a"))
 		n.noteRefused(handshake.ReadsCurrent) // the watch of the configuration was not answered
 		n.keepServed(2 * time.Second)
-		is.True(told.latest.Has("a"))
+		is.True(told.has(n, "a"))
 		n.cancel()
 	})
 }
@@ -275,9 +295,7 @@
 			store.mutex.Unlock()
 			time.Sleep(longestUnheard)
 			synctest.Wait()
-			n.mutex.Lock()
-			known := told.latest.Has("a")
-			n.mutex.Unlock()
+			known := told.has(n, "a")
 			n.cancel()
 			is.True(known)
 		})
