--- a/handshake/hold.go
+++ b/handshake/hold.go
@@ -105,8 +105,8 @@
 }
 
 // timelyShare is the part of a route's aim within which an opening has to be placed so that its caller
-// can still be answered within the aim: the rest is for the way and the work. 0.5 and 0.9 are not told apart from it
-// in the load of TestLoadAfterAnOutage.
+// can still be answered within the aim: the rest is for the way and the work. With 0.5 and
+// 0.9 0.907 and 0.905 of the requests of such a load are answered in time, with 0.7 0.911 (40 seeds).
 const timelyShare = 0.7
 
 // timely says whether the opening's caller can still be answered within the aim of its route, as far as is known.
--- a/internal/lab/fabric/fabric_test.go
+++ b/internal/lab/fabric/fabric_test.go
@@ -108,6 +108,9 @@
 	_, err = exchange(socket, "moved")
 	is.NoErr(err)
 	is.Equal(third.received.Load(), int64(1))
+	// A reply may be read before the fabric has counted it.
+	for deadline := time.Now().Add(waitLimit); running.Counts().Out <= datagrams && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	}
 	is.Equal(running.Counts(), fabric.Counts{In: datagrams + 1, Out: datagrams + 1})
 	running.SetBalancers(nil)
 	_, err = socket.Write([]byte("lost"))
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -221,7 +221,8 @@
 }
 
 // TestLaggingStoreIsAskedSeldom: while what may be old cannot be watched, as its history is gone, a reader of
-// old answers asks less and less often; a pause of a tenth of a second cost 20 calls a second.
+// old answers asks less and less often; with a pause of a tenth of a second, a list and a watch each, it would be up to 20 calls a
+// second (worked out).
 func TestLaggingStoreIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
