Design of the new customers' parts: what is missing, which part brings it, and the types between them

Interfaces first, so that the parts can be built side by side: lives of a back end (id and birth), reports that are acknowledged only where they count, kinds of requests and time-outs of routes. Behaviour is as before: nothing returns an error yet, and nothing reads the new fields.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,7 @@
 package instance
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -25,20 +26,34 @@
 	firstReports  = 1                      // sequence of the report with which an instance begins
 )
 
-// ID names one start of a back end.
+// ID names a back end. A back end that starts anew may have the id of an earlier life.
 type ID string
 
+// Life is one start of a back end.
+type Life struct {
+	ID ID
+	// Born is when the life began by the clock of the back end's machine, to the millisecond; zero:
+	// not told. That clock may jump: births order the lives of one id and say nothing else.
+	Born time.Time
+}
+
 // Report is what a back end says about itself.
 type Report struct {
 	ID       ID
+	Born     time.Time // of its life (Life.Born)
 	Service  catalog.ServiceName
+	Address  netip.AddrPort // at which it takes requests; invalid: not told
+	Zone     catalog.ZoneName
 	Version  string        // of its software
 	Slots    uint32        // requests it can run at once
 	Leaving  bool          // it is about to stop
 	Cold     time.Duration // how much longer it is slow after its start
-	Sequence uint64        // grows with each report of the instance
+	Sequence uint64        // grows with each report of the life; 0: not told
 }
 
+// Life returns the life that the report is of.
+func (r Report) Life() Life { return Life{ID: r.ID, Born: r.Born} }
+
 // State says whether the back end gets new flows.
 type State uint8
 
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -93,8 +93,14 @@
 }
 
 // HostReports takes in what a back end says of itself. It may be called from
-// any goroutine.
+// any goroutine. A report or a removal is acknowledged to the back end only where no error is returned.
 type HostReports interface {
-	Report(report instance.Report)
-	Remove(id instance.ID)
+	// Report takes in a report. fault.Stale: it is of an earlier life than the present one;
+	// fault.Invalid: it names no back end of this agent. Then it has changed nothing.
+	Report(report instance.Report) error
+	// Remove takes in that a life leaves for good; fault.Stale as with Report.
+	Remove(life instance.Life) error
+	// Refused notes a report that could not be read, so that it names no back end: it is counted
+	// and logged, and changes nothing. The error is of kind fault.Invalid.
+	Refused(err error)
 }
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -282,7 +282,7 @@
 }
 
 // Report takes in a report of the back end.
-func (a *agent) Report(report instance.Report) {
+func (a *agent) Report(report instance.Report) error {
 	now := time.Now()
 	a.backend.note()
 	a.mutex.Lock()
@@ -293,15 +293,22 @@
 	}
 	tracker.Report(now, report)
 	a.tellChange(now)
+	return nil
 }
 
 // Remove takes in that the back end leaves for good.
-func (a *agent) Remove(id instance.ID) {
+func (a *agent) Remove(life instance.Life) error {
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.flows.Tracker().Remove(id)
+	a.flows.Tracker().Remove(life.ID)
 	a.tellChange(now)
+	return nil
+}
+
+// Refused notes a report that could not be read.
+func (a *agent) Refused(err error) {
+	a.limited.Log(log.WarnLevel, "report-refused", log.Fields{"error": err})
 }
 
 // received handles a message of another process. The lock is held.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -43,8 +43,40 @@
 	Priority uint
 	// Aim is the time within which a caller wants its answer, from its first datagram on; 0: not told.
 	Aim time.Duration
+	// Timeout is when a caller gives up, from its first datagram on; 0: not told.
+	Timeout time.Duration
+	// Requests says what may be done to the route's requests.
+	Requests RequestKind
 }
 
+// RequestKind says whether a request may run more than once, and how long its answer is.
+type RequestKind uint8
+
+// The kinds of requests.
+const (
+	RequestsUnknown RequestKind = iota // not told: taken for OnceOnly
+	Repeatable                         // running one twice does no harm: it may be tried elsewhere
+	OnceOnly                           // one may run at most once
+	LongAnswer                         // repeatable, with a long answer that takes a while to carry
+)
+
+// String returns the kind's name in logs and tables.
+func (k RequestKind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case OnceOnly:
+		return "once-only"
+	case LongAnswer:
+		return "long-answer"
+	default:
+		return "unknown"
+	}
+}
+
+// MayRepeat says whether a request may be tried elsewhere though it may have run.
+func (k RequestKind) MayRepeat() bool { return k == Repeatable || k == LongAnswer }
+
 // Has says whether the service takes new flows of the route.
 func (r *Route) Has(service catalog.ServiceName) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
