--- a/handshake/contacts_test.go
+++ b/handshake/contacts_test.go
@@ -251,6 +251,47 @@
 	}
 }
 
+// TestAgentsOfTheOwnZoneAreChosenFirst: loads are told often, and bytes between zones are dear.
+// Nearly all are still chosen from other zones too, for the day on which their own has no balancers.
+func TestAgentsOfTheOwnZoneAreChosenFirst(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(21, 120)
+	zoneOf := func(address netip.AddrPort) catalog.ZoneName {
+		return catalog.ZoneName(fmt.Sprintf("z%d", address.Addr().As4()[3]%3))
+	}
+	for address, contacts := range f.contacts {
+		contacts.zone = zoneOf(address)
+		status := f.statuses[address]
+		status.Zone = zoneOf(address)
+		f.statuses[address] = status
+	}
+	f.run(8 * time.Second)
+	agents, chosenElsewhere := 0, 0
+	for _, contacts := range f.contacts {
+		own, others := 0, 0
+		for _, known := range contacts.contacts {
+			switch {
+			case !known.wants(f.now):
+			case known.status.Zone == contacts.zone:
+				own++
+			default:
+				others++
+			}
+		}
+		if contacts.role == RoleBalancer {
+			is.True(own >= 2*zoneAgents) // of two services
+			is.Equal(own+others, 2*SubscribedAgents)
+			continue
+		}
+		is.True(own >= 1) // 7 balancers x 16 of 20 agents: 5.6 on average
+		agents++
+		if others > 0 {
+			chosenElsewhere++ // 14 balancers x 8 of 44 agents: 2.5 on average
+		}
+	}
+	is.True(float64(chosenElsewhere) >= 0.85*float64(agents))
+}
+
 // TestSilentProcessIsForgottenUnlessASeed: partitions heal.
 func TestSilentProcessIsForgottenUnlessASeed(t *testing.T) {
 	is := is.New(t)
--- a/handshake/selection.go
+++ b/handshake/selection.go
@@ -14,8 +14,13 @@
 
 // Which agents a balancer places flows on.
 
-// SubscribedAgents is how many agents of one service a balancer places flows on.
-const SubscribedAgents = 24
+// How many agents of one service a balancer places flows on. Most are of its own zone, since each
+// of them tells it its load several times a second, and bytes between zones are dear; those of
+// others take what the zone has no room for.
+const (
+	SubscribedAgents = 24
+	zoneAgents       = 16 // of its own zone, if there are so many
+)
 
 // selectionInterval is the time between two selections of agents.
 const selectionInterval = 500 * time.Millisecond
@@ -57,7 +62,8 @@
 	}
 }
 
-// highest returns the agents of one service that this balancer places flows on.
+// highest returns the agents of one service that this balancer places flows on: the highest of
+// its zone, then the highest of all that are left.
 func (c *Contacts) highest(agents []*contact) []*contact {
 	if len(agents) <= SubscribedAgents {
 		return agents
@@ -65,7 +71,16 @@
 	slices.SortFunc(agents, func(a, b *contact) int {
 		return cmp.Compare(c.affinity(b.address), c.affinity(a.address))
 	})
-	return agents[:SubscribedAgents]
+	chosen := make([]*contact, 0, SubscribedAgents)
+	var rest []*contact
+	for _, agent := range agents {
+		if agent.status.Zone == c.zone && len(chosen) < zoneAgents {
+			chosen = append(chosen, agent)
+			continue
+		}
+		rest = append(rest, agent)
+	}
+	return append(chosen, rest[:SubscribedAgents-len(chosen)]...)
 }
 
 // affinity is the hash of a pair of processes.
