Lives of a back end: births order them, what is not believed has to claim

Cause: instances were told apart by id alone. A back end that started again under its id had its reports dropped until they passed the old count, one that had left was ignored for good, and a late report, removal or health check of an earlier life counted for the present one.

instance.Tracker keeps lives (id and birth): a higher birth supersedes, a lower one is stale and not acknowledged, sequences count within a life, a health check that began before the news says nothing.

Found by the model test on the way, mended: the leaving of a life that had been replaced was acknowledged while the address was taken for another id's, which was ready, so that new flows could still reach it (also before this change); an old health check could grant a claim after the present life's leaving; a removal did not end the claim of its life.

The others only follow the signatures of Report and Remove. The table of back ends has two more columns (born, age): fanout's expected rows follow.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,10 +1,11 @@
 // Package instance decides what an agent believes of the back end beside it. A
-// back end announces itself with reports; each start of it is an instance with an
-// id of its own. Reports may come late and in any order, and the agent may have
-// started after the back end: so an instance gets new flows only once it has
+// back end announces itself with reports; each start of it is a life, which may
+// have an id of its own or that of an earlier one, and may tell when it was born.
+// Reports may come late and in any order, and the agent may have
+// started after the back end: so a life gets new flows only once it has
 // itself answered a health check since the agent started, and never again after
 // it has said that it leaves. An agent that has just started asks at once: the
-// answer names the instance, and its reports say the rest. The package is pure: reports, check results and a
+// answer names the id, and the reports say the rest. The package is pure: reports, check results and a
 // clock go in, what to believe and what to check comes out.
 package instance
 
@@ -20,10 +21,9 @@
 	CheckInterval = 100 * time.Millisecond // between two health checks of an instance that has not answered yet
 	CheckTimeout  = 800 * time.Millisecond // for one health check
 	missedReports = 3                      // reports missed in a row after which the instance is checked
-	rememberLimit = 64                     // ids of instances that are gone
-	recallTime    = time.Second            // after a report of another instance, in which the one before it may prove that it is still there
+	recallTime    = time.Second            // after a report of another id, in which the life before it may prove that it is still there
 	coldReports   = 2                      // that must come before a back end which may have turned cold unseen is taken for warm: one may have been sent before
-	firstReports  = 1                      // sequence of the report with which an instance begins
+	firstReports  = 1                      // sequence of the report with which a life begins
 )
 
 // ID names a back end. A back end that starts anew may have the id of an earlier life.
@@ -81,17 +81,20 @@
 	}
 }
 
-// Tracker follows the instances of one back end. It is not safe for concurrent use.
+// Tracker follows the lives of one back end. It is not safe for concurrent use.
 type Tracker struct {
 	service     catalog.ServiceName
 	interval    time.Duration // between reports
-	present                   // the instance that is believed to be there
-	displaced   *present      // the one before it, while that may prove that it is still there
+	present                   // the life that is believed to be there
+	displaced   *present      // the one before it, of another id, while that may prove that it is still there
 	recallEnd   time.Time     // of that time
-	gone        map[ID]bool   // instances that have left or were replaced
-	goneOrder   []ID
+	past        pastLives     // that have left or were replaced
+	claim       claim         // of a life that is not believed to be there
+	newsAt      time.Time     // when another life was last heard of; a check that began before says nothing of it
+	changes     uint64        // of the present life
 	nextCheck   time.Time
 	checking    bool
+	checkBegan  time.Time // of the check under way
 	coldDoubt   int       // reports that are still wanted before it is believed that the back end is not cold
 	refusedFrom time.Time // since when every health check was refused; zero: the latest was not
 	// foundNobody says that no instance ran at some time since the tracker began, and none was
@@ -99,13 +102,17 @@
 	foundNobody bool
 }
 
-// present is what is believed of one instance.
+// present is what is believed of one life.
 type present struct {
 	latest    Report
-	began     bool // it has started since the tracker knows the back end
-	verified  bool // it has answered a health check by its id
+	cause     Cause // of its being taken for the present one
+	began     bool  // it has started since the tracker knows the back end
+	twice     bool  // it has reported at least twice, with time in between
+	verified  bool  // it has answered a health check by its id
+	removed   bool  // somebody has said that it is gone
 	state     State
 	heard     time.Time // last sign of life
+	since     time.Time // when it was first heard of
 	coldUntil time.Time
 	outcomes  Outcomes // of it, and crashes of those before it
 }
@@ -113,16 +120,35 @@
 // NewTracker returns a tracker of a back end of the service that knows no
 // instance; reports come once an interval.
 func NewTracker(service catalog.ServiceName, interval time.Duration) *Tracker {
-	return &Tracker{service: service, interval: interval, gone: map[ID]bool{}}
+	return &Tracker{service: service, interval: interval}
 }
 
-// State returns what is believed of the present instance.
+// State returns what is believed of the present life.
 func (t *Tracker) State() State { return t.state }
 
-// Latest returns the latest report of the present instance.
+// Latest returns the latest report of the present life.
 func (t *Tracker) Latest() Report { return t.latest }
 
-// Cold returns how much longer the present instance is slow after its start.
+// Life returns the present life; zero: none is known.
+func (t *Tracker) Life() Life { return t.latest.Life() }
+
+// Since returns when the present life was first heard of by the agent's clock; zero: none is known.
+func (t *Tracker) Since() time.Time { return t.since }
+
+// Changes returns how often another life has become the present one, and why the latest did.
+func (t *Tracker) Changes() (uint64, Cause) { return t.changes, t.cause }
+
+// Superseded says whether the present life has taken the place of another one: a later birth says so, or a health
+// check that it has answered by another id. Nothing says so while a life that is not believed to be there reports. When the life
+// began is not known: it may have taken flows before it was first heard of (Since).
+func (t *Tracker) Superseded() bool {
+	if t.claim.reports > 0 {
+		return false
+	}
+	return t.cause == CauseBirth || t.cause == CauseID && t.verified
+}
+
+// Cold returns how much longer the present life is slow after its start.
 func (t *Tracker) Cold(now time.Time) time.Duration {
 	return max(0, t.coldUntil.Sub(now))
 }
@@ -131,86 +157,123 @@
 // that was evacuated do. Only its reports say so, and one may be on its way from before.
 func (t *Tracker) ExpectCold() { t.coldDoubt = coldReports }
 
-// MayBeCold says whether the present instance is slow after its start, or may be for all that is known.
+// MayBeCold says whether the present life is slow after its start, or may be for all that is known.
 func (t *Tracker) MayBeCold(now time.Time) bool {
 	return t.Cold(now) > 0 || t.latest.Sequence == 0 || t.coldDoubt > 0
 }
 
-// SawBegin says whether the present instance is proved to have started after the tracker
+// SawBegin says whether the present life is proved to have started after the tracker
 // did, so that it holds nothing that the tracker's owner does not know: it was announced by
 // its first report, or came after another that this tracker knew, and has answered itself;
-// or there was none at all before it. It is true too while there is none for certain.
-func (t *Tracker) SawBegin() bool { return t.foundNobody || t.began && t.verified }
+// or there was none at all before it. It is true too while there is none for certain. A life that only its birth
+// tells from the one before has to report twice: its first report may be an old one, and health checks name only the id.
+// Its birth is not compared with any clock: the one that told it may have been set since.
+func (t *Tracker) SawBegin() bool {
+	return t.foundNobody || t.began && t.verified && (t.twice || t.cause != CauseBirth)
+}
 
 // NobodyThere says that no instance was there when it was last looked, and none was ever known.
 func (t *Tracker) NobodyThere() bool { return t.foundNobody && t.latest.ID == "" && t.heard.IsZero() }
 
-// Heard returns when the present instance last gave a sign of life.
+// Heard returns when the present life last gave a sign of life.
 func (t *Tracker) Heard() time.Time { return t.heard }
 
-// Report takes in a report. It says whether the report was news.
-func (t *Tracker) Report(now time.Time, report Report) bool {
-	if t.gone[report.ID] {
-		if report.Leaving {
-			t.forgetDisplaced(report.ID)
-		}
-		return false
-	}
-	if report.ID == t.latest.ID {
+// Outcomes returns what judges the back end by its flows.
+func (t *Tracker) Outcomes() *Outcomes { return &t.outcomes }
+
+// Alive notes that the back end gave a sign of life other than a report.
+func (t *Tracker) Alive(now time.Time) { t.heard = now }
+
+// Report takes in a report. It says whether the report was news of the present life. An
+// error of kind fault.Stale says that it is not of the present life, or may not be, and has not
+// changed what is believed; then it must not be acknowledged.
+func (t *Tracker) Report(now time.Time, report Report) (bool, error) {
+	report.Born = canonical(report.Born)
+	switch t.order(report.Life()) {
+	case lifeSame:
 		return t.update(now, report)
+	case lifeLater:
+		t.supersede(now, report)
+		return true, nil
+	case lifeOther:
+		t.succeedOther(now, report)
+		return true, nil
+	default:
+		return false, t.late(now, report)
 	}
+}
+
+// Remove takes in that the life has left for good. Without a birth it is taken for the
+// present one of the id, since the back end may end now. An error of kind fault.Stale says that it is of
+// an earlier life than the present one, which it does not touch.
+func (t *Tracker) Remove(now time.Time, life Life) error {
+	life.Born = canonical(life.Born)
+	switch t.order(life) {
+	case lifeSame:
+		t.latest.Born = told(t.latest.Born, life.Born)
+		t.past.add(t.Life(), t.latest.Leaving || !life.Born.IsZero())
+		t.removed = true
+		t.leave(now) // it may serve on for a while
+	case lifeLater:
+		t.supersede(now, Report{ID: life.ID, Born: life.Born, Service: t.service, Leaving: true})
+		t.past.add(life, true)
+		t.removed = true
+	case lifeOther:
+		t.noteLeft(life)
+	default:
+		t.noteLeft(life)
+		if life.ID == t.latest.ID && !t.removed {
+			return t.stale("removal", life)
+		}
+	}
+	return nil
+}
+
+// supersede begins to judge a later life of the present one's id.
+func (t *Tracker) supersede(now time.Time, report Report) {
+	began := report.Sequence == firstReports || t.twice && t.verified
+	t.begin(now, report, CauseBirth)
+	t.began = began
+}
+
+// succeedOther begins to judge a life of another id than the present one's.
+func (t *Tracker) succeedOther(now time.Time, report Report) {
 	began := report.Sequence == firstReports || t.verified
 	t.displace(now)
-	t.succeed(now)
-	t.retire(t.latest.ID)
-	t.latest = report
+	t.begin(now, report, CauseID)
 	t.began = began
-	t.verified = false
-	t.state = Unverified
-	t.heard = now
-	t.coldUntil = now.Add(report.Cold)
-	t.nextCheck = now
-	if report.Leaving {
-		t.state = Leaving
-	}
-	return true
 }
 
-// displace keeps what is believed of the present instance for a while: the report of
-// another one may be an old one that comes late.
-func (t *Tracker) displace(now time.Time) {
-	t.displaced = nil
-	if t.state != Ready && t.state != Unverified {
-		return
+// begin takes the report's life for the present one, which has to answer a health check.
+func (t *Tracker) begin(now time.Time, report Report, cause Cause) {
+	t.succeed(now)
+	t.retire()
+	t.present = present{latest: report, cause: cause, state: Unverified, heard: now, since: now,
+		coldUntil: now.Add(report.Cold), outcomes: t.outcomes}
+	if report.Leaving {
+		t.state = Leaving
 	}
-	before := t.present
-	t.displaced = &before
-	t.recallEnd = now.Add(recallTime)
+	t.noteChange(now)
 }
 
-// recall makes the displaced instance the present one again, since it has answered.
-func (t *Tracker) recall(now time.Time) {
-	t.retire(t.latest.ID)
-	delete(t.gone, t.displaced.latest.ID)
-	t.present = *t.displaced
-	t.displaced = nil
-	t.state = Ready
-	t.heard = now
+// noteChange notes that another life has become the present one. A check under way says nothing of it.
+func (t *Tracker) noteChange(now time.Time) {
+	t.changes++
+	t.newsAt = now
+	t.nextCheck = now
+	t.checking = false
+	t.claim = claim{}
+	t.past.forget(t.Life())
 }
 
-// forgetDisplaced lets the displaced instance not come back if it is this one: it leaves.
-func (t *Tracker) forgetDisplaced(id ID) {
-	if t.displaced != nil && t.displaced.latest.ID == id {
-		t.displaced = nil
+// retire remembers that reports of the present life no longer count.
+func (t *Tracker) retire() {
+	if t.latest.ID != "" {
+		t.past.add(t.Life(), t.latest.Leaving)
 	}
 }
 
-// recallable says whether the instance that answered is the displaced one.
-func (t *Tracker) recallable(check Check) bool {
-	return t.displaced != nil && check.Well && check.ID != "" && check.ID == t.displaced.latest.ID
-}
-
-// succeed begins to judge another instance than the present one.
+// succeed begins to judge another life than the present one by its flows.
 func (t *Tracker) succeed(now time.Time) {
 	switch {
 	case t.latest.ID == "":
@@ -221,116 +284,36 @@
 	}
 }
 
-// Outcomes returns what judges the back end by its flows.
-func (t *Tracker) Outcomes() *Outcomes { return &t.outcomes }
-
-// update takes in a further report of the present instance.
-func (t *Tracker) update(now time.Time, report Report) bool {
-	if report.Sequence <= t.latest.Sequence && t.latest.Sequence > 0 {
-		return false
+// update takes in a further report of the present life, as far as it can be told.
+func (t *Tracker) update(now time.Time, report Report) (bool, error) {
+	certain := !report.Born.IsZero() && report.Born.Equal(t.latest.Born)
+	rises := report.Sequence > t.latest.Sequence || t.latest.Sequence == 0
+	if t.removed || !rises {
+		return t.doubted(now, report, certain)
+	}
+	if t.state == Leaving && !report.Leaving && !certain {
+		t.claimed(now, report) // one that leaves says nothing else any more
+	} else {
+		t.claim = claim{} // the present life is there
 	}
+	t.twice = t.twice || now.Sub(t.since) >= t.claimPace()
 	t.coldDoubt = max(0, t.coldDoubt-1)
 	leaving := t.latest.Leaving || report.Leaving
+	report.Born = told(report.Born, t.latest.Born)
 	t.latest = report
 	t.latest.Leaving = leaving
 	t.heard = now
 	t.coldUntil = now.Add(report.Cold)
-	if leaving {
-		t.state = Leaving
-	}
-	return true
-}
-
-// Remove takes in that the instance has left for good.
-func (t *Tracker) Remove(id ID) {
-	t.retire(id)
-	t.forgetDisplaced(id)
-	if id == t.latest.ID {
-		t.state = Leaving // it may serve on for a while
-	}
-}
-
-// retire remembers that reports of the instance no longer count.
-func (t *Tracker) retire(id ID) {
-	if id == "" || t.gone[id] {
-		return
-	}
-	t.gone[id] = true
-	t.goneOrder = append(t.goneOrder, id)
-	if len(t.goneOrder) > rememberLimit {
-		delete(t.gone, t.goneOrder[0])
-		t.goneOrder = t.goneOrder[1:]
-	}
-}
-
-// Alive notes that the back end gave a sign of life other than a report.
-func (t *Tracker) Alive(now time.Time) { t.heard = now }
-
-// CheckDue says whether a health check is to begin now; the caller then begins
-// one and gives its result to Checked.
-func (t *Tracker) CheckDue(now time.Time) bool {
-	if t.checking || now.Before(t.nextCheck) {
-		return false
-	}
-	silent := t.state == Ready && now.Sub(t.heard) > missedReports*t.interval
-	unheard := t.state == Absent && t.latest.ID == ""
-	recalling := t.displaced != nil && now.Before(t.recallEnd)
-	if t.state != Unverified && !silent && !unheard && !recalling {
-		return false
-	}
-	t.checking = true
-	return true
-}
-
-// Check is the result of a health check.
-type Check struct {
-	Well bool // the back end answered that it is well and not leaving
-	ID   ID   // of the instance that answered, "" if it did not say
-	// Refused says that nothing listens at the back end's address: no instance runs there.
-	Refused bool
-}
-
-// noteRefusal looks whether nobody runs at the back end's address. One refused check does not
-// say so: an instance that lives would also have reported within missedReports intervals.
-func (t *Tracker) noteRefusal(now time.Time, refused bool) {
-	switch {
-	case !refused || t.latest.ID != "" || !t.heard.IsZero():
-		t.refusedFrom = time.Time{}
-	case t.refusedFrom.IsZero():
-		t.refusedFrom = now
-	case now.Sub(t.refusedFrom) > missedReports*t.interval:
-		t.foundNobody = true
+	if report.Leaving {
+		t.leave(now)
 	}
+	return true, nil
 }
 
-// Checked takes in the result of a health check. It says whether the state has changed.
-func (t *Tracker) Checked(now time.Time, check Check) bool {
+// leave notes that the present life leaves. A check that began before says nothing any more.
+func (t *Tracker) leave(now time.Time) {
+	t.state = Leaving
+	t.claim = claim{}
+	t.newsAt = now
 	t.checking = false
-	t.nextCheck = now.Add(CheckInterval)
-	t.noteRefusal(now, check.Refused)
-	before := t.state
-	if t.recallable(check) {
-		t.recall(now)
-		return true
-	}
-	if t.state == Absent && check.Well && check.ID != "" && !t.gone[check.ID] {
-		t.latest = Report{ID: check.ID, Service: t.service} // its reports will say the rest
-		t.state = Ready
-		t.verified = true
-		t.heard = now
-		return true
-	}
-	sameInstance := check.ID == "" || check.ID == t.latest.ID
-	switch {
-	case t.state == Unverified && check.Well && sameInstance:
-		t.state = Ready
-		t.verified = check.ID != ""
-		t.heard = now
-		t.displaced = nil
-	case t.state == Ready && check.Well && sameInstance:
-		t.heard = now
-	case t.state == Ready:
-		t.state = Unverified
-	}
-	return t.state != before
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	is := is.New(t)
 	tracker := NewTracker("lessons", time.Second)
-	is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 2, Slots: 7, Cold: time.Second}))
+	is.True(news(tracker, start, Report{ID: "a", Service: "lessons", Sequence: 2, Slots: 7, Cold: time.Second}))
 	is.Equal(tracker.State(), Unverified)
 	is.True(tracker.CheckDue(start))
 	is.True(!tracker.CheckDue(start)) // one at a time
@@ -27,25 +27,25 @@
 func TestReportsInAnyOrder(t *testing.T) {
 	is := is.New(t)
 	tracker := ready(t)
-	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 1, Slots: 9})) // late
+	is.True(!news(tracker, start, Report{ID: "a", Sequence: 1, Slots: 9})) // late
 	is.Equal(tracker.Latest().Slots, uint32(7))
 	is.Equal(tracker.Cold(start.Add(300*time.Millisecond)), 700*time.Millisecond)
-	is.True(tracker.Report(start, Report{ID: "a", Sequence: 5, Leaving: true}))
+	is.True(news(tracker, start, Report{ID: "a", Sequence: 5, Leaving: true}))
 	is.Equal(tracker.State(), Leaving)
-	is.True(tracker.Report(start, Report{ID: "a", Sequence: 6})) // a leaving back end stays so
+	is.True(news(tracker, start, Report{ID: "a", Sequence: 6})) // a leaving back end stays so
 	is.Equal(tracker.State(), Leaving)
 }
 
 func TestRemovedInstanceStaysGone(t *testing.T) {
 	is := is.New(t)
 	tracker := ready(t)
-	tracker.Remove("a")
+	is.NoErr(tracker.Remove(start, Life{ID: "a"}))
 	is.Equal(tracker.State(), Leaving)
-	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 9}))
+	is.True(!news(tracker, start, Report{ID: "a", Sequence: 9}))
 	is.Equal(tracker.State(), Leaving)
-	is.True(tracker.Report(start, Report{ID: "b", Sequence: 1}))
+	is.True(news(tracker, start, Report{ID: "b", Sequence: 1}))
 	is.Equal(tracker.State(), Unverified)
-	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 10})) // replaced
+	is.True(!news(tracker, start, Report{ID: "a", Sequence: 10})) // replaced
 	is.Equal(tracker.Latest().ID, ID("b"))
 }
 
@@ -53,10 +53,10 @@
 func TestRemovedBeforeAnyReport(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker("lessons", time.Second)
-	tracker.Remove("a")
+	is.NoErr(tracker.Remove(start, Life{ID: "a"}))
 	is.True(tracker.CheckDue(start))
 	is.True(!tracker.Checked(start, Check{Well: true, ID: "a"}))
-	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 3}))
+	is.True(!news(tracker, start, Report{ID: "a", Sequence: 3}))
 	is.Equal(tracker.State(), Absent)
 }
 
@@ -72,7 +72,7 @@
 	is.True(tracker.Checked(start.Add(CheckInterval), Check{Well: true, ID: "a"}))
 	is.Equal(tracker.State(), Ready)
 	is.Equal(tracker.Latest().Service, tracker.service)
-	is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 1, Slots: 7}))
+	is.True(news(tracker, start, Report{ID: "a", Service: "lessons", Sequence: 1, Slots: 7}))
 	is.Equal(tracker.Latest().Slots, uint32(7))
 }
 
@@ -122,37 +122,42 @@
 	is.True(!tracker.SawBegin())
 }
 
-// TestLeavingIsForGood: whatever comes in whatever order, an instance that has
-// said that it leaves, or has left, is never ready again.
+// TestLeavingIsForGood: whatever comes in whatever order, and whatever health checks answer, a life that has
+// told its birth and said that it leaves, or has left, is never ready again. (Where births are not told the id may
+// come again: TestLivesOfABackEnd.)
 func TestLeavingIsForGood(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker := NewTracker("lessons", time.Second)
 		now := start
-		left := map[ID]bool{}
+		left := map[Life]bool{}
+		lives := []Life{{"a", born(1)}, {"a", born(2)}, {"b", born(1)}, {"c", born(3)}}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
-			id := rapid.SampledFrom([]ID{"a", "b", "c"}).Draw(t, "id")
+			life := rapid.SampledFrom(lives).Draw(t, "life")
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
-				report := Report{ID: id, Service: "lessons", Sequence: rapid.Uint64Range(1, 20).Draw(t, "sequence"), Leaving: rapid.Bool().Draw(t, "leaving")}
-				if tracker.Report(now, report) && report.Leaving {
-					left[id] = true
+				report := Report{ID: life.ID, Born: life.Born, Service: "lessons", Sequence: rapid.Uint64Range(1, 20).Draw(t, "sequence"), Leaving: rapid.Bool().Draw(t, "leaving")}
+				if _, err := tracker.Report(now, report); err == nil && report.Leaving {
+					left[life] = true
 				}
 			case 1:
-				tracker.Remove(id)
-				left[id] = true
+				_ = tracker.Remove(now, life)
+				left[life] = true
 			case 2:
 				if tracker.CheckDue(now) {
-					tracker.Checked(now, Check{Well: rapid.Bool().Draw(t, "well"), ID: id})
+					tracker.Checked(now, Check{Well: rapid.Bool().Draw(t, "well"), ID: life.ID})
 				}
 			}
-			if tracker.State() == Ready && left[tracker.Latest().ID] {
-				t.Fatalf("instance %s is ready although it has left", tracker.Latest().ID)
+			if tracker.State() == Ready && left[tracker.Life()] {
+				t.Fatalf("life %v is ready although it has left", tracker.Life())
 			}
 		}
 	})
 }
 
+// born returns the birth of a test's n-th life.
+func born(n int) time.Time { return canonical(start.Add(time.Duration(n) * time.Second)) }
+
 // TestLateReportOfAnEarlierInstance: the agent has restarted, has found instance b at
 // work, and then gets a report that an earlier instance sent long ago.
 func TestLateReportOfAnEarlierInstance(t *testing.T) {
@@ -161,15 +166,15 @@
 		tracker := NewTracker("lessons", time.Second)
 		is.True(tracker.CheckDue(start))
 		is.True(tracker.Checked(start, Check{Well: true, ID: "b"}))
-		is.True(tracker.Report(start, Report{ID: "b", Service: "lessons", Sequence: 4, Slots: 7}))
-		is.True(tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 9, Slots: 3, Leaving: leaving}))
+		is.True(news(tracker, start, Report{ID: "b", Service: "lessons", Sequence: 4, Slots: 7}))
+		is.True(news(tracker, start, Report{ID: "a", Service: "lessons", Sequence: 9, Slots: 3, Leaving: leaving}))
 		is.True(tracker.State() != Ready) // until it is known who is there
 		is.True(tracker.CheckDue(start))
 		is.True(tracker.Checked(start, Check{Well: true, ID: "b"}))
 		is.Equal(tracker.State(), Ready)
 		is.Equal(tracker.Latest().Slots, uint32(7))
-		is.True(tracker.Report(start, Report{ID: "b", Service: "lessons", Sequence: 5, Slots: 7}))
-		is.True(!tracker.Report(start, Report{ID: "a", Service: "lessons", Sequence: 10}))
+		is.True(news(tracker, start, Report{ID: "b", Service: "lessons", Sequence: 5, Slots: 7}))
+		is.True(!news(tracker, start, Report{ID: "a", Service: "lessons", Sequence: 10}))
 		is.Equal(tracker.State(), Ready)
 		is.True(!tracker.Outcomes().Suspect(start)) // nothing has crashed
 	}
@@ -179,7 +184,7 @@
 func TestReplacedInstanceIsNotAskedForLong(t *testing.T) {
 	is := is.New(t)
 	tracker := ready(t)
-	is.True(tracker.Report(start, Report{ID: "b", Sequence: 2, Leaving: true}))
+	is.True(news(tracker, start, Report{ID: "b", Sequence: 2, Leaving: true}))
 	checks := 0
 	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(CheckInterval) {
 		if tracker.CheckDue(now) {
@@ -196,9 +201,9 @@
 func TestDisplacedInstanceThatLeavesIsNotRecalled(t *testing.T) {
 	is := is.New(t)
 	tracker := ready(t)
-	is.True(tracker.Report(start, Report{ID: "old", Sequence: 9}))
+	is.True(news(tracker, start, Report{ID: "old", Sequence: 9}))
 	is.True(tracker.CheckDue(start))
-	is.True(!tracker.Report(start, Report{ID: "a", Sequence: 3, Leaving: true}))
+	is.True(!news(tracker, start, Report{ID: "a", Sequence: 3, Leaving: true}))
 	is.True(!tracker.Checked(start, Check{Well: true, ID: "a"}))
 	is.True(tracker.State() != Ready)
 }
@@ -238,3 +243,9 @@
 		})
 	}
 }
+
+// news gives the tracker a report and says whether it was news.
+func news(tracker *Tracker, now time.Time, report Report) bool {
+	taken, _ := tracker.Report(now, report)
+	return taken
+}
--- a/instance/outcomes.go
+++ b/instance/outcomes.go
@@ -59,9 +59,10 @@
 	return true
 }
 
-// Crashed notes that an instance has ended without a word. It says whether that makes
-// the back end suspected.
+// Crashed notes that a life has ended without a word. It says whether that makes
+// the back end suspected. What became of its flows says nothing of the next life.
 func (o *Outcomes) Crashed(now time.Time) bool {
+	o.recent = 0
 	again := !o.crashed.IsZero() && now.Sub(o.crashed) < crashWindow
 	o.crashed = now
 	if again {
--- a/instance/outcomes_test.go
+++ b/instance/outcomes_test.go
@@ -88,7 +88,7 @@
 	tracker.Report(now, Report{ID: "i-3", Service: "lessons", Leaving: true, Sequence: 2})
 	start("i-4")
 	is.True(!tracker.Outcomes().Suspect(now))
-	tracker.Remove("i-4")
+	is.NoErr(tracker.Remove(now, Life{ID: "i-4"}))
 	start("i-5")
 	start("i-6")
 	is.True(!tracker.Outcomes().Suspect(now)) // the first crash of the new ones
--- a/internal/operator/fanout/fanout_test.go
+++ b/internal/operator/fanout/fanout_test.go
@@ -149,7 +149,7 @@
 		client := newClient(t, 2*time.Second, 0, netip.MustParseAddrPort("127.0.0.1:1"), balancer.ControlAddress())
 		missing := fmt.Sprintf("no answer: node agent-2 at %s: ", second.ControlAddress())
 		rows, problems := ask(t, client, "backends where reachable = yes or backend = c")
-		is.Equal(rows, "lessons,a,old,a,active,agent-1,yes,127.0.0.1:20101,30,2,7,3\nlessons,c,old,a,active,,no,127.0.0.1:20103,0,0,7,0\n")
+		is.Equal(rows, "lessons,a,old,a,active,agent-1,yes,127.0.0.1:20101,30,2,7,3,,0\nlessons,c,old,a,active,,no,127.0.0.1:20103,0,0,7,0,,0\n")
 		is.True(strings.HasPrefix(problems, missing))
 		is.True(strings.HasSuffix(problems, "partial result: 1 of 3 answers are missing\n"))
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -32,6 +32,8 @@
 	data     atomic.Pointer[wire.Socket] // towards the back end and callers
 	outbound atomic.Pointer[wire.Socket] // from the back end
 	last     handshake.Load              // as last told
+	lives    uint64                      // changes of the back end's life that were logged
+	life     instance.Life               // as last logged
 	backend  sighting                    // of any sign of the back end
 }
 
@@ -234,6 +236,7 @@
 // noteChange tells balancers at once when the back end begins or ceases to take
 // new flows.
 func (a *agent) noteChange(now time.Time) {
+	a.noteLife(now)
 	load := a.flows.Load(now)
 	if load.Accepts == a.last.Accepts && load.Suspect == a.last.Suspect {
 		return
@@ -243,7 +246,7 @@
 	tracker := a.flows.Tracker()
 	a.log.WithFields(log.Fields{"backend": tracker.Latest().ID, "state": tracker.State(), "accepts": load.Accepts,
 		"suspect": load.Suspect, "evacuated": a.evacuations.Set().Has(a.settings.Node.Zone),
-		"slots": load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
+		"born": tracker.Life().BornText(), "slots": load.Slots, "age": now.Sub(tracker.Heard())}).Info("backend-state")
 }
 
 // tellChange notes a change of the back end and tells at once those who need it. The
@@ -270,6 +273,7 @@
 	defer cancel()
 	begun := time.Now()
 	result := a.adapter.CheckHealth(ctx, a.settings.Backend.Address, path)
+	result.Began = begun
 	now := time.Now()
 	if result.Well || result.ID != "" {
 		a.backend.note()
@@ -288,10 +292,15 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	tracker := a.flows.Tracker()
-	if heard := tracker.Heard(); !heard.IsZero() {
+	heard := tracker.Heard()
+	_, err := tracker.Report(now, report)
+	if err != nil {
+		a.noteStale(saidReport, report.Life(), err)
+		return err
+	}
+	if !heard.IsZero() {
 		a.metrics.reports.Observe(now.Sub(heard).Seconds())
 	}
-	tracker.Report(now, report)
 	a.tellChange(now)
 	return nil
 }
@@ -301,7 +310,10 @@
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.flows.Tracker().Remove(life.ID)
+	if err := a.flows.Tracker().Remove(now, life); err != nil {
+		a.noteStale(saidRemoval, life, err)
+		return err
+	}
 	a.tellChange(now)
 	return nil
 }
--- /dev/null
+++ b/internal/relay/lives.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/burlmill/burlmill/instance"
+)
+
+// What an agent tells operators of its back end's lives.
+
+// said is what a back end has said of itself, as the value of a label.
+type said string
+
+// What back ends say.
+const (
+	saidReport  said = "report"
+	saidRemoval said = "removal"
+)
+
+// noteLife counts and logs that another life of the back end has become the present one. The lock is held.
+func (a *agent) noteLife(now time.Time) {
+	tracker := a.flows.Tracker()
+	changes, cause := tracker.Changes()
+	if changes == a.lives {
+		return
+	}
+	before := a.life
+	a.lives, a.life = changes, tracker.Life()
+	a.metrics.lives.WithLabelValues(string(cause)).Inc()
+	a.limited.Log(log.InfoLevel, "backend-life", log.Fields{"backend": a.life.ID, "born": a.life.BornText(), "sequence": tracker.Latest().Sequence,
+		"reason": cause, "before": before.ID, "before_born": before.BornText(), "state": tracker.State(), "age": now.Sub(tracker.Since())})
+}
+
+// noteStale counts and logs what a back end said that is not of its present life. The lock is held.
+func (a *agent) noteStale(what said, life instance.Life, err error) {
+	a.metrics.stale.WithLabelValues(string(what)).Inc()
+	a.limited.Log(log.WarnLevel, "backend-stale", log.Fields{"said": what, "backend": life.ID, "born": life.BornText(), "error": err})
+}
+
+// lifeAge returns for how long the present life is known, 0 if there is none.
+func lifeAge(now time.Time, tracker *instance.Tracker) time.Duration {
+	if tracker.Since().IsZero() {
+		return 0
+	}
+	return now.Sub(tracker.Since())
+}
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -148,6 +148,8 @@
 		query.NumberValue(int64(load.Busy)),
 		query.NumberValue(int64(load.Slots)),
 		query.NumberValue(int64(a.flows.Refusals())),
+		query.TextValue(tracker.Life().BornText()),
+		query.DurationValue(lifeAge(now, tracker)),
 	})
 }
 
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -170,6 +170,8 @@
 		query.NumberValue(int64(load.Busy)),
 		query.NumberValue(int64(backend.Slots)),
 		query.NumberValue(int64(load.Refusals)),
+		query.TextValue(""), // configured back ends have one life
+		query.DurationValue(0),
 	}
 }
 
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -87,6 +87,8 @@
 		{Name: ColumnBusy, Type: query.Number, Help: "slots in use; 0 unless the service is http"},
 		{Name: ColumnSlots, Type: query.Number, Help: "slots as configured"},
 		{Name: ColumnRefusals, Type: query.Number, Help: "requests answered not-run since its agent started"},
+		{Name: "born", Type: query.Text, Help: "when its present life began by its own clock, where it tells that"},
+		{Name: "age", Type: query.Duration, Help: "since its agent first heard of its present life; 0: not known"},
 	}}, Agents},
 	{query.Table{Name: TableFlows, Help: "open flows", Columns: []query.Column{
 		{Name: ColumnNode, Type: query.Text, Help: "id of the agent"},
