Flows of an earlier life: one that the back end gives back proves the others over

Cause: after a restart under the same id each caller learnt with its own next datagram, and what the earlier life owed counted as work of the new one for up to 5 s. News of a life alone does not prove which flows are over, as the new life may have taken flows before its first report was heard, and the news may be a late report.

Flows of the new life opened before its first report stay; a late report of a life "born later" ends no flow.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -55,6 +55,8 @@
 	tried        map[flow.Key]*tried // flows whose trier this agent is
 	triesFrom    time.Time           // before it, datagrams are tried for no balancer
 	lastTick     time.Time           // zero: none yet
+	over         []*heldFlow         // of an earlier life of the back end; their balancers are yet to be told
+	lives        uint64              // changes of the back end's life whose work was forgotten
 	refusals     uint64
 	started      time.Time
 	nextSweep    time.Time
@@ -81,6 +83,8 @@
 	number     uint32         // of the back end
 	begun      time.Time      // when it became known here
 	seen       time.Time
+	spokeFirst time.Time // when the back end took it, or first spoke on it here; zero: it has not
+	spokeLast  time.Time // and last
 	owedAt     time.Time // since when the back end owes an answer, if it does
 	acceptedAt time.Time // when the back end's number came; zero: unknown
 	finished   uint8     // ends that have finished, as bits
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -151,6 +151,7 @@
 		held = a.hold(now, datagram.Key, stateSpokenOn(datagram.Kind))
 	}
 	held.seen = now
+	held.noteSpoken(now)
 	a.fromHolder(now, held, datagram)
 	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
 	a.reserve(now)
@@ -207,6 +208,9 @@
 
 // acceptedBy notes that the back end has taken a flow.
 func (a *Agent) acceptedBy(now time.Time, held *heldFlow, number uint32) {
+	if held.number != number {
+		held.spokeFirst = now // a later life may have taken it
+	}
 	held.number = number
 	if held.state == stateOffered {
 		held.state = stateHalfOpen
@@ -235,6 +239,7 @@
 	}
 	a.drop(held)
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: !tentative, Bytes: datagram.Bytes}, datagram.Key)
+	a.endEarlier(now, held)
 }
 
 // Tick forgets work that is not answered, reservations that are not used, and flows that are over.
@@ -242,6 +247,8 @@
 	a.notePause(now)
 	a.reservations.expire(now)
 	a.expireSearches(now)
+	a.tellOver()
+	a.forgetWork()
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held) {
 			a.settle(held)
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -93,6 +93,7 @@
 
 	// Of an open flow.
 	agent     netip.AddrPort // zero: not known
+	agentAt   time.Time      // since when
 	buffered  [][]byte
 	confirms  uint32        // of the first buffered datagram
 	latest    uint32        // what the caller's latest datagram confirmed
@@ -218,6 +219,10 @@
 	case Refused:
 		b.refused(now, from, message)
 	case Located:
+		if message.Holding == HoldsNoMore {
+			b.ended(now, from, message.Key)
+			break
+		}
 		b.located(now, from, message)
 	case Reserved:
 		b.reserved(now, from, message)
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -42,6 +42,7 @@
 	waited := known.buffered
 	b.endFinding(known)
 	known.agent = agent
+	known.agentAt = now
 	known.findPause = 0
 	known.accepts = nil
 	known.tried = nil
@@ -89,6 +90,7 @@
 	reasonGone    = "back-end-gone"
 	reasonUnheard = "holder-not-found" // it may be out of reach
 	reasonNobody  = "nobody-holds-it"  // all agents have said so
+	reasonEarlier = "earlier-life"     // the back end has started anew since, by another flow's proof
 	reasonBackend = "back-end"
 	reasonAgent   = "agent"
 	reasonLate    = "late" // the agent has stood still, and the caller sends again
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -192,6 +192,7 @@
 	HoldsNot Holding = iota + 1
 	HoldsPerhaps
 	Holds
+	HoldsNoMore // not asked for: the flow was open here, and the back end has started anew since
 )
 
 // String returns the answer's name in logs.
@@ -203,12 +204,14 @@
 		return "perhaps"
 	case Holds:
 		return "yes"
+	case HoldsNoMore:
+		return "no-more"
 	default:
 		return "unknown"
 	}
 }
 
-// Located is an agent's answer to Locate.
+// Located is an agent's answer to Locate, or tells the balancer that sent a flow's latest datagram that the flow is over.
 type Located struct {
 	Key     flow.Key
 	Holding Holding
