--- a/handshake/lives_test.go
+++ b/handshake/lives_test.go
@@ -69,7 +69,7 @@
 	speak(t, w, callers)
 	w.pass(overtaken)
 	w.restart(agent, w.now)
-	is.Equal(resetOf(callers), 0) // the news alone proves nothing
+	is.Equal(resetOf(callers), 0)     // the news alone proves nothing
 	sender := callers[len(callers)-1] // the back end spoke on its flow a short time ago
 	w.fromCaller(Datagram{Key: sender.key, Kind: Data, Confirms: sender.number, Payload: 1})
 	w.pass(resendPause)
