--- a/instance/claims.go
+++ b/instance/claims.go
@@ -78,7 +78,9 @@
 
 // noteLeft notes that the life, which is not the present one, says that it leaves, or is said to be gone.
 func (t *Tracker) noteLeft(life Life) {
-	t.past.add(life, true)
+	if life.ID != t.latest.ID || !life.Born.IsZero() { // else births order the lives of the id
+		t.past.add(life, true)
+	}
 	t.forgetDisplaced(life)
 	t.dropClaim(life)
 }
@@ -102,7 +104,7 @@
 		t.succeed(now)
 	}
 	t.retire()
-	t.present = present{latest: c.latest, cause: CauseClaim, state: Ready, verified: true, twice: true,
+	t.present = present{latest: c.latest, cause: CauseClaim, state: Ready, reported: true, verified: true, twice: true,
 		heard: now, since: c.since, coldUntil: c.heard.Add(c.latest.Cold), outcomes: t.outcomes}
 	t.displaced = nil
 	t.noteChange(now)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -107,6 +107,7 @@
 	latest    Report
 	cause     Cause // of its being taken for the present one
 	began     bool  // it has started since the tracker knows the back end
+	reported  bool  // it has reported at all
 	twice     bool  // it has reported at least twice, with time in between
 	verified  bool  // it has answered a health check by its id
 	removed   bool  // somebody has said that it is gone
@@ -189,7 +190,11 @@
 // changed what is believed; then it must not be acknowledged.
 func (t *Tracker) Report(now time.Time, report Report) (bool, error) {
 	report.Born = canonical(report.Born)
-	switch t.order(report.Life()) {
+	order := t.order(report.Life())
+	if order == lifeSame && report.Born.IsZero() && !t.latest.Born.IsZero() {
+		order = lifeEarlier // the present life tells its birth
+	}
+	switch order {
 	case lifeSame:
 		return t.update(now, report)
 	case lifeLater:
@@ -248,7 +253,7 @@
 func (t *Tracker) begin(now time.Time, report Report, cause Cause) {
 	t.succeed(now)
 	t.retire()
-	t.present = present{latest: report, cause: cause, state: Unverified, heard: now, since: now,
+	t.present = present{latest: report, cause: cause, reported: true, state: Unverified, heard: now, since: now,
 		coldUntil: now.Add(report.Cold), outcomes: t.outcomes}
 	if report.Leaving {
 		t.state = Leaving
@@ -264,6 +269,9 @@
 	t.checking = false
 	t.claim = claim{}
 	t.past.forget(t.Life())
+	if !t.latest.Born.IsZero() {
+		t.past.forget(Life{ID: t.latest.ID}) // births order its lives from now on
+	}
 }
 
 // retire remembers that reports of the present life no longer count.
@@ -296,6 +304,7 @@
 	} else {
 		t.claim = claim{} // the present life is there
 	}
+	t.reported = true
 	t.twice = t.twice || now.Sub(t.since) >= t.claimPace()
 	t.coldDoubt = max(0, t.coldDoubt-1)
 	leaving := t.latest.Leaving || report.Leaving
--- a/instance/lives.go
+++ b/instance/lives.go
@@ -35,12 +35,13 @@
 
 func (t *Tracker) order(life Life) lifeOrder {
 	ofID := life.ID == t.latest.ID
+	silent := t.latest.Born.IsZero() && !t.reported // whether it tells its birth is not known
 	switch {
-	case ofID && mayBeSame(life, t.Life()):
+	case ofID && (life.Born.IsZero() || silent || life == t.Life()):
 		return lifeSame
 	case t.past.covers(life):
 		return lifeEarlier
-	case ofID && life.Born.After(t.latest.Born):
+	case ofID && life.Born.After(t.latest.Born): // or the present one does not tell its own
 		return lifeLater
 	case ofID:
 		return lifeEarlier
--- a/instance/lives_model_test.go
+++ b/instance/lives_model_test.go
@@ -36,7 +36,7 @@
 	t       *rapid.T
 	now     time.Time
 	clock   time.Duration // of the back end's clock before the agent's
-	tells   bool          // births
+	births  string        // told, untold or mixed: some lives tell theirs
 	tracker *Tracker
 	running *modelLife    // nil: none
 	left    map[Life]bool // lives that have told their birth and said that they leave
@@ -49,7 +49,7 @@
 		return
 	}
 	life := Life{ID: rapid.SampledFrom([]ID{"a", "a", "a", "b"}).Draw(m.t, "id")}
-	if m.tells {
+	if m.births == "told" || m.births == "mixed" && rapid.Bool().Draw(m.t, "tells") {
 		life.Born = canonical(m.now.Add(m.clock))
 	}
 	for m.left[life] { // equal births after a life has left by its word cannot be told apart
@@ -177,7 +177,7 @@
 // whose leaving was acknowledged, what is stale changes nothing, and a life that goes on reporting is served in the end.
 func TestLivesOfABackEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, now: start, tells: rapid.Bool().Draw(t, "births"), left: map[Life]bool{}}
+		m := &model{t: t, now: start, births: rapid.SampledFrom([]string{"told", "untold", "mixed"}).Draw(t, "births"), left: map[Life]bool{}}
 		m.restart()
 		steps := map[string]func(){
 			"begin": m.begin, "say": m.say, "end": m.end, "deliver": m.deliver, "ask": m.ask, "answer": m.answer, "restart": m.restart,
@@ -185,7 +185,7 @@
 			"leave": func() {
 				if m.running != nil {
 					m.running.leaving = true
-					m.left[m.running.life] = m.tells
+					m.left[m.running.life] = !m.running.life.Born.IsZero()
 				}
 			},
 			"clock": func() { m.clock = time.Duration(rapid.IntRange(-3, 3).Draw(t, "clock")) * time.Second },
--- a/instance/lives_test.go
+++ b/instance/lives_test.go
@@ -282,3 +282,21 @@
 	}
 	is.Equal(len(tracker.past.lives), rememberLimit)
 }
+
+// TestWriterThatBeginsToTellBirths, or ceases to: a life does either always. What a life that tells none says late does not
+// touch one that tells its own.
+func TestWriterThatBeginsToTellBirths(t *testing.T) {
+	is := is.New(t)
+	untold := Life{ID: "a"}
+	tracker := serving(t, untold)
+	now := start.Add(2 * pace)
+	is.True(news(tracker, now, of(bornAt(0), 1)))
+	is.True(answers(tracker, now, "a"))
+	leaving := of(untold, 40)
+	leaving.Leaving = true
+	isStale(t, tracker, now, leaving)
+	is.True(news(tracker, now, of(bornAt(time.Millisecond), 50))) // no claim is wanted of the next one
+	is.Equal(tracker.Life(), bornAt(time.Millisecond))
+	is.Equal(goesOn(tracker, now, untold, 10), claimReports) // an earlier release of its software runs again
+	is.Equal(tracker.Life(), untold)
+}
