--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -288,7 +288,6 @@
 // Report takes in a report of the back end.
 func (a *agent) Report(report instance.Report) error {
 	now := time.Now()
-	a.backend.note()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	tracker := a.flows.Tracker()
@@ -298,6 +297,7 @@
 		a.noteStale(saidReport, report.Life(), err)
 		return err
 	}
+	a.backend.note()
 	if !heard.IsZero() {
 		a.metrics.reports.Observe(now.Sub(heard).Seconds())
 	}
--- /dev/null
+++ b/internal/relay/lives_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/internal/wire"
+)
+
+// newLivesAgent returns an agent that no process runs.
+func newLivesAgent(t *testing.T) *agent {
+	t.Helper()
+	a := &agent{node: newReadingNode(t, &silentAdapter{}), backend: newSighting()}
+	a.settings.Backend.Service = "lessons"
+	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{Service: "lessons", FlowLifetime: time.Minute, ReportInterval: time.Second})
+	a.decider = a
+	peers, err := wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, time.Time) {})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = peers.Close() })
+	a.peers = peers
+	return a
+}
+
+// TestWordsOfAnEarlierLifeAreNotAcknowledged: they are refused as stale and counted; changes of life are counted by
+// their reason.
+func TestWordsOfAnEarlierLifeAreNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	a := newLivesAgent(t)
+	report := func(millisecond int64, leaving bool) instance.Report {
+		return instance.Report{ID: "i-1", Born: time.UnixMilli(millisecond), Service: "lessons", Slots: 3, Sequence: 1, Leaving: leaving}
+	}
+	is.NoErr(a.Report(report(1000, false)))
+	is.NoErr(a.Report(report(1001, false)))
+	heard := a.flows.Tracker().Heard()
+	is.Equal(fault.Of(a.Report(report(1000, true))), fault.Stale)
+	is.Equal(fault.Of(a.Remove(instance.Life{ID: "i-1", Born: time.UnixMilli(1000)})), fault.Stale)
+	is.Equal(a.flows.Tracker().Heard(), heard)
+	is.Equal(a.flows.Tracker().State(), instance.Unverified)
+	is.Equal(testutil.ToFloat64(a.metrics.stale.WithLabelValues(string(saidReport))), 1.0)
+	is.Equal(testutil.ToFloat64(a.metrics.stale.WithLabelValues(string(saidRemoval))), 1.0)
+	is.Equal(testutil.ToFloat64(a.metrics.lives.WithLabelValues(string(instance.CauseID))), 1.0)
+	is.Equal(testutil.ToFloat64(a.metrics.lives.WithLabelValues(string(instance.CauseBirth))), 1.0)
+	is.NoErr(a.Remove(instance.Life{ID: "i-1", Born: time.UnixMilli(1001)}))
+	is.Equal(a.flows.Tracker().State(), instance.Leaving)
+}
