--- a/handshake/lives.go
+++ b/handshake/lives.go
@@ -13,9 +13,9 @@
 
 // Bounds of what is concluded from a new life.
 const (
-	// surelyHeld is for how long after its latest word on a flow a back end that lives on surely holds it. (A guess: less than
+	// surelyHeldTime is for how long after its latest word on a flow a back end that lives on surely holds it. (A guess: less than
 	// the 15 s after which idle flows are forgotten.)
-	surelyHeld = 10 * time.Second
+	surelyHeldTime = 10 * time.Second
 	// mostTold is how many flows' balancers an agent tells in one tick that they are over. (A guess: a burst of 2 KB.)
 	mostTold = 64
 	// overtaken is for how long after a flow was found at an agent a message that it is over may be of an earlier flow of the
@@ -35,7 +35,7 @@
 // end spoke on it a short time ago, so it has started anew since; what it had spoken on by then went with that life. The
 // news of a life alone does not say so much: the new life may have taken flows before it was heard of.
 func (a *Agent) endEarlier(now time.Time, proof *heldFlow) {
-	if !a.tracker.Superseded() || !proof.spokeLast.Before(a.tracker.Since()) || now.Sub(proof.spokeLast) > surelyHeld {
+	if !a.tracker.Superseded() || !proof.spokeLast.Before(a.tracker.Since()) || !a.surelyHeld(now, proof) {
 		return
 	}
 	var over []*heldFlow
@@ -53,6 +53,13 @@
 	a.over = append(a.over, over...)
 }
 
+// surelyHeld says whether a back end that has lived on holds the flow: it spoke on it a short time ago, and the
+// flow is younger than flows may become.
+func (a *Agent) surelyHeld(now time.Time, held *heldFlow) bool {
+	young := !held.acceptedAt.IsZero() && now.Sub(held.acceptedAt) < a.options.FlowLifetime
+	return young && now.Sub(held.spokeLast) < surelyHeldTime
+}
+
 // endedWith says whether the back end took the flow in the life in which it last spoke on the other one, or in an
 // earlier life. Back ends speak on no flow that they have not taken themselves.
 func (f *heldFlow) endedWith(proof *heldFlow) bool {
--- a/handshake/lives_test.go
+++ b/handshake/lives_test.go
@@ -13,7 +13,7 @@
 func openAt(t *testing.T, w *world, agent *worldAgent, count int) []*worldCaller {
 	t.Helper()
 	is := is.New(t)
-	for port := uint16(1000); len(w.callersOf(agent.backend)) < count; port++ {
+	for port := uint16(1000 + len(w.callers)); len(w.callersOf(agent.backend)) < count; port++ {
 		is.True(w.call(port))
 	}
 	return w.callersOf(agent.backend)
@@ -114,7 +114,7 @@
 	callers := openAt(t, w, agent, 5)
 	speak(t, w, callers)
 	idle := callers[0]
-	w.pass(surelyHeld - time.Second)
+	w.pass(surelyHeldTime - time.Second)
 	speak(t, w, callers[1:])
 	w.pass(2 * time.Second)
 	w.reportEarlier(agent)
@@ -162,3 +162,24 @@
 	is.Equal(len(balancer.decider.FromPeer(w.now, balancer.address, over)), 0) // another agent's word
 	is.True(len(balancer.decider.FromPeer(w.now, agent.address, over)) > 0)
 }
+
+// TestOldFlowProvesNothing: a back end may forget a flow that has become older than flows may, however lately it spoke on it.
+func TestOldFlowProvesNothing(t *testing.T) {
+	is := is.New(t)
+	w := bornWorld(t, 36)
+	agent := w.agents[0]
+	old := openAt(t, w, agent, 1)[0]
+	for range 7 {
+		w.pass(9 * time.Second)
+		is.True(w.exchange(old))
+	}
+	callers := openAt(t, w, agent, 6) // the old one among them
+	speak(t, w, callers)
+	is.True(w.exchange(old))
+	w.pass(overtaken)
+	w.restart(agent, w.now)
+	w.fromCaller(Datagram{Key: old.key, Kind: Data, Confirms: old.number, Payload: 1})
+	w.pass(resendPause)
+	is.True(old.reset)
+	is.Equal(resetOf(callers), 1)
+}
