--- a/internal/relay/lives_test.go
+++ b/internal/relay/lives_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/wire"
@@ -50,3 +51,16 @@
 	is.NoErr(a.Remove(instance.Life{ID: "i-1", Born: time.UnixMilli(1001)}))
 	is.Equal(a.flows.Tracker().State(), instance.Leaving)
 }
+
+// TestEveryAnswerOfAnAgentIsRead: balancers are told of flows that are over by an answer that nobody asked for.
+func TestEveryAnswerOfAnAgentIsRead(t *testing.T) {
+	is := is.New(t)
+	key := flow.Key{Caller: netip.MustParseAddrPort("10.0.0.1:1"), Service: netip.MustParseAddrPort("10.0.0.2:2")}
+	for _, holding := range []handshake.Holding{handshake.HoldsNot, handshake.HoldsPerhaps, handshake.Holds, handshake.HoldsNoMore} {
+		encoded, err := Encode(handshake.Located{Key: key, Holding: holding})
+		is.NoErr(err)
+		decoded, err := Decode(encoded)
+		is.NoErr(err)
+		is.Equal(decoded, handshake.Located{Key: key, Holding: holding})
+	}
+}
