One strict reader for reports, objects of the store and configurations

Fields that were missing, of another type or out of range were taken for zero (slots 0, any state but draining was ready), the address and zone of a report were not read, and one spoiled object failed a whole list or watch. package internal/entry reads a document strictly, once; platform says which fields it has; the agent checks address and service against what it knows. What is refused changes nothing, is counted by reason and logged; a spoiled configuration leaves the one before it in force, which the table versions, status and a gauge say.

--- a/internal/operator/overview/overview.go
+++ b/internal/operator/overview/overview.go
@@ -90,6 +90,11 @@
 			cell(&o.Versions, row, status.ColumnRevision), cell(&o.Versions, row, status.ColumnDigest)))
 	}
 	fmt.Fprintf(writer, "configuration: %s\n", strings.Join(counts(inForce), ", "))
+	for _, row := range o.Versions.Rows {
+		if refused := cell(&o.Versions, row, status.ColumnRefused); refused != "" {
+			fmt.Fprintf(writer, "refused by %s: %s\n", cell(&o.Versions, row, status.ColumnNode), refused)
+		}
+	}
 }
 
 func (o *Overview) writeNodes(writer io.Writer) {
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -53,7 +53,8 @@
 }
 
 // Store is where the configuration, the evacuations and the addresses of processes last. Errors
-// carry a kind of package fault.
+// carry a kind of package fault. An answer in which single objects could not be used comes with an error
+// of type *Skipped, and holds all others.
 type Store interface {
 	// Read returns the configuration; fault.NotFound if there is none. It costs less where
 	// the answer may be seconds old.
@@ -80,8 +81,7 @@
 	// Withdraw removes the record with the revision; fault.Conflict if it has been replaced.
 	Withdraw(ctx context.Context, record Record, revision uint64) error
 	// Recorded returns the addresses of all records of the role, also of processes that have
-	// ended without withdrawing theirs. It costs less where they may be seconds old. With an error of kind
-	// fault.Invalid they are those of the records that could be read.
+	// ended without withdrawing theirs. It costs less where they may be seconds old.
 	Recorded(ctx context.Context, role handshake.Role, mayBeOld bool) ([]netip.AddrPort, error)
 }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -284,9 +284,13 @@
 // Report takes in a report of the back end.
 func (a *agent) Report(report instance.Report) error {
 	now := time.Now()
-	a.backend.note()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if err := a.checkReport(now, report); err != nil {
+		a.Refused(err)
+		return err
+	}
+	a.backend.note()
 	tracker := a.flows.Tracker()
 	if heard := tracker.Heard(); !heard.IsZero() {
 		a.metrics.reports.Observe(now.Sub(heard).Seconds())
@@ -306,11 +310,6 @@
 	return nil
 }
 
-// Refused notes a report that could not be read.
-func (a *agent) Refused(err error) {
-	a.limited.Log(log.WarnLevel, "report-refused", log.Fields{"error": err})
-}
-
 // received handles a message of another process. The lock is held.
 func (a *agent) received(now time.Time, from netip.AddrPort, message handshake.Message) {
 	switch message := message.(type) {
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -109,7 +109,7 @@
 		return
 	}
 	if len(document) > 0 {
-		_ = n.configure(document, "peer") // logged there
+		_ = n.configure(document, sourcePeer) // logged there
 	}
 }
 
@@ -183,7 +183,7 @@
 		return false
 	}
 	before := n.heldVersion()
-	_ = n.configure(document.Bytes, "store") // logged there
+	_ = n.configure(document.Bytes, sourceStore) // logged there
 	return n.heldVersion() > before
 }
 
@@ -264,7 +264,7 @@
 		begun := time.Now()
 		document, err := n.adapter.Watch(n.context, revision, mayBeOld)
 		n.metrics.called(callName("watch", mayBeOld), begun, err)
-		return document, err
+		return document, n.passOver(entryConfiguration, err)
 	}
 }
 
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -25,6 +25,9 @@
 	publishRetry        = 2 * time.Second        // the same for the own record, which nobody needs at once
 	configurationLook   = 50 * time.Millisecond  // between two looks whether a configuration is held
 	withdrawTimeout     = 500 * time.Millisecond // of a process that stops
+	// skippedPatience is how long after its start a balancer waits for records of agents that can be used, before
+	// it goes without those that cannot: by then it hears all agents that live.
+	skippedPatience = handshake.DiscoveryTime
 )
 
 // record returns the record of this process.
@@ -113,7 +116,7 @@
 			continue
 		}
 		addresses, err := n.readRecords(handshake.RoleBalancer, true)
-		if err != nil {
+		if err != nil && !wasSkipped(err) {
 			n.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"role": handshake.RoleBalancer, "error": err})
 			continue
 		}
@@ -158,7 +161,8 @@
 func (b *balancer) readAgents() bool {
 	begun := time.Now() // what the answer holds may have changed since
 	agents, err := b.readRecords(handshake.RoleAgent, false)
-	if err != nil {
+	young := begun.Sub(b.begun) < skippedPatience
+	if err != nil && (young || !wasSkipped(err)) {
 		b.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"role": handshake.RoleAgent, "error": err})
 		return false
 	}
@@ -177,13 +181,19 @@
 	}
 }
 
-// readRecords reads the records of a role and adds the processes to the contacts.
+// readRecords reads the records of a role and adds the processes to the contacts. With an error of
+// type *Skipped, which has been logged, they are those of the records that could be used, and those heard
+// whose record could not.
 func (n *node) readRecords(role handshake.Role, mayBeOld bool) ([]netip.AddrPort, error) {
 	begun := time.Now()
 	addresses, err := n.adapter.Recorded(n.context, role, mayBeOld)
 	n.metrics.called(callName("list", mayBeOld), begun, err)
+	if n.passOver(entryRecord, err) != nil {
+		return nil, err
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	addresses = append(addresses, n.heardOf(err)...)
 	for _, address := range addresses {
 		n.contacts.Add(time.Now(), address, false)
 	}
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -89,7 +89,7 @@
 	begun := time.Now()
 	changes, err := r.node.adapter.WatchEvacuations(ctx, r.latest.Revision(), mayBeOld)
 	r.node.metrics.called(callName("watch-evacuations", mayBeOld), begun, err)
-	if err != nil {
+	if err := r.node.passOver(entryEvacuation, err); err != nil {
 		return evacuation.Set{}, err
 	}
 	return r.latest.With(changes)
@@ -109,7 +109,7 @@
 	begun := time.Now()
 	set, err := r.node.adapter.Evacuations(r.node.context, mayBeOld)
 	r.node.metrics.called(callName("list-evacuations", mayBeOld), begun, err)
-	return set, err
+	return set, r.node.passOver(entryEvacuation, err)
 }
 
 // takeEvacuations takes in a set that was read or told; source says where it came from, for the
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -16,6 +16,7 @@
 	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/entry"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/internal/status"
@@ -77,6 +78,7 @@
 	table        *routing.Table
 	document     []byte    // of the table
 	configuredAt time.Time // when the table was taken in; at first the start
+	spoiled      error     // why the store's newest configuration is not in force; nil: it is, as far as is known
 	evacuations  evacuation.View
 	reading      handshake.Reading  // how the store is read
 	storeHeard   time.Time          // last answer of the store; zero: none, or it has refused a call since
@@ -219,17 +221,24 @@
 	}
 }
 
+// sourceStore is the source of configurations that come from the store; those from other processes have sourcePeer.
+const sourceStore = "store"
+
 // configure puts a document in force unless a newer one is. source says where it
-// came from, for the log.
+// came from, for the log. One that cannot be used leaves the one before it in force.
 func (n *node) configure(document []byte, source string) error {
 	table, err := n.adapter.ParseConfiguration(document)
-	if err != nil {
-		n.limited.Log(log.ErrorLevel, "configuration-invalid", log.Fields{"source": source, "error": err})
-		return err
-	}
 	now := time.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	if source == sourceStore {
+		n.spoiled = err
+	}
+	if err != nil {
+		n.metrics.skipped.WithLabelValues(entryConfiguration, string(entry.ReasonOf(err))).Inc()
+		n.limited.Log(log.ErrorLevel, "configuration-invalid", log.Fields{"source": source, "error": err, "version": n.table.Version()})
+		return err
+	}
 	if table.Version() <= n.table.Version() {
 		return nil
 	}
@@ -238,6 +247,7 @@
 	n.table = table
 	n.document = document
 	n.configuredAt = now
+	n.spoiled = nil
 	n.urgent = true
 	n.decider.configured(now, table)
 	n.tellStatus(now)
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -18,6 +18,9 @@
 	n.metrics.gauge("configuration_age_seconds", "Time since the configuration in force was taken in.", n.locked(func(now time.Time) float64 {
 		return now.Sub(n.configuredAt).Seconds()
 	}))
+	n.metrics.gauge("configuration_refused", "1 if the store's newest configuration could not be used, so that an older one is in force.", n.locked(func(time.Time) float64 {
+		return truth(n.spoiled != nil)
+	}))
 	n.metrics.gauge("evacuated_zones", "Zones that get no new flows because they are evacuated.", n.locked(func(time.Time) float64 {
 		return float64(len(n.evacuations.Set().Zones()))
 	}))
--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -124,9 +124,18 @@
 		query.TextValue(fmt.Sprintf("%016x", xxhash.Sum64(n.document))),
 		query.DurationValue(now.Sub(n.configuredAt)),
 		query.TextValue(version.String()),
+		query.TextValue(n.refusedText()),
 	})
 }
 
+// refusedText says for operators why the store's newest configuration is not in force, "" if it is.
+func (n *node) refusedText() string {
+	if n.spoiled == nil {
+		return ""
+	}
+	return n.spoiled.Error()
+}
+
 // A balancer has no back end, and the flows that it knows are told by the agents.
 func (b *balancer) backendRows(time.Time, *query.Collector) {}
 func (b *balancer) flowRows(time.Time, *query.Collector)    {}
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -208,5 +208,6 @@
 		query.TextValue(fmt.Sprintf("%016x", snapshot.Digest())),
 		query.DurationValue(time.Since(*s.since.Load())),
 		query.TextValue(version.String()),
+		query.TextValue(""), // objects are refused one by one, not the whole of a revision
 	})
 }
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -24,6 +24,7 @@
 	ColumnControl   = "control"
 	ColumnRevision  = "revision"
 	ColumnDigest    = "digest"
+	ColumnRefused   = "refused"
 	ColumnName      = "name"
 	ColumnProtocol  = "protocol"
 	ColumnAddress   = "address"
@@ -102,6 +103,7 @@
 		{Name: ColumnDigest, Type: query.Text, Help: "hash over the objects held; equal revisions must have equal ones"},
 		{Name: "age", Type: query.Duration, Help: "time since it came into force there"},
 		{Name: "program", Type: query.Text, Help: "version of the program"},
+		{Name: ColumnRefused, Type: query.Text, Help: "why a newer configuration of the store is not in force; empty: none was refused"},
 	}}, AllNodes},
 	{query.Table{Name: TableEvents, Help: "latest events of each process", Columns: []query.Column{
 		{Name: ColumnNode, Type: query.Text, Help: "id of the process"},
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -209,6 +209,22 @@
 	return service, known
 }
 
+// Names says whether the configuration names the service, be it only as the target of a route.
+func (t *Table) Names(name catalog.ServiceName) bool {
+	if t == nil {
+		return false
+	}
+	if _, known := t.services[name]; known {
+		return true
+	}
+	for _, route := range t.routes {
+		if slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == name }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of routes.
 func (t *Table) Len() int {
 	if t == nil {
