--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -86,8 +87,7 @@
 		key, err := decodeKey(body.Accepted.GetKey())
 		return handshake.Accepted{Key: key, Number: body.Accepted.GetNumber(), Load: decodeLoad(body.Accepted.GetLoad())}, err
 	case *burlmillv1.HandshakeMessage_Refused:
-		key, err := decodeKey(body.Refused.GetKey())
-		return handshake.Refused{Key: key, Reason: handshake.RefusalReason(body.Refused.GetReason()), Load: decodeLoad(body.Refused.GetLoad())}, err
+		return decodeRefused(body.Refused)
 	case *burlmillv1.HandshakeMessage_Forward:
 		return handshake.Forward{Bytes: body.Forward.GetDatagram()}, nil
 	case *burlmillv1.HandshakeMessage_NotHeld:
@@ -96,8 +96,7 @@
 		key, err := decodeKey(body.Locate.GetKey())
 		return handshake.Locate{Key: key, Confirms: body.Locate.GetConfirms()}, err
 	case *burlmillv1.HandshakeMessage_Located:
-		key, err := decodeKey(body.Located.GetKey())
-		return handshake.Located{Key: key, Holding: handshake.Holding(body.Located.GetHolding())}, err
+		return decodeLocated(body.Located)
 	case *burlmillv1.HandshakeMessage_Hint:
 		return decodeHint(body.Hint)
 	case *burlmillv1.HandshakeMessage_Search:
@@ -132,7 +131,29 @@
 	return encoded
 }
 
+// decodeRefused reads a refusal. A reason that is not known here is a newer program's.
+func decodeRefused(encoded *burlmillv1.HandshakeRefused) (handshake.Message, error) {
+	if encoded.GetReason() > math.MaxUint8 {
+		return nil, fault.InvalidField("reason", encoded.GetReason(), "must be at most 255")
+	}
+	key, err := decodeKey(encoded.GetKey())
+	return handshake.Refused{Key: key, Reason: handshake.RefusalReason(encoded.GetReason()), Load: decodeLoad(encoded.GetLoad())}, err
+}
+
+// decodeLocated reads whether a flow is held. Any other number would be taken for a denial, or be one by its last byte.
+func decodeLocated(encoded *burlmillv1.HandshakeLocated) (handshake.Message, error) {
+	holding := encoded.GetHolding()
+	if holding < uint32(handshake.HoldsNot) || holding > uint32(handshake.Holds) {
+		return nil, fault.InvalidField("holding", holding, "must be 1 to 3")
+	}
+	key, err := decodeKey(encoded.GetKey())
+	return handshake.Located{Key: key, Holding: handshake.Holding(holding)}, err
+}
+
 func decodeStatus(encoded *burlmillv1.HandshakeStatus) (handshake.Message, error) {
+	if encoded.GetRole() > uint32(handshake.RoleAgent) {
+		return nil, fault.InvalidField("role", encoded.GetRole(), "must be at most 2")
+	}
 	status := handshake.Status{
 		ID:          encoded.GetId(),
 		Role:        handshake.Role(encoded.GetRole()),
@@ -169,6 +190,9 @@
 }
 
 func decodeEvacuations(encoded *burlmillv1.HandshakeEvacuations) (evacuation.Set, error) {
+	if encoded.GetRevision() == 0 {
+		return evacuation.Set{}, nil // a set without a revision is older than all others
+	}
 	var zones []catalog.ZoneName
 	for _, zone := range encoded.GetZones() {
 		zones = append(zones, catalog.ZoneName(zone))
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"bytes"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -138,13 +140,63 @@
 	}
 }
 
+// TestNumbersThatNameNothing: a number that is cut to its last byte would name something else.
+func TestNumbersThatNameNothing(t *testing.T) {
+	key := encodeKey(fuzzKey)
+	for name, message := range map[string]*burlmillv1.HandshakeMessage{
+		"role":      {Body: &burlmillv1.HandshakeMessage_Status{Status: &burlmillv1.HandshakeStatus{Role: 257}}},
+		"no answer": {Body: &burlmillv1.HandshakeMessage_Located{Located: &burlmillv1.HandshakeLocated{Key: key}}},
+		"holding":   {Body: &burlmillv1.HandshakeMessage_Located{Located: &burlmillv1.HandshakeLocated{Key: key, Holding: 257}}},
+		"reason":    {Body: &burlmillv1.HandshakeMessage_Refused{Refused: &burlmillv1.HandshakeRefused{Key: key, Reason: 258}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			encoded, err := proto.Marshal(message)
+			is.NoErr(err)
+			_, err = Decode(encoded)
+			is.Equal(fault.Of(err), fault.Invalid)
+		})
+	}
+}
+
+var fuzzKey = flow.Key{Caller: netip.MustParseAddrPort("192.0.2.1:1"), Service: netip.MustParseAddrPort("192.0.2.2:2")}
+
+// FuzzDecode checks that no bytes break the decoder, and that what it takes is a message that can
+// be sent on as it was understood.
 func FuzzDecode(f *testing.F) {
-	encoded, err := Encode(handshake.Locate{Key: flow.Key{Caller: netip.MustParseAddrPort("192.0.2.1:1"), Service: netip.MustParseAddrPort("192.0.2.2:2")}})
-	is.New(f).NoErr(err)
-	f.Add(encoded)
+	peer := fuzzKey.Service
+	for _, message := range []handshake.Message{
+		handshake.Status{ID: "a-1", Role: handshake.RoleAgent, Zone: "a", Backend: "i-1", Peers: []netip.AddrPort{peer}, Load: handshake.Load{Slots: 3}},
+		handshake.Offer{Service: "lessons", Version: 3, Bytes: []byte("x")},
+		handshake.Await{Service: "lessons"}, handshake.Reserved{Load: handshake.Load{Slots: 3}}, handshake.Declined{},
+		handshake.Accepted{Key: fuzzKey, Number: 7}, handshake.Refused{Key: fuzzKey, Reason: handshake.RefusedBusy},
+		handshake.Forward{Bytes: []byte("x")}, handshake.NotHeld{Tried: true, Bytes: []byte("x")},
+		handshake.Locate{Key: fuzzKey}, handshake.Located{Key: fuzzKey, Holding: handshake.HoldsPerhaps},
+		handshake.Hint{Key: fuzzKey, Agent: peer}, handshake.Search{Key: fuzzKey, Agents: []netip.AddrPort{peer}},
+		handshake.Found{Key: fuzzKey, Perhaps: []netip.AddrPort{peer}},
+	} {
+		encoded, err := Encode(message)
+		is.New(f).NoErr(err)
+		f.Add(encoded)
+	}
 	f.Fuzz(func(t *testing.T, input []byte) {
-		if _, err := Decode(input); err != nil && fault.Of(err) != fault.Invalid {
-			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
+		message, err := Decode(input)
+		if err != nil {
+			if fault.Of(err) != fault.Invalid {
+				t.Fatalf("error of kind %v: %v", fault.Of(err), err)
+			}
+			return
+		}
+		once, err := Encode(message)
+		if err != nil {
+			t.Fatalf("%+v: %v", message, err)
+		}
+		again, err := Decode(once)
+		if err != nil {
+			t.Fatalf("%+v: %v", message, err)
+		}
+		if twice, err := Encode(again); err != nil || !bytes.Equal(once, twice) {
+			t.Fatalf("%+v became %+v: %v", message, again, err)
 		}
 	})
 }
