--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -42,19 +42,24 @@
 func (e *Error) Unwrap() error { return e.cause }
 
 // shownBytes is how much of a value an error shows: enough to recognize it, little enough for a log line (a guess).
-const shownBytes = 64
+const (
+	shownBytes = 64
+	shownField = 2 * shownBytes // a label with a name in it, and the field
+)
 
 // Refuse returns the refusal of a field.
 func Refuse(reason Reason, field string, value any, rule string) error {
-	return &Error{Reason: reason, cause: fault.InvalidField(shown(field), shown(fmt.Sprint(value)), rule)}
+	return &Error{Reason: reason, cause: fault.InvalidField(cut(field, shownField), Shown(fmt.Sprint(value)), rule)}
 }
 
-// shown cuts a text that another writer has chosen.
-func shown(text string) string {
-	if len(text) <= shownBytes {
+// Shown returns as much of a text that another writer has chosen as an error shows.
+func Shown(text string) string { return cut(text, shownBytes) }
+
+func cut(text string, most int) string {
+	if len(text) <= most {
 		return text
 	}
-	return strings.ToValidUTF8(text[:shownBytes], "") + "..."
+	return strings.ToValidUTF8(text[:most], "") + "..."
 }
 
 // excerpt returns the beginning of a value as written, for an error.
--- a/internal/entry/object.go
+++ b/internal/entry/object.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if text := o.Text(name); o.Err() == nil && text != want {
-		o.refuse(Mismatch, name, text, fmt.Sprintf("must be %q", shown(want)))
+		o.refuse(Mismatch, name, text, fmt.Sprintf("must be %q", Shown(want)))
 	}
 }
 
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -99,11 +99,12 @@
 // checkReport says whether a report of good form can be of the back end beside this agent. The lock is held.
 func (a *agent) checkReport(now time.Time, report instance.Report) error {
 	own := a.settings.Backend.Address
+	label := "report of " + entry.Shown(string(report.ID))
 	if report.Address.IsValid() && report.Address != own {
-		return entry.Refuse(entry.Mismatch, "address", report.Address, "must be that of the agent's back end, "+own.String())
+		return entry.Refuse(entry.Mismatch, label+" address", report.Address, "must be that of the agent's back end, "+own.String())
 	}
 	if !a.mayNameService(now, report.Service) {
-		return entry.Refuse(entry.Unnamed, "service", report.Service, "must be a service of the configuration in force")
+		return entry.Refuse(entry.Unnamed, label+" service", report.Service, "must be a service of the configuration in force")
 	}
 	return nil
 }
--- a/internal/relay/entries_test.go
+++ b/internal/relay/entries_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+// TestSuccessorWhoseReportsAreRefused gets no flows, though it answers health checks: the agent knows of another life only
+// by its reports. One beside an agent that knows no life yet is found by its answer; its slots stay unknown.
+func TestSuccessorWhoseReportsAreRefused(t *testing.T) {
+	is := is.New(t)
+	spoiled := goodReport(1)
+	spoiled.ID, spoiled.Service = "i-2", "nobody"
+	a := newReportedAgent(t)
+	is.NoErr(a.Report(goodReport(1)))
+	tracker := a.flows.Tracker()
+	tracker.Checked(time.Now(), instance.Check{Well: true, ID: "i-1"})
+	is.Equal(fault.Of(a.Report(spoiled)), fault.Invalid)
+	is.Equal(tracker.State(), instance.Ready) // the one before it may still be there
+	for range 3 {
+		tracker.Checked(time.Now(), instance.Check{Well: true, ID: "i-2"})
+		is.Equal(tracker.State(), instance.Unverified)
+		is.Equal(tracker.Latest().ID, instance.ID("i-1"))
+	}
+	a = newReportedAgent(t)
+	is.Equal(fault.Of(a.Report(spoiled)), fault.Invalid)
+	a.flows.Tracker().Checked(time.Now(), instance.Check{Well: true, ID: "i-2"})
+	is.Equal(a.flows.Load(time.Now()).Slots, uint32(0))
+}
+
 // TestServicesThatMayBeNamed: another service's back end that has taken the address over displaces the one before
 // it, so that no flow of the old service reaches it. What cannot be known is no reason to refuse.
 func TestServicesThatMayBeNamed(t *testing.T) {
