A spoiled object does not take the list around it along

A record under the agents' kind with the name of a balancer put the balancer's address among the agents, who are then never all heard (TestBalancerDoesWithoutSpoiledRecords): the role counts.

--- a/internal/entry/object.go
+++ b/internal/entry/object.go
@@ -33,6 +33,7 @@
 	label  string // before the names of fields in errors
 	fields []field
 	failed *error // shared with the objects inside
+	loose  bool   // the values are not known to be valid JSON
 }
 
 // field is one key of an object with its value as written.
@@ -51,18 +52,40 @@
 	switch {
 	case len(document) > limit:
 		object.refuse(TooLong, "", fmt.Sprintf("%d bytes", len(document)), fmt.Sprintf("must have at most %d bytes", limit))
-	case !utf8.Valid(document) || !json.Valid(document):
-		object.refuse(Unreadable, "", excerpt(document), "must be JSON in UTF-8")
+	case !isJSON(document):
+		object.refuse(Unreadable, "", excerpt(document), ruleJSON)
 	default:
 		object.read(document)
 	}
 	return object
 }
 
-// read splits a valid JSON value into fields.
+// Scan reads a document that holds those of other writers, as an answer of the store does. Only its brackets have to
+// be whole: a document within it that cannot be read, for its bytes or its depth, spoils none beside it, and is to be
+// read by Parse. The values that the getters return are checked all the same.
+func Scan(label string, document []byte, limit int) *Object {
+	object := &Object{label: label, failed: new(error), loose: true}
+	document = trim(document)
+	switch {
+	case len(document) > limit:
+		object.refuse(TooLong, "", fmt.Sprintf("%d bytes", len(document)), fmt.Sprintf("must have at most %d bytes", limit))
+	case len(document) == 0 || valueEnd(document) != len(document):
+		object.refuse(Unreadable, "", excerpt(document), ruleJSON)
+	default:
+		object.read(document)
+	}
+	return object
+}
+
+// ruleJSON is the rule for all documents.
+const ruleJSON = "must be JSON in UTF-8"
+
+func isJSON(document []byte) bool { return utf8.Valid(document) && json.Valid(document) }
+
+// read splits a JSON value into fields.
 func (o *Object) read(value []byte) {
 	value = trim(value)
-	if value[0] != '{' {
+	if len(value) == 0 || value[0] != '{' {
 		o.refuse(WrongType, "", excerpt(value), "must be an object")
 		return
 	}
@@ -72,9 +95,13 @@
 			o.refuse(TooLong, "", excerpt(value), fmt.Sprintf("must have at most %d fields", MaximumFields))
 			return
 		}
-		var key, written []byte
-		key, rest = next(rest)
-		written, rest = next(rest)
+		key, behind, ok := next(rest, ':')
+		written, behind, valued := next(behind, ',')
+		if !ok || !valued || key[0] != '"' {
+			o.refuse(Unreadable, "", excerpt(rest), ruleJSON)
+			return
+		}
+		rest = behind
 		name := unquote(key)
 		if o.find(string(name)) != nil {
 			o.refuse(Duplicate, string(name), excerpt(written), "must be given once")
@@ -146,6 +173,10 @@
 		o.refuse(WrongType, name, excerpt(value), "must be text")
 		return ""
 	}
+	if o.loose && !isJSON(value) {
+		o.refuse(Unreadable, name, excerpt(value), ruleJSON)
+		return ""
+	}
 	return string(unquote(value))
 }
 
@@ -234,7 +265,7 @@
 
 // Object returns a field that is an object.
 func (o *Object) Object(name string) *Object {
-	inner := &Object{label: name, failed: o.failed}
+	inner := &Object{label: name, failed: o.failed, loose: o.loose}
 	if value, given := o.require(name); given {
 		inner.read(value)
 	}
@@ -246,7 +277,7 @@
 	values := o.List(name)
 	objects := make([]*Object, 0, len(values))
 	for _, value := range values {
-		inner := &Object{label: name, failed: o.failed}
+		inner := &Object{label: name, failed: o.failed, loose: o.loose}
 		inner.read(value)
 		objects = append(objects, inner)
 	}
@@ -265,9 +296,13 @@
 	}
 	var values []json.RawMessage
 	for rest := inside(value); len(rest) > 0; {
-		var one []byte
-		one, rest = next(rest)
+		one, behind, ok := next(rest, ',')
+		if !ok {
+			o.refuse(Unreadable, name, excerpt(rest), ruleJSON)
+			return nil
+		}
 		values = append(values, one)
+		rest = behind
 	}
 	return values
 }
--- a/internal/entry/object_test.go
+++ b/internal/entry/object_test.go
@@ -224,3 +224,36 @@
 		}
 	})
 }
+
+// FuzzScan checks that no bytes break the reader of documents that hold others, and that it finds in valid ones what
+// Parse finds.
+func FuzzScan(f *testing.F) {
+	for _, seed := range []string{good, `{"list":[{"number":1},[}],"inner":{"text":"\xff"}}`, `{"a"`, `{"a":"}`, `{`, `{]`, `{"a":]}[`, `{,}`, `{"a":,}`, "{\"\xff\":1}"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, document []byte) {
+		scanned := Scan("any", document, documentLimit)
+		parsed := Parse("any", document, documentLimit)
+		if scanned.Err() != nil && parsed.Err() == nil {
+			t.Fatalf("%q: %v", document, scanned.Err())
+		}
+		for _, field := range parsed.fields {
+			if string(scanned.Raw(string(field.name))) != string(field.value) {
+				t.Fatalf("%q: %q is %q, want %q", document, field.name, scanned.Raw(string(field.name)), field.value)
+			}
+		}
+		for _, field := range scanned.fields {
+			name := string(field.name)
+			for _, read := range []func(*Object){
+				func(o *Object) { o.Text(name) }, func(o *Object) { o.Whole(name, 0, 9) }, func(o *Object) { o.Number(name, 0, 9) }, func(o *Object) { o.Flag(name) },
+				func(o *Object) { o.Object(name) }, func(o *Object) { o.Objects(name) }, func(o *Object) { o.AddrPort(name) },
+			} {
+				again := Scan("any", document, documentLimit)
+				read(again)
+				if err := again.Err(); err != nil && fault.Of(err) != fault.Invalid {
+					t.Fatalf("%q: %v", document, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/entry/scan.go
+++ b/internal/entry/scan.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 )
 
-// Splitting of JSON that is known to be valid. No function here copies what it splits.
+// Splitting of JSON. No function here copies what it splits. What they return begins and ends as
+// a value does; only where the whole is known to be valid is it one.
 
 // trim takes off the white space around a value.
 func trim(value []byte) []byte {
@@ -23,23 +24,32 @@
 // inside returns what stands between the brackets of an object or a list.
 func inside(value []byte) []byte { return trim(value[1 : len(value)-1]) }
 
-// next returns the first value of what stands between brackets, and the rest behind the comma
-// or colon after it.
-func next(text []byte) (value, rest []byte) {
+// next returns the first value of what stands between brackets, and the rest behind the separator
+// after it, if there is one. It says whether the text is so.
+func next(text []byte, separator byte) (value, rest []byte, ok bool) {
 	end := valueEnd(text)
+	if end == 0 {
+		return nil, nil, false
+	}
 	value, rest = text[:end:end], trim(text[end:])
-	if len(rest) > 0 {
-		rest = trim(rest[1:])
+	if len(rest) == 0 {
+		return value, nil, true
+	}
+	if rest[0] != separator {
+		return nil, nil, false
 	}
-	return value, rest
+	rest = trim(rest[1:])
+	return value, rest, len(rest) > 0
 }
 
-// valueEnd returns where the value ends with which the text begins.
+// valueEnd returns where the value ends with which the text begins, 0 if it does not end there.
 func valueEnd(text []byte) int {
-	switch text[0] {
-	case '"':
+	switch {
+	case len(text) == 0:
+		return 0
+	case text[0] == '"':
 		return stringEnd(text)
-	case '{', '[':
+	case text[0] == '{' || text[0] == '[':
 		return nestedEnd(text)
 	default:
 		return literalEnd(text)
@@ -56,7 +66,7 @@
 	return len(text)
 }
 
-// stringEnd returns where the string ends with which the text begins.
+// stringEnd returns where the string ends with which the text begins, 0 if it does not.
 func stringEnd(text []byte) int {
 	for i := 1; i < len(text); i++ {
 		switch text[i] {
@@ -66,16 +76,20 @@
 			return i + 1
 		}
 	}
-	return len(text)
+	return 0
 }
 
-// nestedEnd returns where the object or list ends with which the text begins.
+// nestedEnd returns where the object or list ends with which the text begins, 0 if it does not.
 func nestedEnd(text []byte) int {
 	depth := 0
 	for i := 0; i < len(text); i++ {
 		switch text[i] {
 		case '"':
-			i += stringEnd(text[i:]) - 1
+			length := stringEnd(text[i:])
+			if length == 0 {
+				return 0
+			}
+			i += length - 1
 		case '{', '[':
 			depth++
 		case '}', ']':
@@ -84,7 +98,7 @@
 			}
 		}
 	}
-	return len(text)
+	return 0
 }
 
 // isNumber says whether a JSON value is a number.
@@ -99,7 +113,7 @@
 	}
 	var text string
 	if err := json.Unmarshal(quoted, &text); err != nil {
-		return nil // it is known to be valid
+		return nil // only where it is not known to be valid
 	}
 	return []byte(text)
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -193,7 +193,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	addresses = append(addresses, n.heardOf(err)...)
+	addresses = append(addresses, n.heardOf(role, err)...)
 	for _, address := range addresses {
 		n.contacts.Add(time.Now(), address, false)
 	}
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/burlmill/burlmill/catalog"
+	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/entry"
 )
@@ -76,9 +77,9 @@
 	return errors.As(err, &skipped)
 }
 
-// heardOf returns where the processes are that bear the names of records which were passed over,
+// heardOf returns where the processes of the role are that bear the names of records which were passed over,
 // as far as they are heard: their records are spoiled, not withdrawn. The lock is held.
-func (n *node) heardOf(err error) []netip.AddrPort {
+func (n *node) heardOf(role handshake.Role, err error) []netip.AddrPort {
 	var skipped *Skipped
 	if !errors.As(err, &skipped) {
 		return nil
@@ -89,7 +90,7 @@
 	}
 	var addresses []netip.AddrPort
 	for _, contact := range n.contacts.List() {
-		if names[contact.Status.ID] {
+		if contact.Status.Role == role && names[contact.Status.ID] {
 			addresses = append(addresses, contact.Address)
 		}
 	}
--- a/internal/relay/entries_test.go
+++ b/internal/relay/entries_test.go
@@ -221,6 +221,8 @@
 
 	agent := netip.MustParseAddrPort("10.0.0.7:1")
 	b.contacts.Heard(time.Now(), agent, handshake.Status{ID: "agent-7", Role: handshake.RoleAgent, Incarnation: 1, Interval: time.Hour})
+	// A balancer of that name has nothing to do with a record among those of agents.
+	b.contacts.Heard(time.Now(), netip.MustParseAddrPort("10.0.0.8:1"), handshake.Status{ID: "agent-7", Role: handshake.RoleBalancer, Incarnation: 1, Interval: time.Hour})
 	addresses, err := b.readRecords(handshake.RoleAgent, false)
 	is.True(wasSkipped(err))
 	is.Equal(addresses, []netip.AddrPort{store.records[0], agent})
