--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -36,11 +36,13 @@
 	attempts  prometheus.Histogram   // offers for one accepted flow
 	locating  prometheus.Histogram   // from the question to the agent that holds the flow
 	store     *prometheus.HistogramVec
-	refused   *prometheus.CounterVec // reports, by reason
-	skipped   *prometheus.CounterVec // objects of the store, by kind and reason
-	reports   prometheus.Histogram   // silence of the back end before each of its reports
-	delay     prometheus.Histogram   // by which ticks come late
-	gaps      prometheus.Histogram   // silence of a peer before each of its statuses
+	reports   prometheus.Histogram // silence of the back end before each of its reports
+	delay     prometheus.Histogram // by which ticks come late
+	gaps      prometheus.Histogram // silence of a peer before each of its statuses
+
+	// Of input that names nothing to use.
+	refused *prometheus.CounterVec // reports, by reason
+	skipped *prometheus.CounterVec // objects of the store, by kind and reason
 
 	// Counters that are used for each datagram or decision, looked up once.
 	fromCaller, fromBackend, fromPeer prometheus.Counter
@@ -62,19 +64,20 @@
 		opening:   histogram("opening_seconds", "From an offer of a flow to its acceptance.", secondsBuckets),
 		attempts:  histogram("opening_attempts", "Offers made for a flow until one was accepted.", attemptBuckets),
 		locating:  histogram("locating_seconds", "From the question who holds a flow to the agent that does.", secondsBuckets),
-		refused:   counters("reports_refused_total", "Reports and removals that name no back end.", "reason"),
-		skipped:   counters("entries_skipped_total", "Objects of the store that could not be used.", "kind", "reason"),
 		reports:   histogram("backend_report_gap_seconds", "Silence of the back end before each of its reports.", secondsBuckets),
 		delay:     histogram("tick_delay_seconds", "By how much the process's own clock ticks came late.", secondsBuckets),
 		gaps:      histogram("peer_status_gap_seconds", "Silence of a peer before each of its statuses.", secondsBuckets),
 		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observability.Namespace, Name: "store_call_seconds",
 			Help: "Calls to the store; watches wait on purpose.", Buckets: secondsBuckets}, []string{"call", "outcome"}),
 	}
+	m.refused = counters("reports_refused_total", "Reports and removals that name no back end.", "reason")
+	m.skipped = counters("entries_skipped_total", "Objects of the store that could not be used.", "kind", "reason")
+	m.registry.MustRegister(m.refused, m.skipped)
 	m.fromCaller = m.datagrams.WithLabelValues(sourceCaller)
 	m.fromBackend = m.datagrams.WithLabelValues(sourceBackend)
 	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
 	m.byDecision = map[decisionLabels]prometheus.Counter{}
-	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.refused, m.skipped, m.reports, m.delay, m.gaps)
+	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
 	return m
 }
 
