--- a/internal/entry/object.go
+++ b/internal/entry/object.go
@@ -23,8 +23,6 @@
 	MaximumFields = 256
 	// MaximumName is the length of a name in bytes (a guess; those of DNS have 253).
 	MaximumName = 253
-	// MaximumWhole is the highest whole number that every JSON writer keeps exact: 2 to the power of 53, less 1.
-	MaximumWhole = 1<<53 - 1
 )
 
 // Object is one JSON object. Its getters return the zero value for a field that breaks its rule;
