--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -290,6 +290,11 @@
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if err := a.checkReport(now, report); err != nil {
+		a.Refused(err)
+		return err
+	}
+	a.backend.note()
 	tracker := a.flows.Tracker()
 	heard := tracker.Heard()
 	_, err := tracker.Report(now, report)
@@ -318,11 +323,6 @@
 	return nil
 }
 
-// Refused notes a report that could not be read.
-func (a *agent) Refused(err error) {
-	a.limited.Log(log.WarnLevel, "report-refused", log.Fields{"error": err})
-}
-
 // received handles a message of another process. The lock is held.
 func (a *agent) received(now time.Time, from netip.AddrPort, message handshake.Message) {
 	switch message := message.(type) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -42,6 +42,10 @@
 	delay     prometheus.Histogram   // by which ticks come late
 	gaps      prometheus.Histogram   // silence of a peer before each of its statuses
 
+	// Of input that names nothing to use.
+	refused *prometheus.CounterVec // reports, by reason
+	skipped *prometheus.CounterVec // objects of the store, by kind and reason
+
 	// Counters that are used for each datagram or decision, looked up once.
 	fromCaller, fromBackend, fromPeer prometheus.Counter
 	byDecision                        map[decisionLabels]prometheus.Counter // guarded by the node's lock
@@ -70,6 +74,9 @@
 		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observability.Namespace, Name: "store_call_seconds",
 			Help: "Calls to the store; watches wait on purpose.", Buckets: secondsBuckets}, []string{"call", "outcome"}),
 	}
+	m.refused = counters("reports_refused_total", "Reports and removals that name no back end.", "reason")
+	m.skipped = counters("entries_skipped_total", "Objects of the store that could not be used.", "kind", "reason")
+	m.registry.MustRegister(m.refused, m.skipped)
 	m.fromCaller = m.datagrams.WithLabelValues(sourceCaller)
 	m.fromBackend = m.datagrams.WithLabelValues(sourceBackend)
 	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
