--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -143,8 +143,8 @@
 // decodeLocated reads whether a flow is held. Any other number would be taken for a denial, or be one by its last byte.
 func decodeLocated(encoded *burlmillv1.HandshakeLocated) (handshake.Message, error) {
 	holding := encoded.GetHolding()
-	if holding < uint32(handshake.HoldsNot) || holding > uint32(handshake.Holds) {
-		return nil, fault.InvalidField("holding", holding, "must be 1 to 3")
+	if holding < uint32(handshake.HoldsNot) || holding > uint32(handshake.HoldsNoMore) {
+		return nil, fault.InvalidField("holding", holding, "must be 1 to 4")
 	}
 	key, err := decodeKey(encoded.GetKey())
 	return handshake.Located{Key: key, Holding: handshake.Holding(holding)}, err
