A flow is placed among the candidates of its key and asked for there; one census answers for all that are unknown

Cause: the holder of an unknown flow was asked for at all agents (some 55), for each datagram of each flow.

* A new flow goes to one of 4 + 4 candidates (own zone, all others) that its key chooses, by load as before; any other agent only where these are full, suspect or not usable.
A balancer that does not know a flow lets these be asked first.
* A question that names more than 16 agents goes to one agent a zone (the next one where it does not answer), which asks each agent at most once in 50 ms for a digest of the flows that it knows and whether its back end may hold others, for all questions that came before.
A digest that has the flow is followed by the exact question; answers to an earlier census do not count.
* Back ends that may hold a flow are tried candidates first.

Tests of choose get a key.

Not whole: beyond 100 agents a flow that nobody holds still takes one question for each hundred.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -63,6 +63,7 @@
 	EventOpened     Event = "flow-opened"     // the caller confirmed a back end's number
 	EventLocating   Event = "flow-locating"   // agents are asked who holds the flow
 	EventLocated    Event = "flow-located"    // one of them said so
+	EventCensus     Event = "flow-census"     // all agents are asked what flows they know
 	EventTried      Event = "flow-tried"      // nobody was sure: a back end is asked itself
 	EventLost       Event = "flow-lost"       // nobody holds the flow
 	EventAdmitted   Event = "flow-admitted"   // an agent passed an opening datagram to its back end
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -52,6 +52,8 @@
 	reservations reservations
 	pace         pace
 	searches     []*search           // for balancers, in the order in which they began
+	census       uint32              // number of the latest census
+	nextCensus   time.Time           // no census begins before
 	tried        map[flow.Key]*tried // flows whose trier this agent is
 	triesFrom    time.Time           // before it, datagrams are tried for no balancer
 	lastTick     time.Time           // zero: none yet
@@ -108,6 +110,7 @@
 		owing:        map[*heldFlow]bool{},
 		reservations: newReservations(),
 		started:      now,
+		census:       uint32(now.UnixNano()), // answers to an agent's earlier life count for none of its censuses
 		tried:        map[flow.Key]*tried{},
 		triesFrom:    now.Add(trySettleTime),
 	}
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -242,6 +242,7 @@
 	a.notePause(now)
 	a.reservations.expire(now)
 	a.expireSearches(now)
+	a.startCensus(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held) {
 			a.settle(held)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -268,14 +268,25 @@
 	nobodyElse        // no agent takes new flows
 )
 
-// choose returns the agent of the service that is to get the next new flow, none
+// chooseAny returns the agent of the service that is to get the next new flow, none
 // of those in except.
-func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+func (b *Board) chooseAny(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+	var agents []*agentState
+	for _, agent := range b.order {
+		if agent.status.Service == service {
+			agents = append(agents, agent)
+		}
+	}
+	return b.leastBusyOf(now, agents, except)
+}
+
+// leastBusyOf returns which of the agents is to get the next new flow, none of those in except.
+func (b *Board) leastBusyOf(now time.Time, agents []*agentState, except []netip.AddrPort) (*agentState, choice) {
 	var best *agentState
 	bestScore := 0.0
 	outcome := nobodyElse
-	for _, agent := range b.order {
-		if agent.status.Service != service || !b.usable(now, agent) || slices.Contains(except, agent.address) {
+	for _, agent := range agents {
+		if !b.usable(now, agent) || slices.Contains(except, agent.address) {
 			continue
 		}
 		if agent.full() {
--- a/handshake/board_test.go
+++ b/handshake/board_test.go
@@ -79,12 +79,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			board := newTestBoard(now, test.statuses...)
-			agent, outcome := board.choose(now, worldService, nil)
+			agent, outcome := board.choose(now, holdKey(1), worldService, nil)
 			is.Equal(outcome, test.outcome)
 			if test.want >= 0 {
 				is.Equal(agent.address, boardAgent(test.want))
 			}
-			agent, _ = board.choose(now.Add(maximumFreshTime+time.Millisecond), worldService, nil)
+			agent, _ = board.choose(now.Add(maximumFreshTime+time.Millisecond), holdKey(1), worldService, nil)
 			is.True(agent == nil) // nobody has been heard since
 		})
 	}
@@ -107,7 +107,7 @@
 	chosenAgain := false
 	for end := now.Add(time.Minute); now.Before(end); now = now.Add(AgentStatusInterval) {
 		hear()
-		agent, _ := board.choose(now, worldService, nil)
+		agent, _ := board.choose(now, holdKey(1), worldService, nil)
 		chosenAgain = chosenAgain || agent.address == agents[0]
 	}
 	is.True(chosenAgain)
--- a/handshake/evacuation_test.go
+++ b/handshake/evacuation_test.go
@@ -240,13 +240,13 @@
 	near := Status{Role: RoleAgent, Zone: "a", Service: worldService, Load: Load{Accepts: true, Slots: 3, Busy: 2}}
 	idle := Status{Role: RoleAgent, Zone: "b", Service: worldService, Load: Load{Accepts: true, Slots: 3}}
 	board := newTestBoard(now, near, idle)
-	agent, _ := board.choose(now, worldService, nil)
+	agent, _ := board.choose(now, holdKey(1), worldService, nil)
 	is.Equal(agent.address, boardAgent(1))
 	board.evacuations = evacuationSet(t, 7, "b")
-	agent, _ = board.choose(now, worldService, nil)
+	agent, _ = board.choose(now, holdKey(1), worldService, nil)
 	is.Equal(agent.address, boardAgent(0))
 	is.Equal(len(board.leastBusy(now, worldService, 8)), 1)
 	board.evacuations = evacuationSet(t, 8, "a", "b")
-	_, outcome := board.choose(now, worldService, nil)
+	_, outcome := board.choose(now, holdKey(1), worldService, nil)
 	is.Equal(outcome, nobodyElse)
 }
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/burlmill/burlmill/routing"
 )
 
 // Finding: a balancer that gets a datagram of a flow it does not know (routers have moved
@@ -137,7 +135,7 @@
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
 	f := known.finding
 	f.tries = false
-	remaining := b.candidates(now, known)
+	remaining := b.unasked(now, known)
 	switch {
 	case len(remaining) > 0:
 		b.search(now, known, remaining)
@@ -151,7 +149,7 @@
 // search lets an agent ask the others.
 func (b *Balancer) search(now time.Time, known *balancedFlow, agents []netip.AddrPort) {
 	f := known.finding
-	searcher := b.board.searcher(now, f.searcher)
+	searcher := b.searcher(now, f, len(agents))
 	if searcher == nil {
 		f.undecided = true
 		b.findingEnded(now, known)
@@ -171,36 +169,6 @@
 	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram}})
 }
 
-// candidates returns agents to ask for a flow that have not been asked. Those of the services
-// to which its route sends new flows come first: with many services, few agents are of those.
-// A flow that is older than its route's present targets is with another service, so all others
-// come after.
-func (b *Balancer) candidates(now time.Time, known *balancedFlow) []netip.AddrPort {
-	var likely, others []netip.AddrPort
-	route := b.route(known)
-	for _, agent := range b.board.known(now) {
-		switch {
-		case slices.Contains(known.finding.asked, agent.address):
-		case route != nil && route.Has(agent.status.Service):
-			likely = append(likely, agent.address)
-		default:
-			others = append(others, agent.address)
-		}
-	}
-	if len(likely) == 0 {
-		likely = others
-	}
-	return likely[:min(len(likely), MaximumSearched)]
-}
-
-// route returns the flow's route, nil if there is none.
-func (b *Balancer) route(known *balancedFlow) *routing.Route {
-	if b.table == nil {
-		return nil
-	}
-	return b.table.Route(known.key.Service)
-}
-
 // found handles the answer of the agent that has searched.
 func (b *Balancer) found(now time.Time, from netip.AddrPort, answer Found) {
 	known := b.flows[answer.Key]
--- /dev/null
+++ b/handshake/fleet_search_test.go
@@ -0,0 +1,131 @@
+package handshake
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Searches in fleets of several sizes: what one costs must not grow with them.
+
+// countMessages counts what processes send each other, by kind.
+func (w *world) countMessages() map[string]int {
+	counts := map[string]int{}
+	w.sent = func(message Message) { counts[fmt.Sprintf("%T", message)]++ }
+	return counts
+}
+
+// openFlows lets so many callers open flows, and returns them once all have been answered.
+func (w *world) openFlows(is *is.I, flows int) []*worldCaller {
+	var callers []*worldCaller
+	for port := range uint16(flows) {
+		is.True(w.call(1000 + port))
+		callers = append(callers, w.callers[holdKey(1000+port)])
+	}
+	return callers
+}
+
+// TestFlowsAreFoundAmongFew: balancers that have started anew find the flows of a fleet of any size by as many
+// questions, and ask nobody else.
+func TestFlowsAreFoundAmongFew(t *testing.T) {
+	const flows = 20
+	for _, agents := range []int{30, 200, 1000} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			is := is.New(t)
+			w := startWorld(t, 7, 3, agents)
+			callers := w.openFlows(is, flows)
+			for _, balancer := range w.balancers {
+				w.startBalancer(balancer)
+			}
+			w.pass(worldRest * 5)
+			counts := w.countMessages()
+			for _, caller := range callers {
+				is.True(w.exchange(caller))
+			}
+			t.Log(counts)
+			is.True(counts["handshake.Locate"] <= flows*(candidatesNear+candidatesFar))
+			is.Equal(counts["handshake.Summarize"], 0)
+			is.Equal(w.violation, "")
+			is.Equal(w.resets, 0)
+		})
+	}
+}
+
+// TestCallersOfAllGoneFlowsAreToldByFewCensuses: everything has started anew, and all callers send on at once. What the
+// agents are asked does not grow with the callers, but for the candidates.
+func TestCallersOfAllGoneFlowsAreToldByFewCensuses(t *testing.T) {
+	for _, agents := range []int{30, 90} {
+		asked := map[int]int{}
+		for _, flows := range []int{20, 200} {
+			t.Run(fmt.Sprintf("%d agents, %d flows", agents, flows), func(t *testing.T) {
+				is := is.New(t)
+				w := startWorld(t, 8, 3, agents)
+				callers := w.openFlows(is, flows)
+				w.restartEverything(true)
+				w.pass(worldCalm)
+				counts := w.countMessages()
+				begun := w.now
+				for range 5 {
+					for _, caller := range callers {
+						if !caller.reset {
+							w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+						}
+					}
+					w.pass(resendPause)
+				}
+				t.Log(counts)
+				for _, caller := range callers {
+					is.True(caller.reset)
+				}
+				asked[flows] = counts["handshake.Summarize"]
+				is.True(asked[flows] <= agents*(1+int(w.now.Sub(begun)/censusInterval)))
+				is.True(counts["handshake.Locate"] <= 2*flows*(candidatesNear+candidatesFar))
+				is.Equal(w.violation, "")
+			})
+		}
+	}
+}
+
+// TestCallerOfAGoneFlowIsToldInALargeFleet: which takes more than one question.
+func TestCallerOfAGoneFlowIsToldInALargeFleet(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 9, 2, 450)
+	callers := w.openFlows(is, 5)
+	w.restartEverything(true)
+	w.pass(worldCalm)
+	for range 10 {
+		for _, caller := range callers {
+			w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+		}
+		w.pass(resendPause)
+	}
+	for _, caller := range callers {
+		is.True(caller.reset)
+	}
+	is.Equal(w.violation, "")
+}
+
+// TestFlowsBesideTheirCandidatesAreFound: the candidates were full when the flow came, or others have come since.
+func TestFlowsBesideTheirCandidatesAreFound(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 10, 2, 60)
+	for _, agent := range w.agents[:40] {
+		agent.backend.leaving = true
+		w.report(agent)
+	}
+	w.pass(time.Second)
+	callers := w.openFlows(is, 30) // many at agents that are not among the candidates
+	for _, balancer := range w.balancers {
+		w.startBalancer(balancer)
+	}
+	w.pass(worldRest * 5)
+	counts := w.countMessages()
+	for _, caller := range callers {
+		is.True(w.exchange(caller))
+	}
+	is.True(counts["handshake.Summarize"] > 0)
+	is.Equal(w.violation, "")
+	is.Equal(w.resets, 0)
+}
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -13,8 +13,24 @@
 )
 
 // startWorld returns a world in which all back ends are known to all balancers.
-func startWorld(t interface{ Fatalf(string, ...any) }, seed uint64, balancers, agents int) *world {
+func startWorld(t fataler, seed uint64, balancers, agents int) *world {
+	return prepareWorld(t, newWorld(seed, balancers, agents))
+}
+
+// startSeenWorld is a world whose agents have seen their back ends begin: until they start anew, they hold nothing
+// that they do not know.
+func startSeenWorld(t fataler, seed uint64, balancers, agents int) *world {
 	w := newWorld(seed, balancers, agents)
+	w.reports = 0 // the first reports are heard
+	prepareWorld(t, w)
+	w.reports = worldReports
+	return w
+}
+
+// fataler is a test.
+type fataler interface{ Fatalf(string, ...any) }
+
+func prepareWorld(t fataler, w *world) *world {
 	w.pass(50 * time.Millisecond)
 	for _, agent := range w.agents {
 		w.report(agent)
@@ -160,11 +176,16 @@
 // flow. Once the world is calm, every flow whose back end lives is found.
 func TestPromisesUnderAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
+		agents := rapid.SampledFrom([]int{4, 4, 24}).Draw(t, "agents")
+		start := startWorld
+		if agents > mostAskedSingly { // a search takes a census; tries at all of them would take too long
+			start = startSeenWorld
+		}
+		w := start(t, rapid.Uint64().Draw(t, "seed"), 3, agents)
 		port := uint16(1000)
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
-			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
+			agent := w.agents[rapid.IntRange(0, agents-1).Draw(t, "agent")]
 			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
 			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "agent leaves", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "pass"}).Draw(t, "step") {
 			case "call":
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -231,23 +231,37 @@
 	Unanswered uint32           // agents that have not answered
 }
 
+// Summarize asks an agent for a digest of all flows that it knows.
+type Summarize struct {
+	Census uint32 // its number, which the answer carries
+}
+
+// Digest is an agent's answer to Summarize.
+type Digest struct {
+	Census  uint32
+	Filter  []byte // of the flows that the agent knows, at most MaximumFilter bytes; empty: it knows none
+	MayHold bool   // its back end may hold others
+}
+
 // Hint is a balancer's answer to Locate.
 type Hint struct {
 	Key   flow.Key
 	Agent netip.AddrPort // that holds the flow as far as the balancer knows; zero: none is known
 }
 
-func (Status) message()   {}
-func (Offer) message()    {}
-func (Await) message()    {}
-func (Reserved) message() {}
-func (Declined) message() {}
-func (Accepted) message() {}
-func (Refused) message()  {}
-func (Forward) message()  {}
-func (NotHeld) message()  {}
-func (Locate) message()   {}
-func (Located) message()  {}
-func (Hint) message()     {}
-func (Search) message()   {}
-func (Found) message()    {}
+func (Status) message()    {}
+func (Offer) message()     {}
+func (Await) message()     {}
+func (Reserved) message()  {}
+func (Declined) message()  {}
+func (Accepted) message()  {}
+func (Refused) message()   {}
+func (Forward) message()   {}
+func (NotHeld) message()   {}
+func (Locate) message()    {}
+func (Located) message()   {}
+func (Hint) message()      {}
+func (Search) message()    {}
+func (Found) message()     {}
+func (Summarize) message() {}
+func (Digest) message()    {}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -63,7 +63,7 @@
 	}
 	known.seen = now
 	known.opening = bytes.Clone(datagram.Bytes)
-	if _, outcome := b.board.choose(now, known.service, known.tried); outcome == nobodyElse {
+	if _, outcome := b.board.chooseAny(now, known.service, known.tried); outcome == nobodyElse {
 		known.tried, known.refused = nil, 0 // all were tried: once more
 	}
 	b.place(now, known)
@@ -96,7 +96,7 @@
 
 // offer sends the opening datagram to the next agent.
 func (b *Balancer) offer(now time.Time, known *balancedFlow) {
-	agent, outcome := b.board.choose(now, known.service, known.tried)
+	agent, outcome := b.board.choose(now, known.key, known.service, known.tried)
 	switch outcome {
 	case allFull:
 		b.keep(now, known)
--- a/handshake/search.go
+++ b/handshake/search.go
@@ -10,7 +10,8 @@
 
 // Searches: an agent finds out for a balancer which agent holds a flow. Balancers carry
 // everybody's datagrams on small machines, while agents are many: so a question to all
-// agents costs a balancer one message and one answer, whatever the size of the fleet.
+// agents costs a balancer one message and one answer, whatever the size of the fleet. Few agents
+// are asked about the flow alone; many, about all flows at once (census.go).
 
 // Bounds of searches.
 const (
@@ -25,11 +26,16 @@
 
 // search is a question of a balancer that an agent finds the answer to.
 type search struct {
-	key      flow.Key
-	asker    netip.AddrPort
-	waiting  []netip.AddrPort // asked and not answered yet
-	perhaps  []netip.AddrPort // that may hold the flow
-	deadline time.Time
+	key       flow.Key
+	hash      uint64 // of the key
+	confirms  uint32
+	asker     netip.AddrPort
+	waiting   []netip.AddrPort // asked, or to be asked, and not answered yet
+	perhaps   []netip.AddrPort // that may hold the flow
+	collected bool             // it is answered by a census
+	census    uint32           // that it has joined; 0: none yet
+	exact     []netip.AddrPort // of those in waiting, whose digests seem to have the flow
+	deadline  time.Time
 }
 
 // Searched begins a search for a balancer.
@@ -38,11 +44,18 @@
 		a.act(Send{To: from, Message: Found{Key: question.Key, Unanswered: uint32(len(question.Agents))}})
 		return a.take()
 	}
-	begun := &search{key: question.Key, asker: from, waiting: slices.Clone(question.Agents), deadline: now.Add(LocateTime)}
+	begun := &search{key: question.Key, hash: keyHash(question.Key), confirms: question.Confirms, asker: from,
+		waiting: slices.Clone(question.Agents), deadline: now.Add(LocateTime)}
 	if question.Datagram != nil {
 		begun.waiting, begun.perhaps = a.mayTry(now, question)
 	}
 	a.searches = append(a.searches, begun)
+	if len(begun.waiting) > mostAskedSingly {
+		begun.collected = true
+		begun.deadline = begun.deadline.Add(censusInterval)
+		a.startCensus(now)
+		return a.take()
+	}
 	for _, agent := range begun.waiting {
 		a.act(Send{To: agent, Message: question.messageTo()})
 	}
@@ -89,7 +102,7 @@
 func (a *Agent) searchesOf(key flow.Key, agent netip.AddrPort) []*search {
 	var searches []*search
 	for _, one := range a.searches {
-		if one.key == key && slices.Contains(one.waiting, agent) {
+		if one.key == key && one.counts(agent) {
 			searches = append(searches, one)
 		}
 	}
@@ -112,7 +125,9 @@
 
 // expireSearches ends the searches whose time is over.
 func (a *Agent) expireSearches(now time.Time) {
-	for len(a.searches) > 0 && !now.Before(a.searches[0].deadline) {
-		a.endSearch(a.searches[0], netip.AddrPort{})
+	for _, one := range slices.Clone(a.searches) {
+		if !now.Before(one.deadline) {
+			a.endSearch(one, netip.AddrPort{})
+		}
 	}
 }
--- a/handshake/trying.go
+++ b/handshake/trying.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/burlmill/burlmill/flow"
 )
 
@@ -160,20 +158,11 @@
 		return
 	}
 	f.tries, f.tried = true, true
-	agents := b.board.nearestFirst(f.perhaps)
+	agents := b.likeliestFirst(now, known)
 	b.act(Decision{Event: EventTried, Key: known.key, Peer: trier.address, Attempts: len(agents)})
 	b.sendSearch(now, known, trier, agents[:min(len(agents), MaximumSearched)], known.buffered[0])
 }
 
-// rankOf ranks an agent for a flow: the agent of the highest rank is the flow's.
-func rankOf(key flow.Key, agent netip.AddrPort) uint64 {
-	var buffer [96]byte
-	encoded, _ := key.Caller.AppendBinary(buffer[:0]) // has no error to return
-	encoded, _ = key.Service.AppendBinary(encoded)
-	encoded, _ = agent.AppendBinary(encoded)
-	return xxhash.Sum64(encoded)
-}
-
 // trier returns the agent that keeps account of the tries of the flow, nil if the balancer cannot
 // tell which one all balancers see.
 func (b *Balancer) trier(now time.Time, key flow.Key) *agentState {
@@ -202,11 +191,14 @@
 	return best
 }
 
-// nearestFirst returns the agents in order of distance, those that are not known last.
-func (b *Board) nearestFirst(agents []netip.AddrPort) []netip.AddrPort {
-	sorted := slices.Clone(agents)
+// likeliestFirst returns the agents that may hold the flow: its candidates first, and of these and of the others
+// the nearest.
+func (b *Balancer) likeliestFirst(now time.Time, known *balancedFlow) []netip.AddrPort {
+	candidates := b.candidates(now, known)
+	sorted := slices.Clone(known.finding.perhaps)
 	slices.SortFunc(sorted, func(x, y netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(b.distance(x), b.distance(y)), x.Compare(y))
+		return cmp.Or(compareBools(slices.Contains(candidates, y), slices.Contains(candidates, x)),
+			cmp.Compare(b.board.distance(x), b.board.distance(y)), x.Compare(y))
 	})
 	return slices.Compact(sorted)
 }
--- a/handshake/trying_test.go
+++ b/handshake/trying_test.go
@@ -1,8 +1,8 @@
 package handshake
 
 import (
-	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,16 +187,18 @@
 func TestNearestBackEndsAreTriedFirst(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	board := NewBoard("a", "saigon", nil)
+	b := newHoldBalancer(now)
+	b.options.Zone, b.board = "a", NewBoard("a", "saigon", nil)
 	var agents, want []netip.AddrPort
 	for i, place := range []struct{ zone, region string }{{"z", "hue"}, {"b", "saigon"}, {"a", "saigon"}} {
 		address := contactAddress(RoleAgent, i+1)
-		board.Take(now, address, Status{Role: RoleAgent, Zone: catalog.ZoneName(place.zone), Region: place.region})
+		b.board.Take(now, address, Status{Role: RoleAgent, Zone: catalog.ZoneName(place.zone), Region: place.region})
 		agents = append(agents, address)
 		want = append([]netip.AddrPort{address}, want...)
 	}
 	unknown := contactAddress(RoleAgent, 9)
-	is.Equal(fmt.Sprint(board.nearestFirst(append([]netip.AddrPort{unknown}, agents...))), fmt.Sprint(append(want, unknown)))
+	known := &balancedFlow{key: holdKey(1), finding: &finding{perhaps: append([]netip.AddrPort{unknown}, agents...)}}
+	is.Equal(b.likeliestFirst(now, known), append(want, unknown))
 }
 
 // TestCallerIsToldOnceAllBackEndsHaveGivenItsDatagramBack: everything has started anew, and no
@@ -241,3 +243,22 @@
 		})
 	}
 }
+
+// TestCandidatesAreTriedFirst: a flow that nobody knows is most likely with one of them.
+func TestCandidatesAreTriedFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := newHoldBalancer(now)
+	b.Configure(holdTable(t, 1))
+	b.board = candidateBoard(now, "a", 30)
+	known := &balancedFlow{key: holdKey(1), finding: &finding{}}
+	for _, agent := range b.board.known(now) {
+		known.finding.perhaps = append(known.finding.perhaps, agent.address)
+	}
+	is.Equal(len(b.candidates(now, known)), candidatesNear+candidatesFar)
+	first := b.likeliestFirst(now, known)[:candidatesNear+candidatesFar]
+	for i, agent := range first {
+		is.True(slices.Contains(b.candidates(now, known), agent))
+		is.Equal(b.board.agents[agent].status.Zone == "a", i < candidatesNear)
+	}
+}
--- a/handshake/world_backends_test.go
+++ b/handshake/world_backends_test.go
@@ -77,3 +77,12 @@
 		}
 	}
 }
+
+// resumeAgent lets a frozen agent run on.
+func (w *world) resumeAgent(agent *worldAgent) {
+	agent.frozen = false
+	for _, handle := range agent.inbox {
+		handle()
+	}
+	agent.inbox = nil
+}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -108,7 +108,7 @@
 	w.table = table
 	w.addBalancers(balancers)
 	for i := range agents {
-		agent := &worldAgent{zone: "a", address: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:7000", i+1)),
+		agent := &worldAgent{zone: "a", address: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7000", 1+i/250, i%250+1)),
 			backend: newWorldBackend(instance.ID(fmt.Sprintf("i-%d", i)))}
 		w.agents = append(w.agents, agent)
 		w.startAgent(agent)
@@ -300,15 +300,6 @@
 	balancer.inbox = nil
 }
 
-// resumeAgent lets a frozen agent run on.
-func (w *world) resumeAgent(agent *worldAgent) {
-	agent.frozen = false
-	for _, handle := range agent.inbox {
-		handle()
-	}
-	agent.inbox = nil
-}
-
 func (w *world) performBalancer(from *worldBalancer, actions []Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
@@ -358,6 +349,10 @@
 		return agent.decider.Asked(w.now, from, message)
 	case Search:
 		return agent.decider.Searched(w.now, from, message)
+	case Summarize:
+		return agent.decider.Summarized(w.now, from, message)
+	case Digest:
+		return agent.decider.Digested(from, message)
 	case Located:
 		return agent.decider.Located(from, message)
 	case NotHeld:
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -326,6 +326,10 @@
 		a.perform(a.flows.Asked(now, from, message))
 	case handshake.Search:
 		a.perform(a.flows.Searched(now, from, message))
+	case handshake.Summarize:
+		a.perform(a.flows.Summarized(now, from, message))
+	case handshake.Digest:
+		a.perform(a.flows.Digested(from, message))
 	case handshake.Located:
 		a.perform(a.flows.Located(from, message))
 	case handshake.NotHeld:
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -58,6 +58,11 @@
 			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram}}}
 	case handshake.Found:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Found{Found: encodeFound(m)}}
+	case handshake.Summarize:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Summarize{Summarize: &burlmillv1.HandshakeSummarize{Census: m.Census}}}
+	case handshake.Digest:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Digest{Digest: &burlmillv1.HandshakeDigest{
+			Census: m.Census, Filter: m.Filter, MayHold: m.MayHold}}}
 	default:
 		return &burlmillv1.HandshakeMessage{}
 	}
@@ -104,6 +109,10 @@
 		return decodeSearch(body.Search)
 	case *burlmillv1.HandshakeMessage_Found:
 		return decodeFound(body.Found)
+	case *burlmillv1.HandshakeMessage_Summarize:
+		return handshake.Summarize{Census: body.Summarize.GetCensus()}, nil
+	case *burlmillv1.HandshakeMessage_Digest:
+		return decodeDigest(body.Digest)
 	default:
 		return nil, fault.New(fault.Invalid, "message of %d bytes without a known body", len(encoded))
 	}
@@ -258,6 +267,13 @@
 	return found, err
 }
 
+func decodeDigest(encoded *burlmillv1.HandshakeDigest) (handshake.Message, error) {
+	if size := len(encoded.GetFilter()); size > handshake.MaximumFilter {
+		return nil, fault.New(fault.Invalid, "filter of a digest has %d bytes, more than %d", size, handshake.MaximumFilter)
+	}
+	return handshake.Digest{Census: encoded.GetCensus(), Filter: encoded.GetFilter(), MayHold: encoded.GetMayHold()}, nil
+}
+
 func encodeAddresses(addresses []netip.AddrPort) [][]byte {
 	var encoded [][]byte
 	for _, address := range addresses {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -73,7 +73,7 @@
 
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 14).Draw(t, "kind") {
+	switch rapid.IntRange(0, 16).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
@@ -103,6 +103,10 @@
 		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram}
 	case 13:
 		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered")}
+	case 14:
+		return handshake.Summarize{Census: rapid.Uint32().Draw(t, "census")}
+	case 15:
+		return handshake.Digest{Census: rapid.Uint32().Draw(t, "census"), Filter: datagram, MayHold: rapid.Bool().Draw(t, "may hold")}
 	default:
 		return handshake.Located{Key: drawKey(t), Holding: handshake.Holds}
 	}
@@ -132,7 +136,9 @@
 			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
 		}
 	})
-	for _, bad := range [][]byte{nil, {}, {0xff}, make([]byte, 100)} {
+	tooLong, err := Encode(handshake.Digest{Filter: make([]byte, handshake.MaximumFilter+1)})
+	is.New(t).NoErr(err)
+	for _, bad := range [][]byte{nil, {}, {0xff}, make([]byte, 100), tooLong} {
 		_, err := Decode(bad)
 		is.New(t).Equal(fault.Of(err), fault.Invalid)
 	}
@@ -142,6 +148,11 @@
 	encoded, err := Encode(handshake.Locate{Key: flow.Key{Caller: netip.MustParseAddrPort("192.0.2.1:1"), Service: netip.MustParseAddrPort("192.0.2.2:2")}})
 	is.New(f).NoErr(err)
 	f.Add(encoded)
+	for _, message := range []handshake.Message{handshake.Summarize{Census: 7}, handshake.Digest{Census: 7, Filter: []byte{1, 2, 3}, MayHold: true}} {
+		encoded, err := Encode(message)
+		is.New(f).NoErr(err)
+		f.Add(encoded)
+	}
 	f.Fuzz(func(t *testing.T, input []byte) {
 		if _, err := Decode(input); err != nil && fault.Of(err) != fault.Invalid {
 			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
