--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -120,6 +120,15 @@
 	return now.Sub(other.heard), true
 }
 
+// Zone returns the zone of a process; known is false if it was never heard.
+func (c *Contacts) Zone(address netip.AddrPort) (zone catalog.ZoneName, known bool) {
+	other := c.contacts[address]
+	if other == nil || other.heard.IsZero() {
+		return "", false
+	}
+	return other.status.Zone, true
+}
+
 // Lost returns the processes that have fallen silent since the last call.
 func (c *Contacts) Lost(now time.Time) []Contact {
 	var lost []Contact
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,12 +26,20 @@
 	sourcePeer    = "peer"
 )
 
+// Distances of the receivers of messages, as values of a label.
+const (
+	distanceNear    = "own-zone"
+	distanceFar     = "other-zone"
+	distanceUnknown = "unknown" // not heard yet
+)
+
 // metrics counts what a node does. docs/OPERATIONS.md lists them.
 type metrics struct {
 	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec // by event and reason
 	datagrams *prometheus.CounterVec // by source
 	invalid   *prometheus.CounterVec // by source
+	told      *prometheus.CounterVec // bytes of messages to other processes, by kind and distance
 	opening   prometheus.Histogram   // from the last offer to its acceptance
 	attempts  prometheus.Histogram   // offers for one accepted flow
 	locating  prometheus.Histogram   // from the question to the agent that holds the flow
@@ -42,6 +50,7 @@
 
 	// Counters that are used for each datagram or decision, looked up once.
 	fromCaller, fromBackend, fromPeer prometheus.Counter
+	byMessage                         map[messageLabels]prometheus.Counter  // guarded by the node's lock
 	byDecision                        map[decisionLabels]prometheus.Counter // guarded by the node's lock
 }
 
@@ -51,12 +60,16 @@
 	reason string
 }
 
+// messageLabels are the labels of the counter of bytes.
+type messageLabels struct{ kind, distance string }
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry:  observability.NewRegistry(),
 		decisions: counters("decisions_total", "Decisions about flows.", "event", "reason"),
 		datagrams: counters("datagrams_total", "Datagrams received.", "source"),
 		invalid:   counters("datagrams_invalid_total", "Datagrams received that could not be read.", "source"),
+		told:      counters("peer_bytes_total", "Bytes of messages to other processes, without headers.", "kind", "distance"),
 		opening:   histogram("opening_seconds", "From an offer of a flow to its acceptance.", secondsBuckets),
 		attempts:  histogram("opening_attempts", "Offers made for a flow until one was accepted.", attemptBuckets),
 		locating:  histogram("locating_seconds", "From the question who holds a flow to the agent that does.", secondsBuckets),
@@ -70,7 +83,8 @@
 	m.fromBackend = m.datagrams.WithLabelValues(sourceBackend)
 	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
 	m.byDecision = map[decisionLabels]prometheus.Counter{}
-	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
+	m.byMessage = map[messageLabels]prometheus.Counter{}
+	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.told, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
 	return m
 }
 
@@ -105,6 +119,39 @@
 	}
 }
 
+// sent counts a message to another process. The node's lock is held.
+func (m *metrics) sent(message handshake.Message, distance string, bytes int) {
+	labels := messageLabels{kindOf(message), distance}
+	counter := m.byMessage[labels]
+	if counter == nil {
+		counter = m.told.WithLabelValues(labels.kind, labels.distance)
+		m.byMessage[labels] = counter
+	}
+	counter.Add(float64(bytes))
+}
+
+// kindOf returns the kind of a message as a value of a label.
+func kindOf(message handshake.Message) string {
+	switch message.(type) {
+	case handshake.Status:
+		return "status"
+	case handshake.Offer, handshake.Accepted, handshake.Refused:
+		return "opening"
+	case handshake.Await, handshake.Reserved, handshake.Declined:
+		return "reservation"
+	case handshake.Forward, handshake.NotHeld:
+		return "forward"
+	case handshake.Locate, handshake.Located, handshake.Hint:
+		return "locate"
+	case handshake.Search, handshake.Found:
+		return "search"
+	case handshake.Summarize, handshake.Digest:
+		return "census"
+	default:
+		return "unknown"
+	}
+}
+
 // outcomeSuccess is the outcome of a store call without an error; with one, the
 // outcome is its kind.
 const outcomeSuccess = "success"
--- /dev/null
+++ b/internal/relay/metrics_test.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/settings"
+)
+
+// TestEveryMessageHasAKind as a value of a label.
+func TestEveryMessageHasAKind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if message := drawMessage(t); kindOf(message) == "unknown" {
+			t.Fatalf("%T", message)
+		}
+	})
+}
+
+// TestBytesAreCountedByKindAndDistance: of processes that were heard, by their zone.
+func TestBytesAreCountedByKindAndDistance(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	near, far, unknown := netip.MustParseAddrPort("10.0.0.2:7"), netip.MustParseAddrPort("10.0.0.3:7"), netip.MustParseAddrPort("10.0.0.4:7")
+	n := &node{metrics: newMetrics(), settings: settings.Settings{Node: settings.Node{Zone: "a"}},
+		contacts: handshake.NewContacts(netip.MustParseAddrPort("10.0.0.1:7"), handshake.RoleAgent, "a")}
+	n.contacts.Heard(now, near, handshake.Status{Role: handshake.RoleAgent, Zone: "a", Peers: []netip.AddrPort{unknown}})
+	n.contacts.Heard(now, far, handshake.Status{Role: handshake.RoleAgent, Zone: "b"})
+	for _, to := range []netip.AddrPort{near, far, far, unknown} {
+		n.metrics.sent(handshake.Summarize{}, n.distance(to), 10)
+	}
+	value := func(distance string) float64 { return counted(t, n.metrics.told.WithLabelValues("census", distance)) }
+	is.Equal(value(distanceNear), 10.0)
+	is.Equal(value(distanceFar), 20.0)
+	is.Equal(value(distanceUnknown), 10.0)
+}
+
+func counted(t *testing.T, counter prometheus.Counter) float64 {
+	t.Helper()
+	read := &dto.Metric{}
+	is.New(t).NoErr(counter.Write(read))
+	return read.GetCounter().GetValue()
+}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -85,7 +85,10 @@
 
 // decisionFields returns what the log says of a decision.
 func decisionFields(d handshake.Decision) log.Fields {
-	fields := log.Fields{"caller": d.Key.Caller, "address": d.Key.Service}
+	fields := log.Fields{}
+	if d.Key.Caller.IsValid() {
+		fields["caller"], fields["address"] = d.Key.Caller, d.Key.Service
+	}
 	if d.Service != "" {
 		fields["service"] = d.Service
 	}
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -53,9 +53,23 @@
 		n.limited.Log(log.ErrorLevel, "encode-failed", log.Fields{"error": err})
 		return
 	}
+	n.metrics.sent(message, n.distance(to), len(encoded))
 	n.sendBytes(encoded, to)
 }
 
+// distance says how far away another process is, as a value of a label. The lock is held.
+func (n *node) distance(to netip.AddrPort) string {
+	zone, known := n.contacts.Zone(to)
+	switch {
+	case !known:
+		return distanceUnknown
+	case zone == n.settings.Node.Zone:
+		return distanceNear
+	default:
+		return distanceFar
+	}
+}
+
 func (n *node) sendBytes(encoded []byte, to netip.AddrPort) {
 	if err := n.peers.Send(encoded, to); err != nil {
 		n.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
