--- a/handshake/candidates.go
+++ b/handshake/candidates.go
@@ -54,14 +54,25 @@
 	return agents[:min(len(agents), most)]
 }
 
-// choose returns the agent that is to get the new flow, none of those in except: the least busy
-// of its candidates; where all of them are full, have failed flows of late or take none, any agent of the service.
+// choose returns the agent that is to get the new flow, none of those in except: the least busy of its
+// candidates that can run it at once; where there is none, any agent of the service.
 func (b *Board) choose(now time.Time, key flow.Key, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
-	candidates := slices.DeleteFunc(b.candidates(now, key, service), func(agent *agentState) bool { return agent.load.Suspect })
+	least, outcome := b.chooseAny(now, service, except)
+	if outcome != chosen {
+		return nil, outcome
+	}
+	candidates := slices.DeleteFunc(b.candidates(now, key, service), func(agent *agentState) bool {
+		return !agent.hasRoom() || agent.load.Suspect || agent.load.Cold > 0 && least.load.Cold == 0
+	})
 	if best, outcome := b.leastBusyOf(now, candidates, except); outcome == chosen {
 		return best, chosen
 	}
-	return b.chooseAny(now, service, except)
+	return least, chosen
+}
+
+// hasRoom says whether the agent's back end can run one more request at once, counting offers under way.
+func (a *agentState) hasRoom() bool {
+	return a.load.Busy+uint32(a.unanswered) < cmp.Or(a.load.Slots, unknownSlots)
 }
 
 // rankOf ranks an agent for a flow: the agent of the highest rank is the flow's.
