--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -1,7 +1,6 @@
 package handshake
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -45,18 +44,19 @@
 	}
 }
 
-// nearest returns the balancers to ask for a flow, those of the own zone first: routers
+// nearest returns the balancers to ask for a flow, those of the own zone alone if there are any: routers
 // move flows within a zone while it has balancers.
 func (n *neighbors) nearest(now time.Time) []netip.AddrPort {
 	var heard []*neighbor
+	closest := 1
 	for _, other := range n.known {
 		if now.Sub(other.heard) <= other.patience {
 			heard = append(heard, other)
+			closest = min(closest, n.distance(other))
 		}
 	}
-	slices.SortFunc(heard, func(a, b *neighbor) int {
-		return cmp.Or(cmp.Compare(n.distance(a), n.distance(b)), a.address.Compare(b.address))
-	})
+	heard = slices.DeleteFunc(heard, func(other *neighbor) bool { return n.distance(other) > closest })
+	slices.SortFunc(heard, func(a, b *neighbor) int { return a.address.Compare(b.address) })
 	heard = heard[:min(len(heard), maximumNeighbors)]
 	addresses := make([]netip.AddrPort, 0, len(heard))
 	for _, other := range heard {
--- a/handshake/neighbors_test.go
+++ b/handshake/neighbors_test.go
@@ -75,6 +75,10 @@
 	for _, address := range nearest {
 		is.Equal(others.known[address].zone, catalog.ZoneName("a"))
 	}
+	few := newNeighbors("a")
+	few.take(now, contactAddress(RoleBalancer, 1), Status{Role: RoleBalancer, Zone: "b"})
+	few.take(now, contactAddress(RoleBalancer, 2), Status{Role: RoleBalancer, Zone: "a"})
+	is.Equal(few.nearest(now), []netip.AddrPort{contactAddress(RoleBalancer, 2)}) // routers move flows within a zone
 	others.take(now.Add(KnownTime), contactAddress(RoleBalancer, 1), Status{Role: RoleBalancer, Zone: "b"})
 	is.Equal(others.nearest(now.Add(KnownTime+time.Millisecond)), []netip.AddrPort{contactAddress(RoleBalancer, 1)})
 	others.forget(now.Add(KnownTime + time.Millisecond))
