A trier is named 16 back ends, and not asked again before it may try

A flow that may be held at more than 16 back ends is not certain to be gone before its caller has given up, with or without the others.

--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -42,6 +42,7 @@
 	under     []netip.AddrPort // agents of the question under way
 	asked     []netip.AddrPort // agents that were asked before it
 	perhaps   []netip.AddrPort // agents that may hold the flow
+	unnamed   []netip.AddrPort // those of them that were not named to the trier
 	tries     bool             // the question under way is a datagram tried at back ends
 	tried     bool             // it has been: it is not again before the caller's next datagram
 	undecided bool             // some have not answered
@@ -139,7 +140,7 @@
 	switch {
 	case len(remaining) > 0:
 		b.search(now, known, remaining)
-	case len(f.perhaps) > 0 && !f.tried:
+	case len(f.perhaps) > 0 && !f.tried && !now.Before(known.tryAgain):
 		b.try(now, known)
 	default:
 		b.findingEnded(now, known)
@@ -185,9 +186,7 @@
 	}
 	f.undecided = f.undecided || answer.Unanswered > 0
 	if f.tries {
-		f.under = nil
-		f.perhaps = answer.Perhaps
-		b.findingEnded(now, known)
+		b.triedBy(now, known, answer)
 		b.startFindings(now)
 		return
 	}
--- a/handshake/trying.go
+++ b/handshake/trying.go
@@ -35,8 +35,11 @@
 	// tryMemory is how long a trier remembers which back ends have given back a flow's datagram, after it was
 	// last asked about the flow: longer than the longest pause between two datagrams of a caller that waits.
 	tryMemory = 10 * time.Second
+	// mostNamed is how many back ends that may hold a flow are named to its trier: what can be tried in the
+	// time for which a caller waits, and some to choose from. (A guess.)
+	mostNamed = 16
 	// maximumTried is how many flows a trier keeps account of; no others are tried. (A guess: with
-	// MaximumSearched addresses each 3 MB.)
+	// mostNamed addresses each half a megabyte.)
 	maximumTried = 1024
 )
 
@@ -159,8 +162,21 @@
 	}
 	f.tries, f.tried = true, true
 	agents := b.likeliestFirst(now, known)
+	f.unnamed = agents[min(len(agents), mostNamed):]
 	b.act(Decision{Event: EventTried, Key: known.key, Peer: trier.address, Attempts: len(agents)})
-	b.sendSearch(now, known, trier, agents[:min(len(agents), MaximumSearched)], known.buffered[0])
+	b.sendSearch(now, known, trier, agents[:len(agents)-len(f.unnamed)], known.buffered[0])
+}
+
+// triedBy handles the trier's answer: back ends are left that may hold the flow, or none. Where some have
+// been tried, no more are before the span is over.
+func (b *Balancer) triedBy(now time.Time, known *balancedFlow, answer Found) {
+	f := known.finding
+	if len(answer.Perhaps) > 0 && len(answer.Perhaps) < len(f.under) {
+		known.tryAgain = now.Add(trySpan)
+	}
+	f.under = nil
+	f.perhaps = slices.Concat(answer.Perhaps, f.unnamed)
+	b.findingEnded(now, known)
 }
 
 // trier returns the agent that keeps account of the tries of the flow, nil if the balancer cannot
--- a/handshake/trying_test.go
+++ b/handshake/trying_test.go
@@ -262,3 +262,38 @@
 		is.Equal(b.board.agents[agent].status.Zone == "a", i < candidatesNear)
 	}
 }
+
+// TestTriesAreNotAskedForInVain: few back ends are named to the trier, and it is not asked again before it
+// may try further ones.
+func TestTriesAreNotAskedForInVain(t *testing.T) {
+	is := is.New(t)
+	var agents []netip.AddrPort
+	for i := range mostNamed + 1 {
+		agents = append(agents, contactAddress(RoleAgent, i+1))
+	}
+	b, now := settled(t, agents...)
+	now = hearOn(b, now, trySettleTime, agents...)
+	ask := func(now time.Time) (netip.AddrPort, Search) {
+		to, search := searchIn(t, b.FromCaller(now, unknownData(1)))
+		for search.Datagram == nil {
+			actions := b.FromPeer(now, to, Found{Key: search.Key, Perhaps: search.Agents})
+			if len(receivers[Search](actions)) == 0 {
+				return to, Search{}
+			}
+			to, search = searchIn(t, actions)
+		}
+		return to, search
+	}
+	trier, search := ask(now)
+	is.Equal(len(search.Agents), mostNamed)
+	actions := b.FromPeer(now, trier, Found{Key: holdKey(1), Perhaps: search.Agents[mostTries:]})
+	is.True(!hasReset(actions)) // nor is it certain once those named have denied it
+	b.Tick(now.Add(2 * LocateTime))
+	later := hearOn(b, now, mostFindPause+2*LocateTime, agents...)
+	_, search = ask(later)
+	is.Equal(len(search.Agents), 0)
+	b.Tick(later.Add(2 * LocateTime))
+	later = hearOn(b, later, trySpan, agents...)
+	_, search = ask(later)
+	is.Equal(len(search.Agents), mostNamed)
+}
