A late answer of a searching agent is not taken for that to a later question

All balancers of a zone put their large questions to one agent, so that one that was too slow for a flow's first question may be asked the second, and its late answer would have made those of the second deny the flow, on which its caller can be reset. Questions are numbered now.

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -98,6 +98,7 @@
 	latest    uint32        // what the caller's latest datagram confirmed
 	finding   *finding      // nil: it is not searched for
 	findAgain time.Time     // until then it is not searched for again
+	questions uint32        // asked of searching agents and over: the number of the one under way, or of the next
 	tryAgain  time.Time     // until then none of its datagrams is tried again
 	findPause time.Duration // for which it was left alone last
 	gone      bool          // for certain: nobody holds it
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -167,7 +167,7 @@
 	f.under = agents
 	known.sentAt = now
 	b.await(known, now.Add(2*LocateTime+searcher.patience()))
-	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram}})
+	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram, Question: known.questions}})
 }
 
 // found handles the answer of the agent that has searched.
@@ -181,9 +181,10 @@
 		return
 	}
 	f := known.finding
-	if f.searcher != from || f.under == nil {
-		return // a late answer
+	if f.searcher != from || f.under == nil || answer.Question != known.questions {
+		return // a late answer, which says nothing of those who have been asked since
 	}
+	known.questions++
 	f.undecided = f.undecided || answer.Unanswered > 0
 	if f.tries {
 		b.triedBy(now, known, answer)
@@ -221,6 +222,7 @@
 		b.queueFinding(now, known)
 		return
 	}
+	known.questions++
 	if f.tries {
 		f.under = nil
 		b.findingEnded(now, known)
@@ -346,6 +348,7 @@
 		return
 	}
 	b.stopSearching(known)
+	known.questions++ // one may be under way
 	known.finding = nil
 	known.buffered = nil
 }
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -69,7 +69,7 @@
 	actions := b.FromPeer(now, searcher, Found{Key: holdKey(1)})
 	next, search := searchIn(t, actions)
 	is.Equal(search.Agents, []netip.AddrPort{other})
-	is.Equal(len(b.FromPeer(now, searcher, Found{Key: holdKey(1)})), 0) // a late answer, unless it has been asked again
+	is.Equal(len(b.FromPeer(now, searcher, Found{Key: holdKey(1)})), 0) // a late answer
 	actions = b.FromPeer(now, next, Found{Key: holdKey(1), Agent: other})
 	is.Equal(sentTo(actions, other), []Message{Forward{Bytes: []byte{1}}, Forward{Bytes: []byte{1}}})
 }
@@ -198,8 +198,8 @@
 	now = hearOn(b, now, trySettleTime, agent, other)
 	searcher, _ := searchIn(t, b.FromCaller(now, unknownData(1)))
 	searcher, search := searchIn(t, b.FromPeer(now, searcher, Found{Key: holdKey(1), Perhaps: []netip.AddrPort{other}}))
-	is.Equal(search, Search{Key: holdKey(1), Confirms: 50, Agents: []netip.AddrPort{other}, Datagram: []byte{1}})
-	is.True(hasReset(b.FromPeer(now, searcher, Found{Key: holdKey(1)})))
+	is.Equal(search, Search{Key: holdKey(1), Confirms: 50, Agents: []netip.AddrPort{other}, Datagram: []byte{1}, Question: 1})
+	is.True(hasReset(b.FromPeer(now, searcher, Found{Key: holdKey(1), Question: 1})))
 }
 
 // TestConfirmationBeforeTheAnswerToItsOffer: the caller's datagram may be handled before
@@ -244,7 +244,7 @@
 		for _, action := range append(b.Tick(now), b.FromCaller(now, unknownData(uint16(reads)))...) {
 			if send, ok := action.(Send); ok {
 				if search, ok := send.Message.(Search); ok {
-					b.FromPeer(now, send.To, Found{Key: search.Key})
+					b.FromPeer(now, send.To, Found{Key: search.Key, Question: search.Question})
 				}
 			}
 		}
@@ -255,3 +255,27 @@
 	}
 	is.True(reads >= 4 && reads <= 8) // after 4, 8, 16, 30 s and so on
 }
+
+// TestLateAnswerIsNotTakenForAnother: the agent that was too slow to answer one question is asked the next one, which
+// names others. What it says of the first ones does not make those deny the flow.
+func TestLateAnswerIsNotTakenForAnother(t *testing.T) {
+	is := is.New(t)
+	var agents []netip.AddrPort
+	for i := range mostAskedSingly + candidatesNear + 1 {
+		agents = append(agents, contactAddress(RoleAgent, i+1))
+	}
+	b, now := settled(t, agents...)
+	known := unknownData(1)
+	first, few := searchIn(t, b.FromCaller(now, known))
+	var many Search
+	for now = now.Add(2*LocateTime + OfferTime); len(many.Agents) <= mostAskedSingly; {
+		second, again := searchIn(t, b.Tick(now))
+		is.Equal(again.Agents, few.Agents)
+		_, many = searchIn(t, b.FromPeer(now, second, Found{Key: known.Key, Question: again.Question}))
+	}
+	b.flows[known.Key].finding.searcher = first // whichever it is by rank
+	late := Found{Key: known.Key, Question: few.Question}
+	is.Equal(len(b.FromPeer(now, first, late)), 0)
+	late.Question = many.Question
+	is.True(hasReset(b.FromPeer(now, first, late)))
+}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -221,6 +221,7 @@
 	Confirms uint32           // of the datagram that is to be delivered
 	Agents   []netip.AddrPort // at most MaximumSearched
 	Datagram []byte           // to be tried; nil: the agents are asked
+	Question uint32           // counts the balancer's questions about the flow; the answer carries it
 }
 
 // Found is the answer to Search.
@@ -229,6 +230,7 @@
 	Agent      netip.AddrPort   // that holds the flow; zero: none does, as far as they have answered
 	Perhaps    []netip.AddrPort // agents that may hold it
 	Unanswered uint32           // agents that have not answered
+	Question   uint32           // that it answers
 }
 
 // Summarize asks an agent for a digest of all flows that it knows.
--- a/handshake/search.go
+++ b/handshake/search.go
@@ -29,6 +29,7 @@
 	key       flow.Key
 	hash      uint64 // of the key
 	confirms  uint32
+	question  uint32 // the balancer's number of it
 	asker     netip.AddrPort
 	waiting   []netip.AddrPort // asked, or to be asked, and not answered yet
 	perhaps   []netip.AddrPort // that may hold the flow
@@ -41,10 +42,10 @@
 // Searched begins a search for a balancer.
 func (a *Agent) Searched(now time.Time, from netip.AddrPort, question Search) []Action {
 	if len(a.searches) >= mostSearches {
-		a.act(Send{To: from, Message: Found{Key: question.Key, Unanswered: uint32(len(question.Agents))}})
+		a.act(Send{To: from, Message: Found{Key: question.Key, Unanswered: uint32(len(question.Agents)), Question: question.Question}})
 		return a.take()
 	}
-	begun := &search{key: question.Key, hash: keyHash(question.Key), confirms: question.Confirms, asker: from,
+	begun := &search{key: question.Key, hash: keyHash(question.Key), confirms: question.Confirms, question: question.Question, asker: from,
 		waiting: slices.Clone(question.Agents), deadline: now.Add(LocateTime)}
 	if question.Datagram != nil {
 		begun.waiting, begun.perhaps = a.mayTry(now, question)
@@ -120,7 +121,8 @@
 // endSearch answers the balancer. The holder is zero if none was found.
 func (a *Agent) endSearch(ended *search, holder netip.AddrPort) {
 	a.searches = slices.DeleteFunc(a.searches, func(one *search) bool { return one == ended })
-	a.act(Send{To: ended.asker, Message: Found{Key: ended.key, Agent: holder, Perhaps: ended.perhaps, Unanswered: uint32(len(ended.waiting))}})
+	a.act(Send{To: ended.asker, Message: Found{Key: ended.key, Agent: holder, Perhaps: ended.perhaps,
+		Unanswered: uint32(len(ended.waiting)), Question: ended.question}})
 }
 
 // expireSearches ends the searches whose time is over.
--- a/handshake/trying_test.go
+++ b/handshake/trying_test.go
@@ -276,7 +276,7 @@
 	ask := func(now time.Time) (netip.AddrPort, Search) {
 		to, search := searchIn(t, b.FromCaller(now, unknownData(1)))
 		for search.Datagram == nil {
-			actions := b.FromPeer(now, to, Found{Key: search.Key, Perhaps: search.Agents})
+			actions := b.FromPeer(now, to, Found{Key: search.Key, Perhaps: search.Agents, Question: search.Question})
 			if len(receivers[Search](actions)) == 0 {
 				return to, Search{}
 			}
@@ -286,7 +286,7 @@
 	}
 	trier, search := ask(now)
 	is.Equal(len(search.Agents), mostNamed)
-	actions := b.FromPeer(now, trier, Found{Key: holdKey(1), Perhaps: search.Agents[mostTries:]})
+	actions := b.FromPeer(now, trier, Found{Key: holdKey(1), Perhaps: search.Agents[mostTries:], Question: search.Question})
 	is.True(!hasReset(actions)) // nor is it certain once those named have denied it
 	b.Tick(now.Add(2 * LocateTime))
 	later := hearOn(b, now, mostFindPause+2*LocateTime, agents...)
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -55,7 +55,7 @@
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: encodeHint(m)}}
 	case handshake.Search:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Search{Search: &burlmillv1.HandshakeSearch{
-			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram}}}
+			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram, Question: m.Question}}}
 	case handshake.Found:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Found{Found: encodeFound(m)}}
 	case handshake.Summarize:
@@ -243,11 +243,11 @@
 		return nil, err
 	}
 	agents, err := decodeAddresses(encoded.GetAgents())
-	return handshake.Search{Key: key, Confirms: encoded.GetConfirms(), Agents: agents, Datagram: encoded.GetDatagram()}, err
+	return handshake.Search{Key: key, Confirms: encoded.GetConfirms(), Agents: agents, Datagram: encoded.GetDatagram(), Question: encoded.GetQuestion()}, err
 }
 
 func encodeFound(found handshake.Found) *burlmillv1.HandshakeFound {
-	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(found.Key), Perhaps: encodeAddresses(found.Perhaps), Unanswered: found.Unanswered}
+	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(found.Key), Perhaps: encodeAddresses(found.Perhaps), Unanswered: found.Unanswered, Question: found.Question}
 	if found.Agent.IsValid() {
 		encoded.Agent = encodeAddress(found.Agent)
 	}
@@ -259,7 +259,7 @@
 	if err != nil {
 		return nil, err
 	}
-	found := handshake.Found{Key: key, Unanswered: encoded.GetUnanswered()}
+	found := handshake.Found{Key: key, Unanswered: encoded.GetUnanswered(), Question: encoded.GetQuestion()}
 	if found.Perhaps, err = decodeAddresses(encoded.GetPerhaps()); err != nil || len(encoded.GetAgent()) == 0 {
 		return found, err
 	}
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -100,9 +100,9 @@
 	case 11:
 		return handshake.Declined{}
 	case 12:
-		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram}
+		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram, Question: rapid.Uint32().Draw(t, "question")}
 	case 13:
-		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered")}
+		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered"), Question: rapid.Uint32().Draw(t, "question")}
 	case 14:
 		return handshake.Summarize{Census: rapid.Uint32().Draw(t, "census")}
 	case 15:
