A flow that was left alone is searched for again as soon as there are news of agents

But what agents can tell changes when they or their back ends begin, or the records are read: then the next datagram starts a search.

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -58,6 +58,7 @@
 	recordsAgain  time.Time                         // they are not read before
 	recordsPause  time.Duration                     // between two readings that did not bring certainty; 0: the latest did
 	nextAwait     map[catalog.ServiceName]time.Time // when agents may be asked for reservations again
+	newsAt        time.Time                         // when an agent, or its back end, was last heard to be new, or the records were read
 	started       time.Time
 	lastTick      time.Time
 	resumed       time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
@@ -100,6 +101,7 @@
 	findAgain time.Time     // until then it is not searched for again
 	questions uint32        // asked of searching agents and over: the number of the one under way, or of the next
 	tryAgain  time.Time     // until then none of its datagrams is tried again
+	leftAt    time.Time     // when it was left alone: news of agents end that
 	findPause time.Duration // for which it was left alone last
 	gone      bool          // for certain: nobody holds it
 	resetAt   time.Time     // when the caller was last told so
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -105,6 +105,7 @@
 	order       []*agentState // by address, so that every run decides alike
 	random      *rand.Rand
 	evacuations evacuation.Set // zones whose agents get no new flows
+	changed     bool           // an agent or its back end is a new one since this was last looked at: it may deny more flows, or know more
 	grown       bool           // an agent has been heard for the first time since this was last looked at
 }
 
@@ -122,6 +123,9 @@
 		b.add(agent)
 	case agent.status.Incarnation != status.Incarnation:
 		*agent = agentState{address: from}
+		b.changed = true
+	case agent.status.Backend != status.Backend:
+		b.changed = true
 	}
 	agent.noteHeard(now)
 	agent.status = status
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -59,7 +59,7 @@
 	if datagram.Kind == Reset && known.finding == nil {
 		return // its caller has given up; the back end notices without it
 	}
-	if now.Before(known.findAgain) || len(known.buffered) >= MaximumBuffered {
+	if now.Before(known.findAgain) && !b.newsAt.After(known.leftAt) || len(known.buffered) >= MaximumBuffered {
 		return
 	}
 	known.buffered = append(known.buffered, bytes.Clone(datagram.Bytes))
@@ -312,6 +312,10 @@
 
 // searchNewAgents searches anew for the flows that wait for agents which are not known yet.
 func (b *Balancer) searchNewAgents(now time.Time) {
+	if b.board.grown || b.board.changed {
+		b.newsAt = now
+		b.board.changed = false
+	}
 	if !b.board.grown {
 		return
 	}
@@ -329,6 +333,7 @@
 		known.findPause = mostFindPause // all have answered, and tries take their time
 	}
 	known.findAgain = now.Add(known.findPause)
+	known.leftAt = now
 	b.act(Decision{Event: EventLost, Key: known.key, Attempts: len(known.finding.asked), Reason: reasonUnheard, Age: known.findPause})
 	b.endFinding(known)
 }
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -256,6 +256,23 @@
 	is.True(reads >= 4 && reads <= 8) // after 4, 8, 16, 30 s and so on
 }
 
+// TestNewsEndTheTimeForWhichAFlowIsLeftAlone: an agent that could not tell before can tell as soon as its back end
+// has registered.
+func TestNewsEndTheTimeForWhichAFlowIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	agent := contactAddress(RoleAgent, 1)
+	b, now := settled(t, agent)
+	searcher, search := searchIn(t, b.FromCaller(now, unknownData(1)))
+	b.FromPeer(now, searcher, Found{Key: holdKey(1), Perhaps: search.Agents})
+	now = now.Add(2 * LocateTime)
+	b.Tick(now)
+	is.Equal(len(receivers[Search](b.FromCaller(now, unknownData(1)))), 0)
+	now = now.Add(worldRest)
+	b.TakeStatus(now, agent, Status{Role: RoleAgent, Zone: "a", Service: worldService, Backend: "i-2", Load: Load{Accepts: true, Slots: 3}})
+	b.Tick(now)
+	is.Equal(len(receivers[Search](b.FromCaller(now, unknownData(1)))), 1)
+}
+
 // TestLateAnswerIsNotTakenForAnother: the agent that was too slow to answer one question is asked the next one, which
 // names others. What it says of the first ones does not make those deny the flow.
 func TestLateAnswerIsNotTakenForAnother(t *testing.T) {
