--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -249,6 +249,7 @@
 	a.expireSearches(now)
 	a.tellOver()
 	a.forgetWork()
+	a.startCensus(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held) {
 			a.settle(held)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -105,6 +105,7 @@
 	order       []*agentState // by address, so that every run decides alike
 	random      *rand.Rand
 	evacuations evacuation.Set // zones whose agents get no new flows
+	changed     bool           // an agent or its back end is a new one since this was last looked at: it may deny more flows, or know more
 	grown       bool           // an agent has been heard for the first time since this was last looked at
 }
 
@@ -122,6 +123,9 @@
 		b.add(agent)
 	case agent.status.Incarnation != status.Incarnation:
 		*agent = agentState{address: from}
+		b.changed = true
+	case agent.status.Backend != status.Backend:
+		b.changed = true
 	}
 	agent.noteHeard(now)
 	agent.status = status
@@ -268,14 +272,25 @@
 	nobodyElse        // no agent takes new flows
 )
 
-// choose returns the agent of the service that is to get the next new flow, none
+// chooseAny returns the agent of the service that is to get the next new flow, none
 // of those in except.
-func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+func (b *Board) chooseAny(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+	var agents []*agentState
+	for _, agent := range b.order {
+		if agent.status.Service == service {
+			agents = append(agents, agent)
+		}
+	}
+	return b.leastBusyOf(now, agents, except)
+}
+
+// leastBusyOf returns which of the agents is to get the next new flow, none of those in except.
+func (b *Board) leastBusyOf(now time.Time, agents []*agentState, except []netip.AddrPort) (*agentState, choice) {
 	var best *agentState
 	bestScore := 0.0
 	outcome := nobodyElse
-	for _, agent := range b.order {
-		if agent.status.Service != service || !b.usable(now, agent) || slices.Contains(except, agent.address) {
+	for _, agent := range agents {
+		if !b.usable(now, agent) || slices.Contains(except, agent.address) {
 			continue
 		}
 		if agent.full() {
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/burlmill/burlmill/routing"
 )
 
 // Finding: a balancer that gets a datagram of a flow it does not know (routers have moved
@@ -44,6 +42,7 @@
 	under     []netip.AddrPort // agents of the question under way
 	asked     []netip.AddrPort // agents that were asked before it
 	perhaps   []netip.AddrPort // agents that may hold the flow
+	unnamed   []netip.AddrPort // those of them that were not named to the trier
 	tries     bool             // the question under way is a datagram tried at back ends
 	tried     bool             // it has been: it is not again before the caller's next datagram
 	undecided bool             // some have not answered
@@ -60,7 +59,7 @@
 	if datagram.Kind == Reset && known.finding == nil {
 		return // its caller has given up; the back end notices without it
 	}
-	if now.Before(known.findAgain) || len(known.buffered) >= MaximumBuffered {
+	if now.Before(known.findAgain) && !b.newsAt.After(known.leftAt) || len(known.buffered) >= MaximumBuffered {
 		return
 	}
 	known.buffered = append(known.buffered, bytes.Clone(datagram.Bytes))
@@ -137,11 +136,11 @@
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
 	f := known.finding
 	f.tries = false
-	remaining := b.candidates(now, known)
+	remaining := b.unasked(now, known)
 	switch {
 	case len(remaining) > 0:
 		b.search(now, known, remaining)
-	case len(f.perhaps) > 0 && !f.tried:
+	case len(f.perhaps) > 0 && !f.tried && !now.Before(known.tryAgain):
 		b.try(now, known)
 	default:
 		b.findingEnded(now, known)
@@ -151,7 +150,7 @@
 // search lets an agent ask the others.
 func (b *Balancer) search(now time.Time, known *balancedFlow, agents []netip.AddrPort) {
 	f := known.finding
-	searcher := b.board.searcher(now, f.searcher)
+	searcher := b.searcher(now, f, len(agents))
 	if searcher == nil {
 		f.undecided = true
 		b.findingEnded(now, known)
@@ -168,37 +167,7 @@
 	f.under = agents
 	known.sentAt = now
 	b.await(known, now.Add(2*LocateTime+searcher.patience()))
-	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram}})
-}
-
-// candidates returns agents to ask for a flow that have not been asked. Those of the services
-// to which its route sends new flows come first: with many services, few agents are of those.
-// A flow that is older than its route's present targets is with another service, so all others
-// come after.
-func (b *Balancer) candidates(now time.Time, known *balancedFlow) []netip.AddrPort {
-	var likely, others []netip.AddrPort
-	route := b.route(known)
-	for _, agent := range b.board.known(now) {
-		switch {
-		case slices.Contains(known.finding.asked, agent.address):
-		case route != nil && route.Has(agent.status.Service):
-			likely = append(likely, agent.address)
-		default:
-			others = append(others, agent.address)
-		}
-	}
-	if len(likely) == 0 {
-		likely = others
-	}
-	return likely[:min(len(likely), MaximumSearched)]
-}
-
-// route returns the flow's route, nil if there is none.
-func (b *Balancer) route(known *balancedFlow) *routing.Route {
-	if b.table == nil {
-		return nil
-	}
-	return b.table.Route(known.key.Service)
+	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram, Question: known.questions}})
 }
 
 // found handles the answer of the agent that has searched.
@@ -212,14 +181,13 @@
 		return
 	}
 	f := known.finding
-	if f.searcher != from || f.under == nil {
-		return // a late answer
+	if f.searcher != from || f.under == nil || answer.Question != known.questions {
+		return // a late answer, which says nothing of those who have been asked since
 	}
+	known.questions++
 	f.undecided = f.undecided || answer.Unanswered > 0
 	if f.tries {
-		f.under = nil
-		f.perhaps = answer.Perhaps
-		b.findingEnded(now, known)
+		b.triedBy(now, known, answer)
 		b.startFindings(now)
 		return
 	}
@@ -254,6 +222,7 @@
 		b.queueFinding(now, known)
 		return
 	}
+	known.questions++
 	if f.tries {
 		f.under = nil
 		b.findingEnded(now, known)
@@ -343,6 +312,10 @@
 
 // searchNewAgents searches anew for the flows that wait for agents which are not known yet.
 func (b *Balancer) searchNewAgents(now time.Time) {
+	if b.board.grown || b.board.changed {
+		b.newsAt = now
+		b.board.changed = false
+	}
 	if !b.board.grown {
 		return
 	}
@@ -360,6 +333,7 @@
 		known.findPause = mostFindPause // all have answered, and tries take their time
 	}
 	known.findAgain = now.Add(known.findPause)
+	known.leftAt = now
 	b.act(Decision{Event: EventLost, Key: known.key, Attempts: len(known.finding.asked), Reason: reasonUnheard, Age: known.findPause})
 	b.endFinding(known)
 }
@@ -379,6 +353,7 @@
 		return
 	}
 	b.stopSearching(known)
+	known.questions++ // one may be under way
 	known.finding = nil
 	known.buffered = nil
 }
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -224,6 +224,7 @@
 	Confirms uint32           // of the datagram that is to be delivered
 	Agents   []netip.AddrPort // at most MaximumSearched
 	Datagram []byte           // to be tried; nil: the agents are asked
+	Question uint32           // counts the balancer's questions about the flow; the answer carries it
 }
 
 // Found is the answer to Search.
@@ -232,6 +233,19 @@
 	Agent      netip.AddrPort   // that holds the flow; zero: none does, as far as they have answered
 	Perhaps    []netip.AddrPort // agents that may hold it
 	Unanswered uint32           // agents that have not answered
+	Question   uint32           // that it answers
+}
+
+// Summarize asks an agent for a digest of all flows that it knows.
+type Summarize struct {
+	Census uint32 // its number, which the answer carries
+}
+
+// Digest is an agent's answer to Summarize.
+type Digest struct {
+	Census  uint32
+	Filter  []byte // of the flows that the agent knows, at most MaximumFilter bytes; empty: it knows none
+	MayHold bool   // its back end may hold others
 }
 
 // Hint is a balancer's answer to Locate.
@@ -240,17 +254,19 @@
 	Agent netip.AddrPort // that holds the flow as far as the balancer knows; zero: none is known
 }
 
-func (Status) message()   {}
-func (Offer) message()    {}
-func (Await) message()    {}
-func (Reserved) message() {}
-func (Declined) message() {}
-func (Accepted) message() {}
-func (Refused) message()  {}
-func (Forward) message()  {}
-func (NotHeld) message()  {}
-func (Locate) message()   {}
-func (Located) message()  {}
-func (Hint) message()     {}
-func (Search) message()   {}
-func (Found) message()    {}
+func (Status) message()    {}
+func (Offer) message()     {}
+func (Await) message()     {}
+func (Reserved) message()  {}
+func (Declined) message()  {}
+func (Accepted) message()  {}
+func (Refused) message()   {}
+func (Forward) message()   {}
+func (NotHeld) message()   {}
+func (Locate) message()    {}
+func (Located) message()   {}
+func (Hint) message()      {}
+func (Search) message()    {}
+func (Found) message()     {}
+func (Summarize) message() {}
+func (Digest) message()    {}
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -75,7 +75,7 @@
 
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 14).Draw(t, "kind") {
+	switch rapid.IntRange(0, 16).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
@@ -102,9 +102,13 @@
 	case 11:
 		return handshake.Declined{}
 	case 12:
-		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram}
+		return handshake.Search{Key: drawKey(t), Confirms: rapid.Uint32().Draw(t, "confirms"), Agents: drawAddresses(t), Datagram: datagram, Question: rapid.Uint32().Draw(t, "question")}
 	case 13:
-		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered")}
+		return handshake.Found{Key: drawKey(t), Agent: addresses.Draw(t, "agent"), Perhaps: drawAddresses(t), Unanswered: rapid.Uint32().Draw(t, "unanswered"), Question: rapid.Uint32().Draw(t, "question")}
+	case 14:
+		return handshake.Summarize{Census: rapid.Uint32().Draw(t, "census")}
+	case 15:
+		return handshake.Digest{Census: rapid.Uint32().Draw(t, "census"), Filter: datagram, MayHold: rapid.Bool().Draw(t, "may hold")}
 	default:
 		return handshake.Located{Key: drawKey(t), Holding: handshake.Holds}
 	}
@@ -134,7 +138,9 @@
 			t.Fatalf("error of kind %v: %v", fault.Of(err), err)
 		}
 	})
-	for _, bad := range [][]byte{nil, {}, {0xff}, make([]byte, 100)} {
+	tooLong, err := Encode(handshake.Digest{Filter: make([]byte, handshake.MaximumFilter+1)})
+	is.New(t).NoErr(err)
+	for _, bad := range [][]byte{nil, {}, {0xff}, make([]byte, 100), tooLong} {
 		_, err := Decode(bad)
 		is.New(t).Equal(fault.Of(err), fault.Invalid)
 	}
@@ -174,6 +180,7 @@
 		handshake.Locate{Key: fuzzKey}, handshake.Located{Key: fuzzKey, Holding: handshake.HoldsPerhaps},
 		handshake.Hint{Key: fuzzKey, Agent: peer}, handshake.Search{Key: fuzzKey, Agents: []netip.AddrPort{peer}},
 		handshake.Found{Key: fuzzKey, Perhaps: []netip.AddrPort{peer}},
+		handshake.Summarize{Census: 7}, handshake.Digest{Census: 7, Filter: []byte{1, 2, 3}, MayHold: true},
 	} {
 		encoded, err := Encode(message)
 		is.New(f).NoErr(err)
