A flow is not sent on to a back end that merely answered for another one with its key

Now an answer proves it only if it is data of the numbers that the caller confirms; else the agent says "perhaps" (never "no", as only a datagram given back is that), and a balancer that sends a flow's datagrams there searches for it anew. A flow that an agent knows from its back end's speech alone is told from another one with its key by the same numbers; a reset makes no flow known.

Tests: TestHolderIsAskedAgain, TestBackEndThatAnswersForAnotherFlow, TestFlowKnownFromItsBackEndAlone fail on the code before. Changed: the back ends of the test world and one datagram of TestWorkOfAnUnknownFlowIsForgottenSoon now carry numbers of the back end's own, as those of the transport do (Datagram.Number); before they carried the caller's or none.

--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -147,11 +147,14 @@
 		a.reserve(now)
 		return a.take()
 	}
-	if held == nil {
+	if held == nil && datagram.Kind != Reset {
 		held = a.hold(now, datagram.Key, stateSpokenOn(datagram.Kind))
+		held.latest = spokenNumber(datagram)
+	}
+	if held != nil {
+		held.seen = now
+		a.fromHolder(now, held, datagram)
 	}
-	held.seen = now
-	a.fromHolder(now, held, datagram)
 	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
 	a.reserve(now)
 	return a.take()
@@ -166,11 +169,39 @@
 	return stateOpen
 }
 
+// spokenNumber returns about what a caller confirms of the flow on which the back end speaks, 0 if that is not told: so
+// a datagram of another flow with the same key is told from one of this.
+func spokenNumber(datagram *Datagram) uint32 {
+	if datagram.Kind != Data {
+		return 0
+	}
+	return datagram.Number
+}
+
+// isSpokenOf says whether the back end's datagram proves that it holds the flow of which a datagram was tried
+// there. It may have taken the flow's opening and have given it up since, as the caller opened it elsewhere: then it
+// resets, or confirms, what it does not hold, by a number of its own.
+func (f *heldFlow) isSpokenOf(datagram *Datagram) bool {
+	return datagram.Kind == Data && near(f.latest, datagram.Number)
+}
+
+// doubt notes that what the back end says does not prove that it holds the flow that was tried there. Nor does it prove
+// the contrary, as a datagram given back does: so the flow is searched for on.
+func (a *Agent) doubt(held *heldFlow) {
+	a.drop(held)
+	a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: HoldsPerhaps}})
+	a.act(Decision{Event: EventNotHeld, Key: held.key, Service: a.options.Service, Peer: held.balancer,
+		Reason: reasonAnother})
+}
+
 // fromHolder notes what a back end's datagram does to its flow.
 func (a *Agent) fromHolder(now time.Time, held *heldFlow, datagram *Datagram) {
 	switch {
 	case datagram.Kind == Accept:
 		a.acceptedBy(now, held, datagram.Number)
+	case held.state == stateTentative && !held.isSpokenOf(datagram):
+		a.doubt(held)
+		return
 	case held.state == stateTentative:
 		held.state = stateOpen
 		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
--- a/handshake/agent_work_test.go
+++ b/handshake/agent_work_test.go
@@ -41,7 +41,7 @@
 	agent := readyAgent(t, now)
 	data := &Datagram{Key: holdKey(1), Kind: Data, Number: 8, Confirms: 50, Payload: 100}
 	agent.Forwarded(now, holdAgent, data)
-	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data}) // holds it, and acknowledges no more than that
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data, Number: 50}) // holds it, and acknowledges no more than that
 	is.Equal(agent.Load(now).Busy, uint32(1))
 	now = now.Add(mostUnconfirmedTime + time.Millisecond)
 	agent.Tick(now)
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -91,7 +91,8 @@
 	reasonNobody  = "nobody-holds-it"  // all agents have said so
 	reasonBackend = "back-end"
 	reasonAgent   = "agent"
-	reasonLate    = "late" // the agent has stood still, and the caller sends again
+	reasonLate    = "late"         // the agent has stood still, and the caller sends again
+	reasonAnother = "another-flow" // the back end has answered for another flow with the same key, or by a reset
 
 	reasonUncertain = "silent-may-be-open" // an earlier copy went elsewhere, or an offer was not answered
 	reasonCopyDue   = "silent-copy-due"    // a later copy may have gone elsewhere
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -230,9 +230,15 @@
 	b.startFindings(now)
 }
 
-// located handles the answer of an agent that another balancer has named.
+// located handles the answer of an agent that another balancer has named, or whose back end has not proved
+// that it holds a flow whose datagrams are sent to it: the next one is searched for.
 func (b *Balancer) located(now time.Time, from netip.AddrPort, answer Located) {
 	known := b.flows[answer.Key]
+	if known != nil && known.agent == from && answer.Holding != Holds {
+		known.agent = netip.AddrPort{}
+		b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: reasonAnother})
+		return
+	}
 	if known == nil || known.agent.IsValid() || known.finding == nil || answer.Holding != Holds {
 		return
 	}
--- /dev/null
+++ b/handshake/holder_test.go
@@ -0,0 +1,88 @@
+package handshake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestHolderIsAskedAgain: the caller's first copy was taken by one back end, which gave the flow up later, as
+// the caller had opened it at another one. The balancers start anew, and the agent of the second is silent for a while: so a datagram
+// is tried at the first, which resets it. That is no sign that it holds the flow: once the second is heard again, the
+// flow's datagrams reach it.
+func TestHolderIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 5, 2, 3)
+	is.True(w.call(1000))
+	caller := w.callers[holdKey(1000)]
+	var holder, other *worldAgent
+	for _, agent := range w.agents {
+		if agent.backend == caller.openAt {
+			holder = agent
+		} else {
+			other = agent
+		}
+	}
+	other.backend.half[caller.key], other.backend.ended[caller.key] = caller.number+mostProgress, true
+	w.startAgent(other) // it no longer knows what its back end has taken
+	w.report(other)
+	holder.up = false
+	for _, balancer := range w.balancers {
+		w.startBalancer(balancer)
+	}
+	w.router = w.balancers[0]
+	w.pass(2 * DiscoveryTime)
+	w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+	w.pass(time.Second)
+	holder.up = true
+	w.pass(time.Second)
+	is.True(w.exchange(caller))
+	is.Equal(w.violation, "")
+}
+
+// TestBackEndThatAnswersForAnotherFlow: a datagram of a flow that an agent does not know was tried at its back end. What that
+// says proves that it holds the flow if its numbers are those that the caller confirms.
+func TestBackEndThatAnswersForAnotherFlow(t *testing.T) {
+	const confirmed = 5000
+	for name, test := range map[string]struct {
+		answer  Datagram
+		holding Holding
+	}{
+		"an answer":                   {Datagram{Kind: Data, Number: confirmed, Payload: 9}, Holds},
+		"a confirmation":              {Datagram{Kind: Data, Number: confirmed + 10}, Holds},
+		"of numbers of its own":       {Datagram{Kind: Data, Number: confirmed + mostProgress}, HoldsPerhaps},
+		"a reset":                     {Datagram{Kind: Reset, Number: confirmed + mostProgress}, HoldsPerhaps},
+		"a reset of the same numbers": {Datagram{Kind: Reset, Number: confirmed}, HoldsPerhaps},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+			agent.Forwarded(now, holdAgent, &Datagram{Key: holdKey(1), Kind: Data, Confirms: confirmed, Payload: 1})
+			answer := test.answer
+			answer.Key = holdKey(1)
+			actions := agent.FromBackend(now, &answer)
+			is.Equal(sentTo(actions, holdAgent), []Message{Located{Key: holdKey(1), Holding: test.holding}})
+			is.Equal(agent.Unfinished() > 0, test.holding == Holds)
+			asked := agent.Asked(now, holdAgent, Locate{Key: holdKey(1), Confirms: confirmed})
+			is.Equal(sentTo(asked, holdAgent), []Message{Located{Key: holdKey(1), Holding: test.holding}})
+		})
+	}
+}
+
+// TestFlowKnownFromItsBackEndAlone: an agent that has started anew hears its back end speak. It holds the flow of
+// these numbers, not another one with the same key; a reset tells of none.
+func TestFlowKnownFromItsBackEndAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
+	holding := func(port uint16, confirms uint32) []Message {
+		return sentTo(agent.Asked(now, holdAgent, Locate{Key: holdKey(port), Confirms: confirms}), holdAgent)
+	}
+	agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Data, Number: 5000, Payload: 9})
+	is.Equal(holding(1, 5000), []Message{Located{Key: holdKey(1), Holding: Holds}})
+	is.Equal(holding(1, 5000+mostProgress), []Message{Located{Key: holdKey(1), Holding: HoldsPerhaps}})
+	agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset, Number: 5000})
+	is.Equal(holding(2, 5000), []Message{Located{Key: holdKey(2), Holding: HoldsPerhaps}})
+}
--- a/handshake/world_backends_test.go
+++ b/handshake/world_backends_test.go
@@ -15,7 +15,7 @@
 // What befalls the back ends of the test world.
 
 func newWorldBackend(id instance.ID) *worldBackend {
-	return &worldBackend{id: id, slots: 7, alive: true, sequence: 1, half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}}
+	return &worldBackend{id: id, slots: 7, alive: true, sequence: 1, half: map[flow.Key]uint32{}, open: map[flow.Key]bool{}, ended: map[flow.Key]bool{}}
 }
 
 // replaceBackend starts another back end beside the agent.
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -37,7 +37,8 @@
 	alive    bool
 	half     map[flow.Key]uint32
 	open     map[flow.Key]bool
-	offered  int // opening datagrams that reached it
+	ended    map[flow.Key]bool // flows that it has given up: it resets what comes on them
+	offered  int               // opening datagrams that reached it
 }
 
 // worldAgent is an agent with its back end.
@@ -424,11 +425,13 @@
 			backend.passed = append(backend.passed, w.now)
 		}
 		answer.Kind, answer.Number = Accept, backend.half[datagram.Key]
+	case backend.ended[datagram.Key]:
+		answer.Kind, answer.Payload, answer.Number = Reset, 0, backend.half[datagram.Key]
 	case backend.open[datagram.Key]:
-		answer.Kind, answer.Payload = Data, 1
+		answer.Kind, answer.Payload, answer.Number = Data, 1, backend.half[datagram.Key]
 	case datagram.Confirms == backend.half[datagram.Key] && backend.half[datagram.Key] != 0:
 		backend.open[datagram.Key] = true
-		answer.Kind, answer.Payload = Data, 1
+		answer.Kind, answer.Payload, answer.Number = Data, 1, backend.half[datagram.Key]
 	default:
 		answer.Returned = true
 	}
