Callers of dead flows are told soon after all machines have started anew: agents deny for certain, and no record stays behind

Now * the first four reports of a life are not acknowledged, so that they are repeated after 30, 60, 120, 240 ms (measured); an agent that hears two in a row of these first is beside a back end that is younger than any agent takes to end and start again: it has seen it begin; * three refused health checks in a row (0.2 s, before: more than three report intervals) prove that nobody runs there.

Changed tests: keepRecord was publishWithBackend; the fake decider of evacuations_test.go learns tells.

--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -47,6 +47,7 @@
 	flows        map[flow.Key]*heldFlow
 	owing        map[*heldFlow]bool // flows whose back end owes an answer: its work
 	leaving      bool
+	gone         bool          // nothing runs beside it any more, and it is about to end
 	evacuated    bool          // its zone is evacuated
 	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	reservations reservations
@@ -151,14 +152,36 @@
 	return open
 }
 
-// HoldsNothing says whether the back end has left, or was never there, and holds no flow for certain.
+// HoldsNothing says whether the back end has left, is gone, or was never there, and holds no flow for certain.
 func (a *Agent) HoldsNothing(now time.Time) bool {
-	if a.tracker.NobodyThere() {
+	if a.gone || a.tracker.NobodyThere() {
 		return true
 	}
-	return a.tracker.State() == instance.Leaving && a.Unfinished() == 0 && a.unknownHolding(now) == HoldsNot
+	return a.tracker.State() == instance.Leaving && !a.expectsDatagrams() && a.unknownHolding(now) == HoldsNot
 }
 
+// expectsDatagrams says whether the back end may speak on a flow that is known.
+func (a *Agent) expectsDatagrams() bool {
+	for _, held := range a.flows {
+		if held.state != stateEnded {
+			return true
+		}
+	}
+	return false
+}
+
+// EndWithoutBackend notes, of an agent that is about to end, that nothing runs at the back end's address any more: whatever was
+// held there is gone.
+func (a *Agent) EndWithoutBackend() {
+	a.leaving = true
+	a.gone = true
+}
+
+// IsBesideNobody says whether the back end has given no sign since the agent started, and nothing was found at its address. Such
+// an agent has nothing to tell: its machine may be about to be taken away, and balancers that had heard it
+// could not tell that from a machine that is cut off.
+func (a *Agent) IsBesideNobody() bool { return a.tracker.Unseen() }
+
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
 )
 
 // Forwarded handles a datagram that a balancer takes to be of a flow held here. Where the
@@ -119,6 +120,8 @@
 func (a *Agent) holding(now time.Time, question Locate) Holding {
 	held := a.flows[question.Key]
 	switch {
+	case a.gone:
+		return HoldsNot
 	case held == nil || held.state == stateTentative:
 		return a.unknownHolding(now)
 	case !held.opened(question.Confirms):
@@ -132,6 +135,9 @@
 // started after its back end may have missed the flow's opening. Only then, since
 // each back end that is asked in vain gets datagrams of a flow of another.
 func (a *Agent) unknownHolding(now time.Time) Holding {
+	if a.gone {
+		return HoldsNot
+	}
 	if now.Sub(a.started) < a.options.FlowLifetime && !a.tracker.SawBegin() {
 		return HoldsPerhaps
 	}
@@ -140,8 +146,10 @@
 
 // FromBackend handles a datagram of the back end.
 func (a *Agent) FromBackend(now time.Time, datagram *Datagram) []Action {
-	a.tracker.Alive(now)
 	held := a.flows[datagram.Key]
+	if !datagram.Returned || a.tracker.State() != instance.Absent {
+		a.tracker.Alive(now) // what is given back where no back end is known, shows none that holds flows
+	}
 	if datagram.Returned {
 		a.returned(now, held, datagram)
 		a.reserve(now)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -52,6 +52,7 @@
 	heard      time.Time
 	since      time.Time // since when it has been heard without a pause
 	loadHeard  time.Time
+	recorded   bool      // its record was seen where it lasts, since it was first heard
 	unanswered int       // offers without an answer since load was heard
 	silent     int       // offers in a row that ran out without an answer
 	silentAt   time.Time // when the latest of them did
@@ -208,13 +209,22 @@
 	return agents
 }
 
-// known says whether the agent may be asked for flows.
+// known says whether the agent may be asked for flows: not where it has said that there is nothing to ask for.
 func (a *agentState) known(now time.Time) bool {
-	return now.Sub(a.heard) <= max(KnownTime, patience(a.status))
+	return !a.status.HoldsNothing && now.Sub(a.heard) <= max(KnownTime, patience(a.status))
+}
+
+// noteRecords notes which agents are recorded.
+func (b *Board) noteRecords(recorded []netip.AddrPort) {
+	for _, address := range recorded {
+		if agent := b.agents[address]; agent != nil {
+			agent.recorded = true
+		}
+	}
 }
 
 // hearsAll says whether all agents that were ever heard, and all those that are recorded, can
-// be asked for flows; but for those that have withdrawn their records since they were heard.
+// be asked for flows, but for those that hold none for certain.
 func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort, recordedAt time.Time) bool {
 	for _, address := range recorded {
 		if b.agents[address] == nil {
@@ -222,14 +232,22 @@
 		}
 	}
 	for _, agent := range b.order {
-		withdrawn := agent.status.Leaving && recordedAt.After(agent.heard) && !slices.Contains(recorded, agent.address)
-		if !agent.known(now) && !withdrawn {
+		if !agent.known(now) && !agent.status.HoldsNothing && !agent.withdrew(recorded, recordedAt) {
 			return false
 		}
 	}
 	return true
 }
 
+// withdrew says whether the agent has withdrawn its record since it was heard, which only one does whose back end
+// holds nothing. One that has started so lately that its record was never seen counts only if it said that it leaves.
+func (a *agentState) withdrew(recorded []netip.AddrPort, recordedAt time.Time) bool {
+	if !recordedAt.After(a.heard) || slices.Contains(recorded, a.address) {
+		return false
+	}
+	return a.recorded || a.status.Leaving
+}
+
 // searcher returns an agent, heard of late, that is to search for a flow: one of the own zone
 // if there is any, by chance, so that the work is spread. Not the one given, unless it is the only one.
 func (b *Board) searcher(now time.Time, except netip.AddrPort) *agentState {
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -33,7 +33,8 @@
 	// flows share one; the longest is for records that nobody removes, of machines that were lost.
 	firstRecordsPause = time.Second
 	mostRecordsPause  = 30 * time.Second
-	recordsLifetime   = 30 * time.Second // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
+	youngRecordsPause = 300 * time.Millisecond // while the balancer is young: about what agents take to find that nobody runs beside them
+	recordsLifetime   = 30 * time.Second       // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
 )
 
 // finding is the search for the agent that holds one flow.
@@ -315,15 +316,25 @@
 func (b *Balancer) Record(now, at time.Time, agents []netip.AddrPort) {
 	b.recorded = agents
 	b.recordedAt = at
+	b.board.noteRecords(agents)
 	b.recordsWanted = false
 	b.recordsPause = min(max(2*b.recordsPause, firstRecordsPause), mostRecordsPause)
 	if b.knowsAll(now) {
 		b.recordsPause = 0
 	}
-	b.recordsAgain = now.Add(max(b.recordsPause, firstRecordsPause))
+	b.recordsAgain = now.Add(b.nextRecordsPause(now))
 	b.board.grown = true
 }
 
+// nextRecordsPause returns the pause before the records may be read again. In a balancer's first seconds, after an
+// outage perhaps, agents withdraw those of back ends that have not come back, and many callers wait.
+func (b *Balancer) nextRecordsPause(now time.Time) time.Duration {
+	if now.Sub(b.started) < DiscoveryTime {
+		return youngRecordsPause
+	}
+	return max(b.recordsPause, firstRecordsPause)
+}
+
 // RecordsDue says whether Record is to be called soon: a flow may be gone, and only which
 // agents there are can tell. Where the records do not help, since one of them is of an agent
 // that cannot be heard, they are read more and more seldom.
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -155,6 +155,26 @@
 		"one has withdrawn its record": {before: func(b *Balancer, now time.Time) {
 			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
 		}, reset: true},
+		"one has ended that holds nothing": {before: func(b *Balancer, now time.Time) {
+			b.TakeStatus(now, silent, Status{Role: RoleAgent, Service: worldService, Leaving: true, HoldsNothing: true})
+		}, reset: true},
+		"one has ended and its record is gone": {before: func(b *Balancer, now time.Time) {
+			hearAgents(b, now.Add(-2*KnownTime), worldService, silent)
+			b.Record(now, now.Add(-3*KnownTime), []netip.AddrPort{agent, silent})
+			b.Record(now, now, []netip.AddrPort{agent})
+		}, reset: true},
+		"one has started anew since its record was seen": {before: func(b *Balancer, now time.Time) {
+			hearAgents(b, now.Add(-3*KnownTime), worldService, silent)
+			b.Record(now, now.Add(-3*KnownTime), []netip.AddrPort{agent, silent})
+			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Incarnation: 1})
+			b.Record(now, now, []netip.AddrPort{agent})
+		}},
+		"one was heard since its record was missing": {before: func(b *Balancer, now time.Time) {
+			hearAgents(b, now.Add(-3*KnownTime), worldService, silent)
+			b.Record(now, now.Add(-3*KnownTime), []netip.AddrPort{agent, silent})
+			b.Record(now, now.Add(-3*KnownTime), []netip.AddrPort{agent})
+			hearAgents(b, now.Add(-2*KnownTime), worldService, silent)
+		}},
 		"one has stopped beside its back end": {before: func(b *Balancer, now time.Time) {
 			b.TakeStatus(now.Add(-2*KnownTime), silent, Status{Role: RoleAgent, Service: worldService, Leaving: true})
 			b.Record(now, now, []netip.AddrPort{agent, silent})
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -79,8 +79,10 @@
 	Interval    time.Duration       // until the receiver is told again
 	Subscribe   bool                // the sender wants the receiver's load often; balancers only
 	StoreFresh  bool                // the sender has heard the store of late; balancers only
-	Peers       []netip.AddrPort    // some processes that the sender has heard lately
-	Evacuations evacuation.Set      // zero: the sender knows of none, and of no end of one
+	// HoldsNothing says that the sender leaves and its back end holds no flow for certain; agents only.
+	HoldsNothing bool
+	Peers        []netip.AddrPort // some processes that the sender has heard lately
+	Evacuations  evacuation.Set   // zero: the sender knows of none, and of no end of one
 }
 
 // Brief returns the status without what stays the same for the life of the process.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -97,6 +97,7 @@
 	// foundNobody says that no instance ran at some time since the tracker began, and none was
 	// known before: whatever runs now has started since.
 	foundNobody bool
+	beginning   beginning
 }
 
 // present is what is believed of one instance.
@@ -139,17 +140,26 @@
 // SawBegin says whether the present instance is proved to have started after the tracker
 // did, so that it holds nothing that the tracker's owner does not know: it was announced by
 // its first report, or came after another that this tracker knew, and has answered itself;
-// or there was none at all before it. It is true too while there is none for certain.
-func (t *Tracker) SawBegin() bool { return t.foundNobody || t.began && t.verified }
+// or there was none at all before it; or it had just started when it was first heard (beginning). It is true
+// too while there is none for certain.
+func (t *Tracker) SawBegin() bool {
+	return t.foundNobody || t.verified && (t.began || t.beginning.proves(t.latest.Life()))
+}
 
 // NobodyThere says that no instance was there when it was last looked, and none was ever known.
 func (t *Tracker) NobodyThere() bool { return t.foundNobody && t.latest.ID == "" && t.heard.IsZero() }
 
+// Unseen says that the back end has given no sign since the tracker began, and refuses health checks: there may be none.
+func (t *Tracker) Unseen() bool {
+	return t.latest.ID == "" && t.heard.IsZero() && !t.refusedFrom.IsZero()
+}
+
 // Heard returns when the present instance last gave a sign of life.
 func (t *Tracker) Heard() time.Time { return t.heard }
 
 // Report takes in a report. It says whether the report was news.
 func (t *Tracker) Report(now time.Time, report Report) bool {
+	t.beginning.note(report)
 	if t.gone[report.ID] {
 		if report.Leaving {
 			t.forgetDisplaced(report.ID)
@@ -291,14 +301,14 @@
 }
 
 // noteRefusal looks whether nobody runs at the back end's address. One refused check does not
-// say so: an instance that lives would also have reported within missedReports intervals.
+// say so (nobodyTime).
 func (t *Tracker) noteRefusal(now time.Time, refused bool) {
 	switch {
 	case !refused || t.latest.ID != "" || !t.heard.IsZero():
 		t.refusedFrom = time.Time{}
 	case t.refusedFrom.IsZero():
 		t.refusedFrom = now
-	case now.Sub(t.refusedFrom) > missedReports*t.interval:
+	case refusedForLong(now, t.refusedFrom):
 		t.foundNobody = true
 	}
 }
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -23,6 +23,7 @@
 const (
 	agentDrainMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
 	agentDrainLook   = 50 * time.Millisecond   // between two looks whether they have ended
+	firstCheckTime   = 50 * time.Millisecond   // for the first health check, before others are told of the agent (a guess: some times what one takes on a machine)
 )
 
 // agent is a running agent.
@@ -32,7 +33,10 @@
 	data     atomic.Pointer[wire.Socket] // towards the back end and callers
 	outbound atomic.Pointer[wire.Socket] // from the back end
 	last     handshake.Load              // as last told
+	began    time.Time                   // when it began to decide
+	checked  bool                        // a health check has ended
 	backend  sighting                    // of any sign of the back end
+	nobody   sighting                    // of the proof that no back end runs beside the agent
 }
 
 // sighting is something that is waited for and happens once.
@@ -52,7 +56,7 @@
 	if s.Backend.Service == "" {
 		return fault.InvalidField("backend.service", s.Backend.Service, "must be given to an agent where flows.transport is handshake")
 	}
-	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger), backend: newSighting()}
+	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger), backend: newSighting(), nobody: newSighting()}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Zone:           s.Node.Zone,
 		Service:        s.Backend.Service,
@@ -82,6 +86,7 @@
 	}
 	a.data.Store(data)
 	a.addAgentGauges()
+	a.began = time.Now()
 	a.start(a)
 	a.outbound.Store(outbound) // from now on the back end's datagrams are handled
 	if err := a.serve(a.settings.Node.ControlAddress, a.adapter.HostHandler(a)); err != nil {
@@ -91,22 +96,11 @@
 		return err
 	}
 	a.spawn(a.directoryLoop)
-	a.spawn(a.publishWithBackend)
+	a.spawn(a.keepRecord)
 	a.spawn(func() { a.reloadLoop(changes) })
 	return nil
 }
 
-// publishWithBackend records the agent once there is a back end beside it. Without one it
-// holds no flow; and if its machine is then taken away, nobody removes the record, so that no
-// balancer could ever tell a caller again that all agents deny its flow.
-func (a *agent) publishWithBackend() {
-	select {
-	case <-a.context.Done():
-	case <-a.backend.seen:
-		a.publish()
-	}
-}
-
 // addAgentGauges adds the values that only agents have.
 func (a *agent) addAgentGauges() {
 	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 {
@@ -132,6 +126,11 @@
 	return !a.leaving
 }
 
+// tells says whether others are told of this process.
+func (a *agent) tells(now time.Time) bool {
+	return !a.flows.IsBesideNobody() && (a.checked || now.Sub(a.began) > firstCheckTime)
+}
+
 // stop refuses new flows and waits for the open ones.
 func (a *agent) stop() {
 	a.mutex.Lock()
@@ -152,18 +151,8 @@
 	return a.flows.Unfinished()
 }
 
-// holdsNothing says whether the agent is needed no more: its back end has left, and no flow is
-// open there. An agent that stops beside a back end that lives on starts again.
-func (a *agent) holdsNothing() bool {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.flows.HoldsNothing(time.Now())
-}
-
 func (a *agent) closeAll() error {
-	if a.holdsNothing() {
-		a.withdraw()
-	}
+	a.sayFarewell()
 	err := errors.Join(a.outbound.Load().Close(), a.data.Load().Close(), a.close())
 	a.log.Info("stopped")
 	return err
@@ -181,7 +170,9 @@
 		a.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
 		return
 	}
-	a.backend.note()
+	if !datagram.Returned {
+		a.backend.note()
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.perform(a.flows.FromBackend(time.Now(), &datagram))
@@ -214,6 +205,8 @@
 		Service: a.settings.Backend.Service,
 		Backend: string(a.flows.Tracker().Latest().ID),
 		Load:    a.flows.Load(now),
+
+		HoldsNothing: a.leaving && a.flows.HoldsNothing(now),
 	}
 }
 
@@ -225,6 +218,9 @@
 func (a *agent) tick(now time.Time) {
 	a.perform(a.flows.Tick(now))
 	a.noteChange(now)
+	if a.flows.Tracker().NobodyThere() {
+		a.nobody.note()
+	}
 	if a.flows.Tracker().CheckDue(now) {
 		path := a.healthPath()
 		a.spawn(func() { a.check(path) })
@@ -265,7 +261,7 @@
 }
 
 // check asks the back end whether it is well.
-func (a *agent) check(path string) {
+func (a *agent) check(path string) instance.Check {
 	ctx, cancel := context.WithTimeout(a.context, instance.CheckTimeout)
 	defer cancel()
 	begun := time.Now()
@@ -274,11 +270,13 @@
 	if result.Well || result.ID != "" {
 		a.backend.note()
 	}
-	a.limited.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Well, "backend": result.ID, "took": now.Sub(begun)})
+	a.limited.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Well, "backend": result.ID, "refused": result.Refused, "took": now.Sub(begun)})
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.checked = true
 	a.flows.Tracker().Checked(now, result)
 	a.tellChange(now)
+	return result
 }
 
 // Report takes in a report of the back end.
@@ -293,6 +291,9 @@
 	}
 	tracker.Report(now, report)
 	a.tellChange(now)
+	if report.IsEarly() {
+		return fault.New(fault.Unavailable, "report %d of back end %s: it has just started, and is to repeat what it says", report.Sequence, report.ID)
+	}
 	return nil
 }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -182,6 +182,8 @@
 
 func (b *balancer) status(time.Time) handshake.Status { return handshake.Status{} }
 
+func (b *balancer) tells(time.Time) bool { return true }
+
 func (b *balancer) evacuated(set evacuation.Set) { b.flows.Evacuate(set) }
 
 func (b *balancer) configured(_ time.Time, table *routing.Table) { b.flows.Configure(table) }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -123,6 +123,8 @@
 		IntervalMs:  uint32(status.Interval.Milliseconds()),
 		Subscribe:   status.Subscribe,
 		StoreFresh:  status.StoreFresh,
+
+		HoldsNothing: status.HoldsNothing,
 	}
 	if status.Load != (handshake.Load{}) {
 		encoded.Load = encodeLoad(status.Load)
@@ -147,6 +149,8 @@
 		Interval:    time.Duration(encoded.GetIntervalMs()) * time.Millisecond,
 		Subscribe:   encoded.GetSubscribe(),
 		StoreFresh:  encoded.GetStoreFresh(),
+
+		HoldsNothing: encoded.GetHoldsNothing(),
 	}
 	var err error
 	if status.Peers, err = decodeAddresses(encoded.GetPeers()); err != nil {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -43,19 +43,20 @@
 
 func drawStatus(t *rapid.T) handshake.Status {
 	status := handshake.Status{
-		ID:          rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "id"),
-		Role:        handshake.RoleAgent,
-		Zone:        catalog.ZoneName(rapid.StringMatching("[a-z]{1,9}").Draw(t, "zone")),
-		Region:      "saigon",
-		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
-		Service:     "lessons",
-		Backend:     rapid.StringMatching("i-[0-9]{0,9}").Draw(t, "backend"),
-		Load:        drawLoad(t),
-		Version:     routing.Version(rapid.Uint64().Draw(t, "version")),
-		Leaving:     rapid.Bool().Draw(t, "leaving"),
-		Interval:    time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond,
-		Subscribe:   rapid.Bool().Draw(t, "subscribe"),
-		StoreFresh:  rapid.Bool().Draw(t, "store fresh"),
+		HoldsNothing: true,
+		ID:           rapid.StringMatching("[a-z0-9-]{1,20}").Draw(t, "id"),
+		Role:         handshake.RoleAgent,
+		Zone:         catalog.ZoneName(rapid.StringMatching("[a-z]{1,9}").Draw(t, "zone")),
+		Region:       "saigon",
+		Incarnation:  rapid.Uint64().Draw(t, "incarnation"),
+		Service:      "lessons",
+		Backend:      rapid.StringMatching("i-[0-9]{0,9}").Draw(t, "backend"),
+		Load:         drawLoad(t),
+		Version:      routing.Version(rapid.Uint64().Draw(t, "version")),
+		Leaving:      rapid.Bool().Draw(t, "leaving"),
+		Interval:     time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond,
+		Subscribe:    rapid.Bool().Draw(t, "subscribe"),
+		StoreFresh:   rapid.Bool().Draw(t, "store fresh"),
 	}
 	zones := rapid.SliceOfN(rapid.StringMatching("[a-z]{1,9}"), 0, 4).Draw(t, "evacuated zones")
 	set, err := decodeEvacuations(&burlmillv1.HandshakeEvacuations{Revision: rapid.Uint64().Draw(t, "revision"), Zones: zones})
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -25,6 +25,7 @@
 	publishRetry        = 2 * time.Second        // the same for the own record, which nobody needs at once
 	configurationLook   = 50 * time.Millisecond  // between two looks whether a configuration is held
 	withdrawTimeout     = 500 * time.Millisecond // of a process that stops
+	silentInterval      = 20 * time.Second       // between two looks for balancers of a process that tells nobody of itself: it needs some once it does
 )
 
 // record returns the record of this process.
@@ -37,7 +38,7 @@
 // as it costs a tenth, and once more later, as the record that was found may have been
 // removed shortly before.
 func (n *node) publish() {
-	for {
+	for !n.ending.Load() {
 		found, err := n.publishOnce()
 		pause := publishRetry
 		switch {
@@ -58,16 +59,17 @@
 
 // publishOnce makes sure that the own record is in the store. It says whether it was found there.
 func (n *node) publishOnce() (found bool, err error) {
-	begun := time.Now()
-	revision, err := n.adapter.Published(n.context, n.record())
-	n.metrics.called("published", begun, err)
+	revision, err := n.lookForRecord()
 	if err != nil {
 		return false, err
 	}
 	if found = revision != 0; !found {
-		begun = time.Now()
+		begun := time.Now()
 		revision, err = n.adapter.Publish(n.context, n.record())
 		n.metrics.called("publish", begun, err)
+		if err == nil {
+			n.withdrawn.Store(false)
+		}
 	}
 	if err == nil {
 		n.recorded.Store(revision)
@@ -75,12 +77,25 @@
 	return found, err
 }
 
+// lookForRecord returns the revision of the own record in the store, 0 if there is none: or none
+// that will last, since this process has withdrawn the one before, and that may be done late.
+func (n *node) lookForRecord() (revision uint64, err error) {
+	if n.withdrawn.Load() {
+		return 0, nil
+	}
+	begun := time.Now()
+	revision, err = n.adapter.Published(n.context, n.record())
+	n.metrics.called("published", begun, err)
+	return revision, err
+}
+
 // withdraw removes the record of this process, which nobody needs to find any more. An
 // earlier start may have written it.
 func (n *node) withdraw() {
 	ctx, cancel := context.WithTimeout(n.context, withdrawTimeout)
 	defer cancel()
-	revision := n.recorded.Load()
+	n.withdrawn.Store(true)
+	revision := n.recorded.Swap(0)
 	if revision == 0 {
 		begun := time.Now()
 		found, err := n.adapter.Published(ctx, n.record())
@@ -104,14 +119,18 @@
 // directoryLoop looks for balancers in the store while none is heard.
 func (n *node) directoryLoop() {
 	pause := directoryFirstDelay
+	looked := time.Time{}
 	for n.sleep(jitter(pause)) {
 		pause = directoryInterval
+		now := time.Now()
 		n.mutex.Lock()
-		heard := n.contacts.Hears(time.Now(), handshake.RoleBalancer)
+		heard := n.contacts.Hears(now, handshake.RoleBalancer)
+		silent := !n.decider.tells(now)
 		n.mutex.Unlock()
-		if heard {
+		if heard || silent && now.Sub(looked) < silentInterval {
 			continue
 		}
+		looked = now
 		addresses, err := n.readRecords(handshake.RoleBalancer, true)
 		if err != nil {
 			n.limited.Log(log.WarnLevel, "directory-failed", log.Fields{"role": handshake.RoleBalancer, "error": err})
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -88,16 +88,15 @@
 func TestAgentWithoutABackEndIsNotRecorded(t *testing.T) {
 	is := is.New(t)
 	adapter := &recordsAdapter{}
-	a := &agent{node: newReadingNode(t, adapter), backend: newSighting()}
-	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{Service: "lessons", FlowLifetime: time.Minute, ReportInterval: time.Second})
+	a := newRecordedAgent(t, adapter)
 	a.cancel()
-	a.publishWithBackend()
+	a.keepRecord()
 	is.Equal(len(adapter.calls), 0)
 
-	a = &agent{node: newReadingNode(t, adapter), backend: newSighting(), flows: a.flows}
+	a = newRecordedAgent(t, adapter)
 	a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3})
 	a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 1})
-	a.publishWithBackend()
+	a.keepRecord()
 	is.Equal(adapter.calls, []string{"published", "publish"})
 }
 
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -155,6 +155,7 @@
 type takenSets struct{ latest evacuation.Set }
 
 func (d *takenSets) status(time.Time) handshake.Status                     { return handshake.Status{} }
+func (d *takenSets) tells(time.Time) bool                                  { return true }
 func (d *takenSets) received(time.Time, netip.AddrPort, handshake.Message) {}
 func (d *takenSets) configured(time.Time, *routing.Table)                  {}
 func (d *takenSets) evacuated(set evacuation.Set)                          { d.latest = set }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -47,6 +47,7 @@
 // with the node's lock held.
 type decider interface {
 	status(now time.Time) handshake.Status
+	tells(now time.Time) bool // whether others are to be told the status
 	received(now time.Time, from netip.AddrPort, message handshake.Message)
 	configured(now time.Time, table *routing.Table)
 	evacuated(set evacuation.Set)
@@ -87,7 +88,9 @@
 	started      bool
 	nextLook     time.Time // for peers that have fallen silent
 
-	recorded atomic.Uint64 // revision of the own record in the store; 0: none
+	recorded  atomic.Uint64 // revision of the own record in the store; 0: none
+	withdrawn atomic.Bool   // it has been withdrawn, which may be done late; it is not since it was written anew
+	ending    atomic.Bool   // it is not written any more
 
 	peers   *wire.Socket
 	servers []*http.Server
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -13,6 +13,9 @@
 
 // tellStatus sends the own status to all that are due. The lock is held.
 func (n *node) tellStatus(now time.Time) {
+	if !n.decider.tells(now) {
+		return
+	}
 	due := n.contacts.Due(now, n.urgent)
 	n.urgent = false
 	if len(due) == 0 {
