Tests: callers are told after a loss of power and while agents end; nothing is told of a held flow as agents come and go

In virtual time, with records, refused checks, agents that end and machines that vanish. The test world's dead back ends refuse health checks now, as closed addresses do (before: answered ill, with their id), and its balancers read the records when they want them.

--- /dev/null
+++ b/handshake/certainty_test.go
@@ -0,0 +1,155 @@
+package handshake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestCallersAreToldAfterALossOfPower: everything has started anew. One machine's back end does not come back, and the machine is
+// taken away soon after without a word. Callers are told at once that their flows are gone, whenever they send.
+func TestCallersAreToldAfterALossOfPower(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 11, 3, 4)
+	const callers = 12
+	for port := uint16(1000); port < 1000+callers; port++ {
+		is.True(w.call(port))
+	}
+	w.reports = 1
+	removed := w.agents[3]
+	w.losePower(func(agent *worldAgent) bool { return agent != removed })
+	tell := func(port uint16) {
+		t.Helper()
+		caller := w.callers[holdKey(port)]
+		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+		w.pass(300 * time.Millisecond)
+		is.True(caller.reset)
+	}
+	for port := uint16(1000); port < 1000+callers/2; port++ {
+		tell(port)
+	}
+	removed.up = false
+	for port := uint16(1000 + callers/2); port < 1000+callers; port++ {
+		w.pass(500 * time.Millisecond)
+		w.report(w.agents[0])
+		tell(port)
+	}
+	is.Equal(w.violation, "")
+}
+
+// TestCallersAreToldWhileAgentsEnd: back ends leave one after the other, their agents end, and so do their machines. No caller of a
+// flow that is gone waits for them.
+func TestCallersAreToldWhileAgentsEnd(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 12, 2, 5)
+	for port := uint16(1000); port < 1020; port++ {
+		is.True(w.call(port))
+	}
+	w.pass(time.Minute) // no agent is new any more
+	var ended []*worldCaller
+	for _, agent := range w.agents[:4] {
+		agent.backend.leaving = true
+		w.report(agent)
+		ended = append(ended, w.callersOf(agent.backend)...)
+		agent.backend.alive = false
+		w.stopAgent(agent)
+		for _, balancer := range w.balancers {
+			w.startBalancer(balancer) // none remembers who held what
+		}
+		w.pass(time.Second)
+		for _, caller := range ended {
+			w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+		}
+		w.pass(300 * time.Millisecond)
+		for _, caller := range ended {
+			is.True(caller.reset)
+		}
+	}
+	is.True(len(ended) > 0)
+	is.Equal(w.violation, "")
+}
+
+// TestNothingIsToldOfAHeldFlowAsAgentsComeAndGo: agents stop beside back ends that have ended, or live on, and start again;
+// machines lose power or vanish; back ends appear beside agents that had none; balancers start anew or are cut off from an agent, and read
+// the records. No flow is reset while its back end holds it; once all is calm, such flows are found.
+func TestNothingIsToldOfAHeldFlowAsAgentsComeAndGo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
+		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
+		port := uint16(1000)
+		for range rapid.IntRange(1, 14).Draw(t, "steps") {
+			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
+			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
+			switch rapid.SampledFrom([]string{"call", "call", "exchange", "exchange", "leave", "end", "stop", "start", "vanish", "replace", "cut", "heal", "restart balancer", "lose power", "pass", "pass long"}).Draw(t, "step") {
+			case "call":
+				w.call(port)
+				port++
+			case "exchange":
+				w.sendLatest(port - 1)
+			case "leave":
+				agent.backend.leaving = true
+				w.report(agent)
+			case "end":
+				agent.backend.alive = false
+			case "stop":
+				w.stopAgent(agent)
+			case "start":
+				w.startAgent(agent)
+				w.report(agent)
+			case "vanish":
+				agent.backend.alive, agent.up = false, false
+			case "replace":
+				if !agent.backend.alive {
+					w.replaceBackend(agent)
+				}
+			case "cut":
+				agent.heardBy = balancer
+			case "heal":
+				agent.heardBy = nil
+			case "restart balancer":
+				w.startBalancer(balancer)
+			case "lose power":
+				w.losePower(func(other *worldAgent) bool { return other != agent })
+			case "pass":
+				w.pass(300 * time.Millisecond)
+			case "pass long":
+				w.pass(KnownTime + time.Second)
+				w.sendLatest(port - 1)
+			}
+		}
+		w.calm()
+		for _, caller := range w.callers {
+			if caller.openAt != nil && caller.openAt.alive && caller.openAt.open[caller.key] && !w.exchange(caller) {
+				t.Fatalf("flow %v at %s is not found again", caller.key, caller.openAt.id)
+			}
+		}
+		if w.violation != "" {
+			t.Fatalf("%s", w.violation)
+		}
+	})
+}
+
+// sendLatest lets the caller of the port send on its flow, if that is open.
+func (w *world) sendLatest(port uint16) {
+	if caller := w.callers[holdKey(port)]; caller != nil && caller.openAt != nil {
+		w.fromCaller(Datagram{Key: caller.key, Kind: Data, Confirms: caller.number, Payload: 1})
+	}
+}
+
+// calm ends all faults and lets everybody hear of everybody.
+func (w *world) calm() {
+	w.loss = 0
+	for _, agent := range w.agents {
+		agent.heardBy = nil
+		if !agent.backend.alive {
+			w.startBackend(agent)
+		}
+		if !agent.up {
+			w.startAgent(agent)
+		}
+		w.report(agent)
+	}
+	w.pass(worldCalm)
+}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -43,16 +43,17 @@
 
 // worldAgent is an agent with its back end.
 type worldAgent struct {
-	address netip.AddrPort
-	decider *Agent
-	backend *worldBackend
-	up      bool
-	started int
-	zone    catalog.ZoneName
-	view    evacuation.View
-	frozen  bool
-	inbox   []func()       // what has come while it was frozen
-	heardBy *worldBalancer // the only one that hears its statuses; nil: all do
+	address    netip.AddrPort
+	decider    *Agent
+	backend    *worldBackend
+	up         bool
+	started    int
+	zone       catalog.ZoneName
+	view       evacuation.View
+	frozen     bool
+	inbox      []func()       // what has come while it was frozen
+	unrecorded bool           // it has withdrawn its record
+	heardBy    *worldBalancer // the only one that hears its statuses; nil: all do
 }
 
 // worldBalancer is a balancer.
@@ -129,11 +130,13 @@
 	}
 }
 
-// recorded returns the addresses of all agents, which have recorded themselves.
+// recorded returns the addresses of all agents that have recorded themselves.
 func (w *world) recorded() []netip.AddrPort {
 	var recorded []netip.AddrPort
 	for _, agent := range w.agents {
-		recorded = append(recorded, agent.address)
+		if !agent.unrecorded {
+			recorded = append(recorded, agent.address)
+		}
 	}
 	return recorded
 }
@@ -205,6 +208,7 @@
 			w.readEvacuations(i, balancer)
 			w.tellBalancers(balancer)
 			w.tellAgents(balancer)
+			w.readRecords(balancer)
 		}
 	}
 	for _, agent := range w.agents {
@@ -218,11 +222,15 @@
 	}
 	w.performAgent(agent, agent.decider.Tick(w.now))
 	if agent.decider.Tracker().CheckDue(w.now) {
-		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
+		agent.decider.Tracker().Checked(w.now, agent.backend.check())
+	}
+	w.keepRecord(agent)
+	if agent.decider.IsBesideNobody() {
+		return // tells nobody of itself
 	}
 	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: agent.zone, Evacuations: agent.view.Told(), Incarnation: uint64(agent.started),
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
-		Leaving: agent.decider.leaving}
+		Leaving: agent.decider.leaving, HoldsNothing: agent.decider.leaving && agent.decider.HoldsNothing(w.now)}
 	for _, balancer := range w.balancers {
 		if agent.heardBy == nil || agent.heardBy == balancer {
 			w.reach(balancer, func() {
