--- a/internal/relay/farewell.go
+++ b/internal/relay/farewell.go
@@ -45,12 +45,15 @@
 // sayFarewell removes the record of an agent that is needed no more, and tells balancers that there is nothing to ask it for.
 // An agent that stops beside a back end that lives on starts again.
 func (a *agent) sayFarewell() {
-	if a.backendIsGone() {
+	gone := a.backendIsGone()
+	if gone {
 		a.mutex.Lock()
 		a.flows.EndWithoutBackend()
 		a.mutex.Unlock()
 	}
-	if !a.holdsNothing() {
+	nothing := a.holdsNothing()
+	a.log.WithFields(log.Fields{"backend_gone": gone, "holds_nothing": nothing}).Info("farewell")
+	if !nothing {
 		return
 	}
 	a.ending.Store(true)
