--- a/handshake/certainty_test.go
+++ b/handshake/certainty_test.go
@@ -39,6 +39,33 @@
 	is.Equal(w.violation, "")
 }
 
+// TestCallersThatAskTooSoonAreTold: while agents do not know yet what began when. They ask again with their next copies.
+func TestCallersThatAskTooSoonAreTold(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 13, 2, 3)
+	for port := uint16(1000); port < 1010; port++ {
+		is.True(w.call(port))
+	}
+	w.reports = 1
+	w.meanwhile = func() {
+		for port := uint16(1000); port < 1010; port++ {
+			w.sendLatest(port)
+		}
+	}
+	w.losePower(func(*worldAgent) bool { return true })
+	for range 2 {
+		w.pass(resendPause)
+		for port := uint16(1000); port < 1010; port++ {
+			w.sendLatest(port)
+		}
+	}
+	w.pass(resendPause)
+	for port := uint16(1000); port < 1010; port++ {
+		is.True(w.callers[holdKey(port)].reset)
+	}
+	is.Equal(w.violation, "")
+}
+
 // TestCallersAreToldWhileAgentsEnd: back ends leave one after the other, their agents end, and so do their machines. No caller of a
 // flow that is gone waits for them.
 func TestCallersAreToldWhileAgentsEnd(t *testing.T) {
--- a/handshake/world_records_test.go
+++ b/handshake/world_records_test.go
@@ -72,6 +72,10 @@
 			agent.backend.sequence = 2
 		}
 	}
+	if w.meanwhile != nil {
+		w.pass(100 * time.Millisecond)
+		w.meanwhile()
+	}
 	for range 2 {
 		w.pass(150 * time.Millisecond)
 		for _, agent := range w.agents {
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -89,6 +89,7 @@
 	evacuated evacuation.Set // as the store holds it; its readers are the first two balancers
 	storeDown bool
 	options   BalancerOptions          // of balancers that start; zone and chance are filled in
+	meanwhile func()                   // what callers do before back ends have reported after a loss of power; nil: nothing
 	strays    map[flow.Key][]time.Time // when datagrams of open flows reached other back ends
 	cost      time.Duration            // that a balancer's processor takes for each datagram or message; 0: none
 }
