--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -31,7 +31,8 @@
 	// flows share one; the longest is for records that nobody removes, of machines that were lost.
 	firstRecordsPause = time.Second
 	mostRecordsPause  = 30 * time.Second
-	recordsLifetime   = 30 * time.Second // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
+	youngRecordsPause = 300 * time.Millisecond // while the balancer is young: about what agents take to find that nobody runs beside them
+	recordsLifetime   = 30 * time.Second       // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
 )
 
 // finding is the search for the agent that holds one flow.
@@ -198,9 +199,15 @@
 	b.startFindings(now)
 }
 
-// located handles the answer of an agent that another balancer has named.
+// located handles the answer of an agent that another balancer has named, or whose back end has not proved
+// that it holds a flow whose datagrams are sent to it: the next one is searched for.
 func (b *Balancer) located(now time.Time, from netip.AddrPort, answer Located) {
 	known := b.flows[answer.Key]
+	if known != nil && known.agent == from && answer.Holding != Holds {
+		known.agent = netip.AddrPort{}
+		b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: reasonAnother})
+		return
+	}
 	if known == nil || known.agent.IsValid() || known.finding == nil || answer.Holding != Holds {
 		return
 	}
@@ -278,15 +285,25 @@
 func (b *Balancer) Record(now, at time.Time, agents []netip.AddrPort) {
 	b.recorded = agents
 	b.recordedAt = at
+	b.board.noteRecords(agents)
 	b.recordsWanted = false
 	b.recordsPause = min(max(2*b.recordsPause, firstRecordsPause), mostRecordsPause)
 	if b.knowsAll(now) {
 		b.recordsPause = 0
 	}
-	b.recordsAgain = now.Add(max(b.recordsPause, firstRecordsPause))
+	b.recordsAgain = now.Add(b.nextRecordsPause(now))
 	b.board.grown = true
 }
 
+// nextRecordsPause returns the pause before the records may be read again. In a balancer's first seconds, after an
+// outage perhaps, agents withdraw those of back ends that have not come back, and many callers wait.
+func (b *Balancer) nextRecordsPause(now time.Time) time.Duration {
+	if now.Sub(b.started) < DiscoveryTime {
+		return youngRecordsPause
+	}
+	return max(b.recordsPause, firstRecordsPause)
+}
+
 // RecordsDue says whether Record is to be called soon: a flow may be gone, and only which
 // agents there are can tell. Where the records do not help, since one of them is of an agent
 // that cannot be heard, they are read more and more seldom.
@@ -329,8 +346,8 @@
 // giveUpFinding drops what has waited and leaves the flow alone for a while.
 func (b *Balancer) giveUpFinding(now time.Time, known *balancedFlow) {
 	known.findPause = min(max(2*known.findPause, firstFindPause), mostFindPause)
-	if f := known.finding; !f.undecided && len(f.perhaps) > 0 {
-		known.findPause = mostFindPause // all have answered, and tries take their time
+	if f := known.finding; !f.undecided && len(f.perhaps) > 0 && now.Sub(b.started) >= trySettleTime {
+		known.findPause = mostFindPause // all have answered, and tries take their time; but agents that have just started know more soon
 	}
 	known.findAgain = now.Add(known.findPause)
 	known.leftAt = now
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -40,21 +40,23 @@
 	alive    bool
 	half     map[flow.Key]uint32
 	open     map[flow.Key]bool
-	offered  int // opening datagrams that reached it
+	ended    map[flow.Key]bool // flows that it has given up: it resets what comes on them
+	offered  int               // opening datagrams that reached it
 }
 
 // worldAgent is an agent with its back end.
 type worldAgent struct {
-	address netip.AddrPort
-	decider *Agent
-	backend *worldBackend
-	up      bool
-	started int
-	zone    catalog.ZoneName
-	view    evacuation.View
-	frozen  bool
-	inbox   []func()       // what has come while it was frozen
-	heardBy *worldBalancer // the only one that hears its statuses; nil: all do
+	address    netip.AddrPort
+	decider    *Agent
+	backend    *worldBackend
+	up         bool
+	started    int
+	zone       catalog.ZoneName
+	view       evacuation.View
+	frozen     bool
+	inbox      []func()       // what has come while it was frozen
+	unrecorded bool           // it has withdrawn its record
+	heardBy    *worldBalancer // the only one that hears its statuses; nil: all do
 }
 
 // worldBalancer is a balancer.
@@ -90,6 +92,7 @@
 	evacuated evacuation.Set // as the store holds it; its readers are the first two balancers
 	storeDown bool
 	options   BalancerOptions          // of balancers that start; zone and chance are filled in
+	meanwhile func()                   // what callers do before back ends have reported after a loss of power; nil: nothing
 	strays    map[flow.Key][]time.Time // when datagrams of open flows reached other back ends
 	cost      time.Duration            // that a balancer's processor takes for each datagram or message; 0: none
 }
@@ -131,11 +134,13 @@
 	}
 }
 
-// recorded returns the addresses of all agents, which have recorded themselves.
+// recorded returns the addresses of all agents that have recorded themselves.
 func (w *world) recorded() []netip.AddrPort {
 	var recorded []netip.AddrPort
 	for _, agent := range w.agents {
-		recorded = append(recorded, agent.address)
+		if !agent.unrecorded {
+			recorded = append(recorded, agent.address)
+		}
 	}
 	return recorded
 }
@@ -207,6 +212,7 @@
 			w.readEvacuations(i, balancer)
 			w.tellBalancers(balancer)
 			w.tellAgents(balancer)
+			w.readRecords(balancer)
 		}
 	}
 	for _, agent := range w.agents {
@@ -220,11 +226,15 @@
 	}
 	w.performAgent(agent, agent.decider.Tick(w.now))
 	if agent.decider.Tracker().CheckDue(w.now) {
-		agent.decider.Tracker().Checked(w.now, instance.Check{Well: agent.backend.alive && !agent.backend.leaving, ID: agent.backend.id})
+		agent.decider.Tracker().Checked(w.now, agent.backend.check())
+	}
+	w.keepRecord(agent)
+	if agent.decider.IsBesideNobody() {
+		return // tells nobody of itself
 	}
 	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: agent.zone, Evacuations: agent.view.Told(), Incarnation: uint64(agent.started),
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
-		Leaving: agent.decider.leaving}
+		Leaving: agent.decider.leaving, HoldsNothing: agent.decider.leaving && agent.decider.HoldsNothing(w.now)}
 	for _, balancer := range w.balancers {
 		if agent.heardBy == nil || agent.heardBy == balancer {
 			w.reach(balancer, func() {
@@ -422,11 +432,13 @@
 			backend.passed = append(backend.passed, w.now)
 		}
 		answer.Kind, answer.Number = Accept, backend.half[datagram.Key]
+	case backend.ended[datagram.Key]:
+		answer.Kind, answer.Payload, answer.Number = Reset, 0, backend.half[datagram.Key]
 	case backend.open[datagram.Key]:
-		answer.Kind, answer.Payload = Data, 1
+		answer.Kind, answer.Payload, answer.Number = Data, 1, backend.half[datagram.Key]
 	case datagram.Confirms == backend.half[datagram.Key] && backend.half[datagram.Key] != 0:
 		backend.open[datagram.Key] = true
-		answer.Kind, answer.Payload = Data, 1
+		answer.Kind, answer.Payload, answer.Number = Data, 1, backend.half[datagram.Key]
 	default:
 		answer.Returned = true
 	}
--- a/instance/checks.go
+++ b/instance/checks.go
@@ -94,7 +94,7 @@
 		t.refusedFrom = time.Time{}
 	case t.refusedFrom.IsZero():
 		t.refusedFrom = now
-	case now.Sub(t.refusedFrom) > missedReports*t.interval:
+	case refusedForLong(now, t.refusedFrom):
 		t.foundNobody = true
 	}
 }
