--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -235,6 +235,9 @@
 	}
 	n.log.WithFields(log.Fields{"version": table.Version(), "previous": n.table.Version(), "source": source,
 		"routes": table.Len()}).Info("configuration")
+	for _, remark := range table.Remarks() {
+		n.limited.Log(log.WarnLevel, "configuration-remark", log.Fields{"version": table.Version(), "error": remark})
+	}
 	n.table = table
 	n.document = document
 	n.configuredAt = now
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -22,6 +22,9 @@
 	MaximumWeight  = 1 << 20 // of one target
 	// MaximumColdRate is above what any host takes; agents remember so many flows at most.
 	MaximumColdRate = 1 << 16 // flows a second
+	// MaximumTimeout is longer than any flow lasts (settings, flows.lifetime).
+	MaximumTimeout = 24 * time.Hour
+	maximumRemarks = 16 // that a table keeps: enough to see what is wrong (a guess)
 )
 
 // Version orders configurations. A process never goes back to a lower one.
@@ -98,6 +101,7 @@
 	idleTimeout time.Duration
 	routes      map[netip.AddrPort]*Route
 	services    map[catalog.ServiceName]Service
+	remarks     []error
 }
 
 // Content is what a Table is made of.
@@ -106,6 +110,7 @@
 	IdleTimeout time.Duration // a flow without a datagram for this long may be forgotten; 0: not told
 	Routes      []Route
 	Services    []Service
+	Remarks     []error // what was passed over in the document, of kind fault.Invalid
 }
 
 // New checks the content and returns its table. Errors are of kind
@@ -122,6 +127,7 @@
 		idleTimeout: content.IdleTimeout,
 		routes:      make(map[netip.AddrPort]*Route, len(content.Routes)),
 		services:    make(map[catalog.ServiceName]Service, len(content.Services)),
+		remarks:     content.Remarks[:min(len(content.Remarks), maximumRemarks)],
 	}
 	for _, service := range content.Services {
 		if !(service.ColdRate >= 0 && service.ColdRate <= MaximumColdRate) {
@@ -148,6 +154,9 @@
 	if len(route.Targets) > MaximumTargets {
 		return fault.InvalidField("route "+route.Name+" targets", len(route.Targets), fmt.Sprintf("must be at most %d", MaximumTargets))
 	}
+	if route.Timeout < 0 || route.Timeout > MaximumTimeout {
+		return fault.InvalidField("route "+route.Name+" time-out", route.Timeout, fmt.Sprintf("must be 0 to %v", MaximumTimeout))
+	}
 	total := 0
 	for _, target := range route.Targets {
 		if target.Weight < 0 || target.Weight > MaximumWeight {
@@ -173,6 +182,9 @@
 	return t.version
 }
 
+// Remarks returns the first of what was passed over in the document, for the log.
+func (t *Table) Remarks() []error { return t.remarks }
+
 // IdleTimeout returns how long a flow may rest before it may be forgotten, 0 if
 // the configuration does not say.
 func (t *Table) IdleTimeout() time.Duration {
