Callers of an agent that is away are reset where their request may be repeated

A balancer now asks an agent that is silent after a caller's copy, with another agent of the same zone as witness; after four questions that only the witness answered and 0.8 s of silence it resets the agent's callers whose requests may be repeated, at once and with their next datagrams, until the agent is heard again. An agent that stops tells everybody who uses it ten times a second, for 0.3 s at least. Not chosen: marking the flow as gone (a caller that missed its reset would be reset at a machine that is back). docs/design/callers.md.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -33,6 +33,20 @@
 	// Confirms is what the caller's latest datagram confirmed (Datagram.Confirms). On an
 	// open flow callers ignore a reset that is far from it. 0 where the flow has not opened.
 	Confirms uint32
+	// Away says that the flow may still be open at an agent that is away.
+	Away bool
+}
+
+// Reason returns why the caller is reset, for logs and metrics.
+func (r ResetCaller) Reason() string {
+	switch {
+	case r.Away:
+		return awayReason
+	case r.Confirms != 0:
+		return "gone"
+	default:
+		return "not-opened"
+	}
 }
 
 // Decision is something that a decider did to a flow, for the log.
@@ -65,6 +79,9 @@
 	EventLocated    Event = "flow-located"    // one of them said so
 	EventTried      Event = "flow-tried"      // nobody was sure: a back end is asked itself
 	EventLost       Event = "flow-lost"       // nobody holds the flow
+	EventAway       Event = "agent-away"      // an agent neither says anything nor answers, while others near it do
+	EventBack       Event = "agent-back"      // an agent is held for away no more: it has said something, or nobody waits for it
+	EventBrokenOff  Event = "flow-broken-off" // the flow's agent is away and its requests may be repeated: the caller was reset
 	EventAdmitted   Event = "flow-admitted"   // an agent passed an opening datagram to its back end
 	EventNotHeld    Event = "flow-not-held"   // an agent gave a datagram back
 	EventSuspected  Event = "flow-failed"     // the back end failed the flow, and others of late: it is suspected
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -62,6 +62,9 @@
 	lastTick      time.Time
 	resumed       time.Time // end of the latest pause in which datagrams waited for longer than CopyTime
 	nextSweep     time.Time
+	silent        []*silentAgent // agents that may be away; at most maximumSilent
+	lastHeard     time.Time      // latest sign of any agent
+	disturbed     time.Time      // when this balancer last stood still, or heard no agent for quietTime
 	actions       []Action
 }
 
@@ -100,7 +103,12 @@
 	findAgain time.Time     // until then it is not searched for again
 	findPause time.Duration // for which it was left alone last
 	gone      bool          // for certain: nobody holds it
-	resetAt   time.Time     // when the caller was last told so
+	resetAt   time.Time     // when the caller was last told so, or that its agent is away
+
+	// What the caller has sent, as far as this balancer has seen it.
+	contentEnd uint32    // where the content ends
+	contentAt  time.Time // when its last part first came; zero: there was none
+	finished   bool      // it has nothing more to send, or has given up
 }
 
 // accept is one back end's answer to an opening.
@@ -212,12 +220,14 @@
 
 // FromPeer handles a message of an agent or another balancer, statuses apart.
 func (b *Balancer) FromPeer(now time.Time, from netip.AddrPort, message Message) []Action {
+	b.noteAlive(now, from)
 	switch message := message.(type) {
 	case Accepted:
 		b.accepted(now, from, message)
 	case Refused:
 		b.refused(now, from, message)
 	case Located:
+		b.witnessed(from, message)
 		b.located(now, from, message)
 	case Reserved:
 		b.reserved(now, from, message)
@@ -235,12 +245,21 @@
 func (b *Balancer) TakeStatus(now time.Time, from netip.AddrPort, status Status) {
 	switch status.Role {
 	case RoleAgent:
-		b.board.Take(now, from, status)
+		b.takeAgentStatus(now, from, status)
 	case RoleBalancer:
 		b.neighbors.take(now, from, status)
 	}
 }
 
+// takeAgentStatus takes in an agent's status. What has left stays so until it starts anew, in whatever order statuses come.
+func (b *Balancer) takeAgentStatus(now time.Time, from netip.AddrPort, status Status) {
+	if agent := b.board.agents[from]; agent != nil && agent.status.Leaving && agent.status.Incarnation == status.Incarnation {
+		status.Leaving = true
+	}
+	b.board.Take(now, from, status)
+	b.noteAlive(now, from)
+}
+
 // Tick handles deadlines that have passed.
 func (b *Balancer) Tick(now time.Time) []Action {
 	b.notePause(now)
@@ -256,6 +275,7 @@
 	}
 	b.searchNewAgents(now)
 	b.startFindings(now)
+	b.watchSilent(now)
 	b.sweep(now)
 	return b.take()
 }
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -55,6 +55,9 @@
 	unanswered int       // offers without an answer since load was heard
 	silent     int       // offers in a row that ran out without an answer
 	silentAt   time.Time // when the latest of them did
+	alive      time.Time // when it last sent anything
+	// carriedFirst and carriedLast are when it was sent callers' datagrams from here, without a pause of carryPause between.
+	carriedFirst, carriedLast time.Time
 	// answerTime is how long the agent takes to answer: it follows longer times at
 	// once and shorter ones slowly.
 	answerTime time.Duration
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -9,13 +9,16 @@
 // the agent that holds the flow.
 func (b *Balancer) carry(now time.Time, known *balancedFlow, datagram *Datagram) {
 	b.release(known) // the caller has opened it
+	again := known.takeContent(now, datagram)
 	if known.agent.IsValid() {
-		b.forward(known.agent, datagram.Bytes)
+		if !b.breaksOff(now, known, datagram, again) {
+			b.forward(now, known.agent, datagram.Bytes)
+		}
 		return
 	}
 	if agent, ok := known.confirmed(datagram.Confirms); ok {
 		b.hold(now, known, agent, EventOpened)
-		b.forward(agent, datagram.Bytes)
+		b.forward(now, agent, datagram.Bytes)
 		return
 	}
 	if datagram.Kind == Reset && known.opening != nil {
@@ -47,17 +50,21 @@
 	known.tried = nil
 	b.act(Decision{Event: event, Key: known.key, Service: known.service, Peer: agent, Version: b.table.Version(), Age: now.Sub(known.sentAt)})
 	for _, datagram := range waited {
-		b.forward(agent, datagram)
+		b.forward(now, agent, datagram)
 	}
 }
 
-func (b *Balancer) forward(agent netip.AddrPort, datagram []byte) {
+func (b *Balancer) forward(now time.Time, agent netip.AddrPort, datagram []byte) {
+	if known := b.board.agents[agent]; known != nil {
+		known.noteCarried(now)
+	}
 	b.act(Send{To: agent, Message: Forward{Bytes: datagram}})
 }
 
 // Returned handles a datagram that an agent gave back because it does not hold
 // its flow.
 func (b *Balancer) Returned(now time.Time, from netip.AddrPort, datagram *Datagram, message NotHeld) []Action {
+	b.noteAlive(now, from)
 	known := b.flows[datagram.Key]
 	if known == nil {
 		known = b.add(now, datagram.Key)
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -21,6 +21,7 @@
 	counts        map[Role]int
 	subscribed    int // contacts in subscriptions, or those who have subscribed here
 	nextSelection time.Time
+	leaving       bool // this process stops
 }
 
 // contact is what is known of one other process.
@@ -36,6 +37,7 @@
 	subscription time.Time // until when it wants the load, or is asked for it
 	seed         bool      // never forgotten
 	lost         bool      // noticed as no longer heard
+	carried      time.Time // when it last sent a caller's datagram; zero: never
 }
 
 // NewContacts returns the contacts of a process in the zone that knows nobody.
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -121,6 +121,8 @@
 // interval returns how often a process is told the status; 0: never.
 func (c *Contacts) interval(now time.Time, known *contact) time.Duration {
 	switch {
+	case c.leaving && known.carries(now):
+		return departingInterval
 	case known.heard.IsZero() && now.Sub(known.added) <= NewStrangerTime:
 		return NewStrangerInterval
 	case known.heard.IsZero():
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -114,6 +114,7 @@
 	known.tried = append(known.tried, agent.address)
 	known.sentAt = now
 	agent.unanswered++
+	agent.noteCarried(now)
 	b.await(known, now.Add(agent.patience()))
 	b.act(Send{To: agent.address, Message: Offer{Service: known.service, Version: b.table.Version(),
 		Waiting: b.waits(known.service), ColdBound: b.coldBound(known.service), Bytes: known.opening}})
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/routing"
 )
 
 // The callers of the test world.
@@ -44,11 +45,52 @@
 		return // callers ignore a reset that is far from what they have confirmed
 	}
 	caller.reset = true
+	if reset.Away {
+		w.checkBrokenOff(caller)
+		return
+	}
 	if caller.openAt != nil && caller.openAt.alive && caller.openAt.open[key] {
 		w.violation = fmt.Sprintf("flow %v was reset while its back end %s held it", key, caller.openAt.id)
 	}
 }
 
+// checkBrokenOff checks that a flow which may still be open was reset for want of its agent: its requests may be
+// repeated, and the agent has not run for long (one that
+// starts anew this very moment cannot be known), and has not stopped on purpose.
+func (w *world) checkBrokenOff(caller *worldCaller) {
+	if !w.table.Route(caller.key.Service).Requests.MayRepeat() {
+		w.violation = fmt.Sprintf("flow %v was broken off, and its request may run only once", caller.key)
+	}
+	for _, agent := range w.agents {
+		if agent.backend != caller.openAt {
+			continue
+		}
+		if agent.left || w.now.Sub(agent.ran) < AwayTime-worldRest {
+			w.violation = fmt.Sprintf("flow %v was broken off: agent left %v, ran %v ago", caller.key, agent.left, w.now.Sub(agent.ran))
+		}
+	}
+}
+
+// setRequests configures what may be done to the requests of the world's route.
+func (w *world) setRequests(kind routing.RequestKind) {
+	route := *w.table.Route(worldAddress)
+	route.Requests = kind
+	table, err := routing.New(routing.Content{Version: w.table.Version() + 1, Routes: []routing.Route{route}})
+	if err != nil {
+		panic(err)
+	}
+	w.table = table
+	for _, balancer := range w.balancers {
+		balancer.decider.Configure(table)
+	}
+}
+
+// leave lets an agent that runs say that it leaves; it is to be stopped after.
+func (w *world) leave(agent *worldAgent) {
+	agent.decider.Leave()
+	agent.left = agent.up
+}
+
 // toCaller delivers a back end's datagram: the caller opens its flow at the first
 // back end that accepts it.
 func (w *world) toCaller(backend *worldBackend, datagram Datagram) {
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -132,16 +132,19 @@
 	return !a.leaving
 }
 
-// stop refuses new flows and waits for the open ones.
+// stop refuses new flows, tells the balancers that use the agent, and waits for the open flows.
 func (a *agent) stop() {
+	begun := time.Now()
 	a.mutex.Lock()
 	a.leaving = true
 	a.urgent = true
+	a.contacts.Leave(begun)
 	a.flows.Leave()
 	a.log.WithField("flows", a.flows.Unfinished()).Info("leaving")
 	a.mutex.Unlock()
-	deadline := time.Now().Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
-	for time.Now().Before(deadline) && a.unfinished() > 0 {
+	told := begun.Add(handshake.DepartingTime)
+	deadline := begun.Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
+	for time.Now().Before(deadline) && (time.Now().Before(told) || a.unfinished() > 0) {
 		a.sleep(agentDrainLook)
 	}
 }
@@ -315,10 +318,12 @@
 func (a *agent) received(now time.Time, from netip.AddrPort, message handshake.Message) {
 	switch message := message.(type) {
 	case handshake.Offer:
+		a.contacts.Carried(now, from)
 		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
 			return a.flows.Offered(now, from, message, datagram)
 		})
 	case handshake.Forward:
+		a.contacts.Carried(now, from)
 		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
 			return a.flows.Forwarded(now, from, datagram)
 		})
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -158,6 +158,7 @@
 		case handshake.Send:
 			b.send(action.To, action.Message)
 		case handshake.ResetCaller:
+			b.countReset(action)
 			b.reply(action.Key.Caller, b.adapter.FormatReset(action.Key, action.Confirms))
 		case handshake.Decision:
 			b.note(action)
@@ -165,6 +166,15 @@
 	}
 }
 
+// countReset counts a reset by its reason and the kind of the route's requests.
+func (b *balancer) countReset(reset handshake.ResetCaller) {
+	requests := routing.RequestsUnknown
+	if route := b.table.Route(reset.Key.Service); route != nil {
+		requests = route.Requests
+	}
+	b.metrics.resets.WithLabelValues(reset.Reason(), requests.String()).Inc()
+}
+
 func (b *balancer) reply(caller netip.AddrPort, bytes []byte) {
 	to := b.adapter.ReplyAddress(caller, b.settings.Node.DataAddress)
 	if err := b.socket.Load().Send(bytes, to); err != nil {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -30,6 +30,7 @@
 type metrics struct {
 	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec // by event and reason
+	resets    *prometheus.CounterVec // by reason and kind of request
 	datagrams *prometheus.CounterVec // by source
 	invalid   *prometheus.CounterVec // by source
 	opening   prometheus.Histogram   // from the last offer to its acceptance
@@ -55,6 +56,7 @@
 	m := &metrics{
 		registry:  observability.NewRegistry(),
 		decisions: counters("decisions_total", "Decisions about flows.", "event", "reason"),
+		resets:    counters("resets_total", "Resets sent to callers.", "reason", "requests"),
 		datagrams: counters("datagrams_total", "Datagrams received.", "source"),
 		invalid:   counters("datagrams_invalid_total", "Datagrams received that could not be read.", "source"),
 		opening:   histogram("opening_seconds", "From an offer of a flow to its acceptance.", secondsBuckets),
@@ -70,7 +72,7 @@
 	m.fromBackend = m.datagrams.WithLabelValues(sourceBackend)
 	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
 	m.byDecision = map[decisionLabels]prometheus.Counter{}
-	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
+	m.registry.MustRegister(m.decisions, m.resets, m.datagrams, m.invalid, m.opening, m.attempts, m.locating, m.store, m.reports, m.delay, m.gaps)
 	return m
 }
 
