--- a/internal/relay/rows.go
+++ b/internal/relay/rows.go
@@ -92,6 +92,8 @@
 			query.NumberValue(int64(n.backendsOf(route, func(handshake.Status) bool { return true }))),
 			query.NumberValue(int64(n.backendsOf(route, func(s handshake.Status) bool { return !s.Load.Accepts }))),
 			query.NumberValue(int64(n.slotsOf(route))),
+			query.TextValue(route.Requests.String()),
+			query.DurationValue(route.Timeout),
 		})
 	}
 }
--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -15,6 +15,7 @@
 	"github.com/burlmill/burlmill/internal/version"
 	"github.com/burlmill/burlmill/membership"
 	"github.com/burlmill/burlmill/query"
+	"github.com/burlmill/burlmill/routing"
 )
 
 // Node is what is asked of a process's coordination node. *coordination.Node
@@ -111,10 +112,20 @@
 			query.NumberValue(int64(len(service.Backends))),
 			query.NumberValue(int64(leaving)),
 			query.NumberValue(slots),
+			query.TextValue(requestsText(service.Protocol)),
+			query.DurationValue(0),
 		})
 	}
 }
 
+// requestsText says what may be done to the requests of a service: one over HTTP says so itself, by its method.
+func requestsText(protocol catalog.Protocol) string {
+	if protocol == catalog.ProtocolHTTP {
+		return "by-method"
+	}
+	return routing.RequestsUnknown.String()
+}
+
 // sharesText lists shares in order of the site's name.
 func sharesText(shares []catalog.SiteShare) string {
 	var texts []string
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -73,6 +73,8 @@
 		{Name: "backends", Type: query.Number, Help: "back ends"},
 		{Name: "leaving", Type: query.Number, Help: "back ends that take no new work"},
 		{Name: ColumnSlots, Type: query.Number, Help: "slots of all back ends"},
+		{Name: "requests", Type: query.Text, Help: "repeatable, once-only, long-answer or unknown; by-method: each request says it itself"},
+		{Name: "timeout", Type: query.Duration, Help: "when callers give up; 0: not told"},
 	}}, AnyNode},
 	{query.Table{Name: TableBackends, Help: "back ends as configured and what they do", Columns: []query.Column{
 		{Name: ColumnService, Type: query.Text, Help: "name of the service"},
