An agent that died after it had taken a request is asked too; a load with agents that stand still

Cause: an agent was asked whether it runs only if it had said nothing since the caller's content first came. One that took the request, said something and then stood still was never asked for this caller. The load player knows kinds of requests, time-outs and resets of open flows.

--- a/handshake/away.go
+++ b/handshake/away.go
@@ -45,10 +45,10 @@
 const awayReason = "agent-away"
 
 // suspectAway begins to ask an agent whether it runs: a caller has sent again what the agent was
-// sent before, and the agent has said nothing since.
+// sent before, and the agent has said nothing of late.
 func (b *Balancer) suspectAway(now time.Time, known *balancedFlow) {
 	agent := b.board.agents[known.agent]
-	if agent == nil || agent.alive.After(known.contentAt) || !b.wouldSayThatItLeaves(now, agent) {
+	if agent == nil || now.Sub(agent.alive) < askInterval || !b.wouldSayThatItLeaves(now, agent) {
 		return
 	}
 	if silent := b.silentAgent(known.agent); silent != nil {
--- a/handshake/load_player_test.go
+++ b/handshake/load_player_test.go
@@ -41,6 +41,7 @@
 	aim       time.Duration
 	deadline  time.Duration
 	priority  uint
+	requests  routing.RequestKind
 }
 
 // loadResult counts what callers of one kind got.
@@ -103,6 +104,7 @@
 		p.routes[address] = kind
 		p.counted[kind.name] = &loadResult{}
 		routes = append(routes, routing.Route{Name: kind.name, Address: address, Priority: kind.priority, Aim: kind.aim,
+			Timeout: kind.deadline, Requests: kind.requests,
 			Targets: []routing.Target{{Service: worldService, Weight: 1}}})
 	}
 	table, err := routing.New(routing.Content{Version: w.table.Version() + 1, Routes: routes})
@@ -188,9 +190,13 @@
 	return false
 }
 
-// tryIsOver says whether the request's latest try has ended without having opened a flow.
+// tryIsOver says whether the request's latest try has ended without having opened a flow, or, where the request may be
+// repeated, by a reset.
 func (p *loadPlayer) tryIsOver(request *loadRequest) bool {
 	caller := request.caller
+	if caller.reset && request.kind.requests.MayRepeat() {
+		return true
+	}
 	return caller.openAt == nil && (caller.reset || p.world.now.Sub(request.tried) > loadTryTime)
 }
 
--- a/handshake/load_test.go
+++ b/handshake/load_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/routing"
 )
 
 // smallSlots is the number of slots of the back ends in these tests.
@@ -65,3 +67,38 @@
 	is.True(sum.share() >= outageLeast)
 	is.True(float64(sum.failed) <= outageMostFails*float64(sum.asked))
 }
+
+// Of TestLoadWhileAgentsStandStill.
+const (
+	standstillSeeds = 10
+	standstillTime  = 3 * time.Second // longer than any deadline
+)
+
+// TestLoadWhileAgentsStandStill: half of the agents stand still, with requests at work beside them. Callers whose requests may be
+// repeated are answered elsewhere; before, they waited until their deadline. All of a flow comes through one balancer, as routers have it.
+func TestLoadWhileAgentsStandStill(t *testing.T) {
+	is := is.New(t)
+	var pages loadResult
+	for seed := range uint64(standstillSeeds) {
+		kinds := pagesAndSubmissions(140)
+		kinds[0].requests, kinds[1].requests = routing.Repeatable, routing.OnceOnly
+		p := startLoad(t, seed, 1, 8, kinds)
+		p.pass(time.Second)
+		w := p.world
+		for _, agent := range w.agents[:4] {
+			agent.up = false
+		}
+		p.countBetween(-500*time.Millisecond, standstillTime)
+		p.pass(standstillTime)
+		for _, agent := range w.agents[:4] {
+			agent.up = true
+		}
+		p.pass(time.Second)
+		p.finish()
+		t.Log(p)
+		is.Equal(w.violation, "")
+		pages.add(*p.counted["page"])
+	}
+	t.Logf("pages in time %.3f, failed %d of %d", pages.share(), pages.failed, pages.asked)
+	is.Equal(pages.failed, 0)
+}
