The promises are checked with agents that stand still and wake again

TestPromisesUnderAnyOrderOfEvents draws two more steps; in the world an agent that stands still hears neither its back end nor its reports, and handles what has come once it runs again. It found nothing in the resets of agents that are away.

--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -155,7 +155,7 @@
 
 // TestPromisesUnderAnyOrderOfEvents restarts balancers and agents, loses
 // datagrams, lets back ends leave, and crashes and replaces them, lets reports come late,
-// and freezes balancers, in any order. Whatever happens, no flow is
+// and freezes balancers and agents, in any order. Whatever happens, no flow is
 // reset while its back end holds it, but for one whose agent does not run and has not stopped on purpose and
 // whose requests may be repeated; no back end that has said that it leaves
 // gets a new flow, and no caller gets data of a back end that does not hold its
@@ -169,7 +169,7 @@
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			agent := w.agents[rapid.IntRange(0, 3).Draw(t, "agent")]
 			balancer := w.balancers[rapid.IntRange(0, 2).Draw(t, "balancer")]
-			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "agent leaves", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "pass", "insist"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"call", "call", "restart agent", "restart balancer", "stop agent", "agent leaves", "leave", "crash", "replace", "replace unnoticed", "late report", "exchange", "exchange", "lose sight", "freeze", "resume", "freeze agent", "resume agent", "pass", "insist"}).Draw(t, "step") {
 			case "call":
 				w.call(port)
 				port++
@@ -181,11 +181,13 @@
 			case "stop agent":
 				agent.up = false
 			case "agent leaves":
-				w.leave(agent) // and is to start again beside its back end
-				w.pass(resendPause)
+				if !agent.frozen {
+					w.leave(agent) // and is to start again beside its back end
+					w.pass(resendPause)
+				}
 				agent.up = false
 			case "leave":
-				if !agent.backend.leaving && agent.up {
+				if !agent.backend.leaving && agent.up && !agent.frozen {
 					agent.backend.leaving = true
 					w.report(agent)
 				}
@@ -213,6 +215,12 @@
 				balancer.frozen = true
 			case "resume":
 				w.resume(balancer)
+			case "freeze agent":
+				agent.frozen = agent.up
+			case "resume agent":
+				if agent.up {
+					w.resumeAgent(agent)
+				}
 			case "pass":
 				w.pass(300 * time.Millisecond)
 			}
@@ -222,6 +230,9 @@
 			w.resume(balancer)
 		}
 		for _, agent := range w.agents {
+			if agent.up {
+				w.resumeAgent(agent)
+			}
 			if !agent.backend.alive {
 				w.replaceBackend(agent)
 			}
--- a/handshake/world_backends_test.go
+++ b/handshake/world_backends_test.go
@@ -47,7 +47,7 @@
 // reportLate delivers a report that the back end before the present one sent long ago.
 func (w *world) reportLate(agent *worldAgent) {
 	before, replaced := strings.CutSuffix(string(agent.backend.id), "+")
-	if !agent.up || !replaced {
+	if !agent.up || agent.frozen || !replaced {
 		return
 	}
 	agent.decider.Tracker().Report(w.now, instance.Report{ID: instance.ID(before), Service: worldService, Slots: 7, Sequence: 3})
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -254,7 +254,7 @@
 // report is a heartbeat of the agent's back end; it returns whether it was acknowledged.
 func (w *world) report(agent *worldAgent) bool {
 	backend := agent.backend
-	if !agent.up || !backend.alive {
+	if !agent.up || agent.frozen || !backend.alive {
 		return false
 	}
 	backend.sequence += w.reports
@@ -457,7 +457,12 @@
 
 // fromBackend hands a back end's datagram to its agent.
 func (w *world) fromBackend(agent *worldAgent, answer Datagram) {
-	if agent.up {
-		w.performAgent(agent, agent.decider.FromBackend(w.now, &answer))
+	handle := func() { w.performAgent(agent, agent.decider.FromBackend(w.now, &answer)) }
+	switch {
+	case !agent.up:
+	case agent.frozen:
+		agent.inbox = append(agent.inbox, handle)
+	default:
+		handle()
 	}
 }
