--- a/handshake/action.go
+++ b/handshake/action.go
@@ -80,7 +80,7 @@
 	EventTried      Event = "flow-tried"      // nobody was sure: a back end is asked itself
 	EventLost       Event = "flow-lost"       // nobody holds the flow
 	EventAway       Event = "agent-away"      // an agent neither says anything nor answers, while others near it do
-	EventBack       Event = "agent-back"      // an agent is held for away no more: it has said something, or nobody waits for it
+	EventBack       Event = "agent-back"      // an agent is held for away no more: it has said something, its witness has not, or nobody waits for it
 	EventBrokenOff  Event = "flow-broken-off" // the flow's agent is away and its requests may be repeated: the caller was reset
 	EventAdmitted   Event = "flow-admitted"   // an agent passed an opening datagram to its back end
 	EventNotHeld    Event = "flow-not-held"   // an agent gave a datagram back
--- a/handshake/away.go
+++ b/handshake/away.go
@@ -17,7 +17,7 @@
 // Times and bounds of the sign that an agent is away.
 const (
 	AwayTime       = 800 * time.Millisecond // silence of an agent, at least, until it is away: above the half second that a choked link delays answers by
-	awayRounds     = 4                      // questions in a row that it has not answered, and its witness has (a guess: one lost datagram in ten gives one wrong row in 10,000)
+	awayRounds     = 4                      // questions in a row that it has not answered, and its witness has (a guess: where one datagram in ten is lost, four answers are once in 800 rows, and all statuses of AwayTime besides)
 	askInterval    = 150 * time.Millisecond // between two questions: half of AwayTime and more for the four, many round trips between zones each
 	awayInterval   = 300 * time.Millisecond // the same once the agent is away, to notice that the way to its zone has failed
 	witnessTime    = 500 * time.Millisecond // for the witness to answer; then the rounds are counted anew with another
@@ -33,8 +33,8 @@
 	address netip.AddrPort
 	key     flow.Key       // of a flow that it holds: the question is who holds it
 	begun   time.Time      // of the first question
-	sentAt  time.Time      // of the question under way; zero: none is
-	witness netip.AddrPort // that was asked the same
+	sentAt  time.Time      // of the question under way, or when there was no witness
+	witness netip.AddrPort // that was asked the same; zero: nobody was
 	heard   bool           // the witness has answered it
 	missed  int            // rounds in a row that only the witness answered
 	wanted  time.Time      // when a caller last waited for the agent
@@ -73,11 +73,12 @@
 	return nil
 }
 
-// askWhetherAway sends the next question to the agent and a witness. Without a witness it waits.
+// askWhetherAway sends the next question to the agent and a witness. Without a witness it waits for witnessTime.
 func (b *Balancer) askWhetherAway(now time.Time, silent *silentAgent) {
 	witness := b.witness(now, silent)
 	if witness == nil {
-		silent.startAnew()
+		b.startAnew(now, silent)
+		silent.sentAt = now
 		return
 	}
 	silent.sentAt, silent.witness, silent.heard = now, witness.address, false
@@ -87,10 +88,17 @@
 }
 
 // startAnew forgets what has been counted.
-func (s *silentAgent) startAnew() {
-	s.missed, s.away = 0, false
-	s.sentAt, s.heard = time.Time{}, false
-	s.witness = netip.AddrPort{}
+func (b *Balancer) startAnew(now time.Time, silent *silentAgent) {
+	b.endAway(now, silent)
+	silent.missed, silent.away = 0, false
+	silent.heard, silent.witness = false, netip.AddrPort{}
+}
+
+// endAway says that the agent is held for away no more, if it was.
+func (b *Balancer) endAway(now time.Time, silent *silentAgent) {
+	if silent.away {
+		b.act(Decision{Event: EventBack, Key: silent.key, Peer: silent.address, Attempts: silent.missed, Age: now.Sub(silent.begun)})
+	}
 }
 
 // witness returns the agent of the same zone that was heard last, nil if none is heard. The one that
@@ -128,8 +136,8 @@
 	b.noteDisturbance(now)
 	b.silent = slices.DeleteFunc(b.silent, func(silent *silentAgent) bool {
 		over := !b.isSilent(now, silent)
-		if over && silent.away {
-			b.act(Decision{Event: EventBack, Key: silent.key, Peer: silent.address, Attempts: silent.missed, Age: now.Sub(silent.begun)})
+		if over {
+			b.endAway(now, silent)
 		}
 		return over
 	})
@@ -180,15 +188,13 @@
 		interval = awayInterval
 	}
 	switch {
-	case silent.sentAt.IsZero():
-		b.askWhetherAway(now, silent)
 	case silent.heard && now.Sub(silent.sentAt) >= interval:
 		silent.missed++
 		b.judge(now, silent)
 		b.askWhetherAway(now, silent)
 	case now.Sub(silent.sentAt) >= witnessTime:
 		witness := silent.witness
-		silent.startAnew()
+		b.startAnew(now, silent)
 		silent.witness = witness // another one is asked next
 		b.askWhetherAway(now, silent)
 	}
@@ -265,15 +271,15 @@
 }
 
 // takeContent notes the caller's content. It says whether the datagram holds nothing that was not sent before.
-func (f *balancedFlow) takeContent(now time.Time, datagram *Datagram) (again bool) {
+func (f *balancedFlow) takeContent(datagram *Datagram) (again bool) {
 	if datagram.Kind != Data || datagram.Payload == 0 {
 		return false
 	}
 	end := datagram.Number + uint32(datagram.Payload)
-	if !f.contentAt.IsZero() && int32(end-f.contentEnd) <= 0 {
+	if f.hasContent && int32(end-f.contentEnd) <= 0 {
 		return true
 	}
-	f.contentEnd, f.contentAt = end, now
+	f.contentEnd, f.hasContent = end, true
 	return false
 }
 
