--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -57,6 +57,10 @@
 	inbox      []func()       // what has come while it was frozen
 	unrecorded bool           // it has withdrawn its record
 	heardBy    *worldBalancer // the only one that hears its statuses; nil: all do
+	mute       bool           // it sends no statuses
+	delay      time.Duration  // by which it handles what it is sent later
+	left       bool           // it stopped after it had said that it leaves, and has not run since
+	ran        time.Time      // when it last ran
 }
 
 // worldBalancer is a balancer.
@@ -224,6 +228,8 @@
 	if !agent.up || agent.frozen {
 		return
 	}
+	agent.ran = w.now
+	agent.left = agent.left && agent.decider.leaving
 	w.performAgent(agent, agent.decider.Tick(w.now))
 	if agent.decider.Tracker().CheckDue(w.now) {
 		agent.decider.Tracker().Checked(w.now, agent.backend.check())
@@ -236,7 +242,7 @@
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
 		Leaving: agent.decider.leaving, HoldsNothing: agent.decider.leaving && agent.decider.HoldsNothing(w.now)}
 	for _, balancer := range w.balancers {
-		if agent.heardBy == nil || agent.heardBy == balancer {
+		if !agent.mute && (agent.heardBy == nil || agent.heardBy == balancer) {
 			w.reach(balancer, func() {
 				balancer.decider.TakeStatus(w.now, agent.address, status)
 				w.tellBalancer(balancer, status.Evacuations)
@@ -261,7 +267,7 @@
 // report is a heartbeat of the agent's back end; it returns whether it was acknowledged.
 func (w *world) report(agent *worldAgent) bool {
 	backend := agent.backend
-	if !agent.up || !backend.alive {
+	if !agent.up || agent.frozen || !backend.alive {
 		return false
 	}
 	backend.sequence += w.reports
@@ -338,14 +344,16 @@
 			continue
 		}
 		w.later(func() {
-			handle := func() { w.performAgent(agent, w.agentReceives(agent, from, send.Message)) }
-			switch {
-			case !agent.up:
-			case agent.frozen:
-				agent.inbox = append(agent.inbox, handle)
-			default:
-				handle()
-			}
+			w.queue = append(w.queue, worldEvent{w.now.Add(agent.delay), func() {
+				handle := func() { w.performAgent(agent, w.agentReceives(agent, from, send.Message)) }
+				switch {
+				case !agent.up:
+				case agent.frozen:
+					agent.inbox = append(agent.inbox, handle)
+				default:
+					handle()
+				}
+			}})
 		})
 	}
 }
@@ -459,7 +467,12 @@
 
 // fromBackend hands a back end's datagram to its agent.
 func (w *world) fromBackend(agent *worldAgent, answer Datagram) {
-	if agent.up {
-		w.performAgent(agent, agent.decider.FromBackend(w.now, &answer))
+	handle := func() { w.performAgent(agent, agent.decider.FromBackend(w.now, &answer)) }
+	switch {
+	case !agent.up:
+	case agent.frozen:
+		agent.inbox = append(agent.inbox, handle)
+	default:
+		handle()
 	}
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -37,6 +37,7 @@
 type metrics struct {
 	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec // by event and reason
+	resets    *prometheus.CounterVec // by reason and kind of request
 	datagrams *prometheus.CounterVec // by source
 	invalid   *prometheus.CounterVec // by source
 	told      *prometheus.CounterVec // bytes of messages to other processes, by kind and distance
@@ -73,6 +74,7 @@
 	m := &metrics{
 		registry:  observability.NewRegistry(),
 		decisions: counters("decisions_total", "Decisions about flows.", "event", "reason"),
+		resets:    counters("resets_total", "Resets sent to callers.", "reason", "requests"),
 		datagrams: counters("datagrams_total", "Datagrams received.", "source"),
 		invalid:   counters("datagrams_invalid_total", "Datagrams received that could not be read.", "source"),
 		told:      counters("peer_bytes_total", "Bytes of messages to other processes, without headers.", "kind", "distance"),
@@ -95,7 +97,7 @@
 	m.fromPeer = m.datagrams.WithLabelValues(sourcePeer)
 	m.byDecision = map[decisionLabels]prometheus.Counter{}
 	m.byMessage = map[messageLabels]prometheus.Counter{}
-	m.registry.MustRegister(m.decisions, m.datagrams, m.invalid, m.told, m.opening, m.attempts, m.locating, m.store, m.lives, m.stale, m.reports, m.delay, m.gaps)
+	m.registry.MustRegister(m.decisions, m.resets, m.datagrams, m.invalid, m.told, m.opening, m.attempts, m.locating, m.store, m.lives, m.stale, m.reports, m.delay, m.gaps)
 	return m
 }
 
