--- a/handshake/action.go
+++ b/handshake/action.go
@@ -35,6 +35,8 @@
 	Confirms uint32
 	// Away says that the flow may still be open at an agent that is away.
 	Away bool
+	// Restarted says that the flow may still be open at a back end whose agent has started anew, as all others have.
+	Restarted bool
 }
 
 // Reason returns why the caller is reset, for logs and metrics.
@@ -42,6 +44,8 @@
 	switch {
 	case r.Away:
 		return awayReason
+	case r.Restarted:
+		return restartedReason
 	case r.Confirms != 0:
 		return "gone"
 	default:
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -107,7 +107,8 @@
 	tryAgain  time.Time     // until then none of its datagrams is tried again
 	leftAt    time.Time     // when it was left alone: news of agents end that
 	findPause time.Duration // for which it was left alone last
-	gone      bool          // for certain: nobody holds it
+	gone      bool          // for certain: nobody holds it, or nobody finds it (restarted)
+	restarted bool          // its caller was told because of a common restart
 	resetAt   time.Time     // when the caller was last told so, or that its agent is away
 
 	// What the caller has sent, as far as this balancer has seen it.
@@ -186,7 +187,7 @@
 	}
 	known.seen = now
 	if !known.owns(datagram) && (known.agent.IsValid() || known.gone) {
-		known.agent, known.gone = netip.AddrPort{}, false // a later flow of the same caller's port, which another balancer has opened
+		known.agent, known.gone, known.restarted = netip.AddrPort{}, false, false // a later flow of the same caller's port, which another balancer has opened
 		known.hasContent, known.finished = false, false
 	}
 	known.noteConfirms(datagram)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -50,6 +50,7 @@
 	status     Status
 	load       Load // latest, from a status or an answer
 	heard      time.Time
+	started    time.Time // by its own word; zero: not told
 	since      time.Time // since when it has been heard without a pause
 	loadHeard  time.Time
 	recorded   bool      // its record was seen where it lasts, since it was first heard
@@ -131,6 +132,9 @@
 	case agent.status.Backend != status.Backend:
 		b.changed = true
 	}
+	if agent.started.IsZero() {
+		agent.started = startOf(now, status)
+	}
 	agent.noteHeard(now)
 	agent.status = status
 	agent.takeLoad(now, status.Load)
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -80,7 +80,7 @@
 		return
 	}
 	known.resetAt = now
-	b.act(ResetCaller{Key: known.key, Confirms: known.latest})
+	b.act(ResetCaller{Key: known.key, Confirms: known.latest, Restarted: known.restarted})
 }
 
 // queueFinding lets a flow wait until it is its turn to be searched for.
@@ -256,6 +256,8 @@
 	switch {
 	case certain && len(f.perhaps) == 0:
 		b.lose(now, known, reasonNobody)
+	case !f.undecided && b.mayRepeat(known) && b.restartedTogether(now, f.perhaps):
+		b.tellRestarted(now, known)
 	case !f.hinted:
 		b.hint(now, known)
 		b.await(known, now.Add(2*LocateTime))
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -78,6 +78,7 @@
 	Leaving     bool                // about to stop
 	Interval    time.Duration       // until the receiver is told again
 	Subscribe   bool                // the sender wants the receiver's load often; balancers only
+	Uptime      time.Duration       // since the sender's start; 0: not told, as in brief ones
 	StoreFresh  bool                // the sender has heard the store of late; balancers only
 	// HoldsNothing says that the sender leaves and its back end holds no flow for certain; agents only.
 	HoldsNothing bool
@@ -88,7 +89,7 @@
 // Brief returns the status without what stays the same for the life of the process.
 // Whoever has heard a whole one completes it (Contacts.Complete).
 func (s Status) Brief() Status {
-	s.ID, s.Role, s.Zone, s.Region, s.Service = "", 0, "", "", ""
+	s.ID, s.Role, s.Zone, s.Region, s.Service, s.Uptime = "", 0, "", "", "", 0
 	return s
 }
 
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -23,6 +23,7 @@
 	address  netip.AddrPort
 	zone     catalog.ZoneName
 	heard    time.Time
+	started  time.Time     // by its own word; zero: not told
 	patience time.Duration // silence after which it is not asked
 }
 
@@ -32,7 +33,11 @@
 
 // take takes in another balancer's status.
 func (n *neighbors) take(now time.Time, from netip.AddrPort, status Status) {
-	n.known[from] = &neighbor{address: from, zone: status.Zone, heard: now, patience: max(KnownTime, patience(status))}
+	started := startOf(now, status)
+	if before := n.known[from]; before != nil && started.IsZero() {
+		started = before.started // of the same start: a process that starts anew tells a whole status first
+	}
+	n.known[from] = &neighbor{address: from, zone: status.Zone, heard: now, started: started, patience: max(KnownTime, patience(status))}
 }
 
 // forget drops balancers that are no longer heard.
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/burlmill/burlmill/flow"
 	"github.com/burlmill/burlmill/routing"
@@ -49,6 +50,10 @@
 		w.checkBrokenOff(caller)
 		return
 	}
+	if reset.Restarted {
+		w.checkRestarted(caller)
+		return
+	}
 	if caller.openAt != nil && caller.openAt.alive && caller.openAt.open[key] {
 		w.violation = fmt.Sprintf("flow %v was reset while its back end %s held it", key, caller.openAt.id)
 	}
@@ -71,6 +76,32 @@
 	}
 }
 
+// checkRestarted checks that a flow which may still be open was reset because all processes have started anew:
+// its requests may be repeated, and no process that runs has run for longer than since they did.
+func (w *world) checkRestarted(caller *worldCaller) {
+	if !w.table.Route(caller.key.Service).Requests.MayRepeat() {
+		w.violation = fmt.Sprintf("flow %v was broken off, and its request may run only once", caller.key)
+	}
+	var first, last time.Time
+	note := func(up bool, begun time.Time) {
+		if up && (first.IsZero() || begun.Before(first)) {
+			first = begun
+		}
+		if up && begun.After(last) {
+			last = begun
+		}
+	}
+	for _, agent := range w.agents {
+		note(agent.up && !agent.mute && agent.heardBy == nil, agent.begun)
+	}
+	for _, balancer := range w.balancers {
+		note(balancer.up && !balancer.frozen, balancer.begun)
+	}
+	if w.now.Sub(first) > togetherSpan+togetherTime {
+		w.violation = fmt.Sprintf("flow %v was broken off: processes run since %v and %v ago", caller.key, w.now.Sub(first), w.now.Sub(last))
+	}
+}
+
 // setRequests configures what may be done to the requests of the world's route.
 func (w *world) setRequests(kind routing.RequestKind) {
 	route := *w.table.Route(worldAddress)
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -51,6 +51,7 @@
 	backend    *worldBackend
 	up         bool
 	started    int
+	begun      time.Time // of its present start
 	zone       catalog.ZoneName
 	view       evacuation.View
 	frozen     bool
@@ -69,6 +70,7 @@
 	decider *Balancer
 	up      bool
 	started int
+	begun   time.Time // of its present start
 	frozen  bool
 	view    evacuation.View
 	inbox   []func()  // what has come while it was frozen
@@ -158,6 +160,7 @@
 	balancer.up, balancer.frozen, balancer.inbox = true, false, nil
 	balancer.view = evacuation.View{}
 	balancer.started++
+	balancer.begun = w.now
 }
 
 func (w *world) startAgent(agent *worldAgent) {
@@ -165,6 +168,7 @@
 	agent.decider = NewAgent(w.now, AgentOptions{Zone: agent.zone, Service: worldService, FlowLifetime: time.Minute, ReportInterval: time.Second})
 	agent.up, agent.frozen, agent.inbox = true, false, nil
 	agent.started++
+	agent.begun = w.now
 }
 
 // later runs something after a short time, unless it is lost.
@@ -240,7 +244,7 @@
 	}
 	status := Status{ID: string(agent.backend.id), Role: RoleAgent, Zone: agent.zone, Evacuations: agent.view.Told(), Incarnation: uint64(agent.started),
 		Service: worldService, Backend: string(agent.decider.Tracker().Latest().ID), Load: agent.decider.Load(w.now),
-		Leaving: agent.decider.leaving, HoldsNothing: agent.decider.leaving && agent.decider.HoldsNothing(w.now)}
+		Leaving: agent.decider.leaving, HoldsNothing: agent.decider.leaving && agent.decider.HoldsNothing(w.now), Uptime: max(1, w.now.Sub(agent.begun))}
 	for _, balancer := range w.balancers {
 		if !agent.mute && (agent.heardBy == nil || agent.heardBy == balancer) {
 			w.reach(balancer, func() {
@@ -257,7 +261,7 @@
 	for _, to := range w.balancers {
 		if to != from {
 			w.reach(to, func() {
-				to.decider.TakeStatus(w.now, from.address, Status{Role: RoleBalancer, Zone: "a"})
+				to.decider.TakeStatus(w.now, from.address, Status{Role: RoleBalancer, Zone: "a", Uptime: max(1, w.now.Sub(from.begun))})
 				w.tellBalancer(to, told)
 			})
 		}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -16,6 +16,9 @@
 	"github.com/burlmill/burlmill/routing"
 )
 
+// mostUptime is the longest time since a process's start that is told: longer ones differ in nothing.
+const mostUptime = time.Hour
+
 // Encode returns the bytes of a message between processes.
 func Encode(message handshake.Message) ([]byte, error) {
 	encoded, err := proto.Marshal(envelopeOf(message))
@@ -133,6 +136,7 @@
 		StoreFresh:  status.StoreFresh,
 
 		HoldsNothing: status.HoldsNothing,
+		UptimeMs:     uint32(min(status.Uptime, mostUptime).Milliseconds()),
 	}
 	if status.Load != (handshake.Load{}) {
 		encoded.Load = encodeLoad(status.Load)
@@ -181,6 +185,7 @@
 		StoreFresh:  encoded.GetStoreFresh(),
 
 		HoldsNothing: encoded.GetHoldsNothing(),
+		Uptime:       time.Duration(encoded.GetUptimeMs()) * time.Millisecond,
 	}
 	var err error
 	if status.Peers, err = decodeAddresses(encoded.GetPeers()); err != nil {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -59,6 +59,7 @@
 		Interval:     time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond,
 		Subscribe:    rapid.Bool().Draw(t, "subscribe"),
 		StoreFresh:   rapid.Bool().Draw(t, "store fresh"),
+		Uptime:       time.Duration(rapid.IntRange(0, 3_600_000).Draw(t, "uptime")) * time.Millisecond,
 	}
 	zones := rapid.SliceOfN(rapid.StringMatching("[a-z]{1,9}"), 0, 4).Draw(t, "evacuated zones")
 	set, err := decodeEvacuations(&burlmillv1.HandshakeEvacuations{Revision: rapid.Uint64().Draw(t, "revision"), Zones: zones})
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -86,7 +86,8 @@
 	endWatch     context.CancelFunc // of the evacuations, which waits longer than that of the configuration; nil: none
 	storeRefused time.Time          // last call for the present configuration that was refused; zero: none
 	leaving      bool
-	urgent       bool // the status has changed in a way that others must know at once
+	urgent       bool      // the status has changed in a way that others must know at once
+	begun        time.Time // when the process started
 	started      bool
 	nextLook     time.Time // for peers that have fallen silent
 
@@ -110,6 +111,7 @@
 		events:       events,
 		limited:      logging.NewLimiter(logging.LimiterOptions{Log: logger, PerSecond: linesPerSecond, Burst: lineBurst, Now: time.Now}),
 		metrics:      newMetrics(),
+		begun:        time.Now(),
 		configuredAt: time.Now(),
 		incarnation:  rand.Uint64(),
 		role:         role,
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -42,6 +42,7 @@
 	own.Zone = n.settings.Node.Zone
 	own.Region = n.settings.Node.Region
 	own.Incarnation = n.incarnation
+	own.Uptime = max(now.Sub(n.begun), time.Millisecond)
 	own.Version = n.table.Version()
 	own.Leaving = n.leaving
 	own.StoreFresh = n.storeFresh(now)
