--- a/handshake/common_restart.go
+++ b/handshake/common_restart.go
@@ -32,13 +32,13 @@
 // anew at about the time at which this balancer has. Those agents that may hold a flow must have started then: one that
 // has started later may have been restarted as planned, and hold a flow that was opened in between.
 func (b *Balancer) restartedTogether(now time.Time, mayHold []netip.AddrPort) bool {
-	if now.Sub(b.started) > togetherTime || b.recordedAt.IsZero() {
+	if now.Sub(b.started) > togetherTime {
 		return false
 	}
 	earliest := b.started.Add(-togetherSpan)
 	others := b.neighbors.heardOnce()
-	if others == 0 && b.young(now) {
-		return false // they may not have been heard yet
+	if (others == 0 || b.recordedAt.IsZero()) && b.young(now) {
+		return false // those that run on may not have been heard yet
 	}
 	if !b.neighbors.startedSince(earliest) || !b.board.startedSince(earliest) {
 		return false
@@ -52,7 +52,8 @@
 	return others+len(b.board.order) >= fewestTogether && b.hearsMostRecorded(now)
 }
 
-// hearsMostRecorded says whether nearly all agents on record are heard.
+// hearsMostRecorded says whether nearly all agents on record are heard; so does a balancer that cannot read
+// the records.
 func (b *Balancer) hearsMostRecorded(now time.Time) bool {
 	heard := 0
 	for _, address := range b.recorded {
--- a/handshake/common_restart_test.go
+++ b/handshake/common_restart_test.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// TestABalancerThatHearsNoOtherYetTellsNothing: the others may run since before.
+// TestABalancerThatHearsNoOtherYetTellsNothing: the others may run since before. The same without the records.
 func TestABalancerThatHearsNoOtherYetTellsNothing(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
@@ -113,7 +113,12 @@
 		recorded = append(recorded, contactAddress(RoleAgent, i+1))
 		b.TakeStatus(now, recorded[i], Status{Role: RoleAgent, Incarnation: 1, Uptime: time.Millisecond})
 	}
+	b.TakeStatus(now, contactAddress(RoleBalancer, 2), Status{Role: RoleBalancer, Incarnation: 1, Uptime: time.Millisecond})
+	is.True(!b.restartedTogether(now, nil)) // no records
+	is.True(b.restartedTogether(start.Add(YoungTime), nil))
 	b.Record(now, now, recorded)
+	is.True(b.restartedTogether(now, nil))
+	delete(b.neighbors.known, contactAddress(RoleBalancer, 2))
 	is.True(!b.restartedTogether(now, nil))
 	is.True(b.restartedTogether(start.Add(YoungTime), nil))
 }
