--- a/handshake/certainty_test.go
+++ b/handshake/certainty_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/routing"
 )
 
 // TestCallersAreToldAfterALossOfPower: everything has started anew. One machine's back end does not come back, and the machine is
@@ -13,6 +15,7 @@
 func TestCallersAreToldAfterALossOfPower(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t, 11, 3, 4)
+	w.setRequests(routing.Repeatable)
 	const callers = 12
 	for port := uint16(1000); port < 1000+callers; port++ {
 		is.True(w.call(port))
@@ -43,6 +46,7 @@
 func TestCallersThatAskTooSoonAreTold(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t, 13, 2, 3)
+	w.setRequests(routing.Repeatable)
 	for port := uint16(1000); port < 1010; port++ {
 		is.True(w.call(port))
 	}
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -348,8 +348,8 @@
 			continue
 		}
 		w.later(func() {
-			w.queue = append(w.queue, worldEvent{w.now.Add(agent.delay), func() {
-				handle := func() { w.performAgent(agent, w.agentReceives(agent, from, send.Message)) }
+			handle := func() { w.performAgent(agent, w.agentReceives(agent, from, send.Message)) }
+			receive := func() {
 				switch {
 				case !agent.up:
 				case agent.frozen:
@@ -357,7 +357,12 @@
 				default:
 					handle()
 				}
-			}})
+			}
+			if agent.delay == 0 {
+				receive()
+				return
+			}
+			w.queue = append(w.queue, worldEvent{w.now.Add(agent.delay), receive})
 		})
 	}
 }
