--- a/internal/status/rows.go
+++ b/internal/status/rows.go
@@ -170,6 +170,8 @@
 		query.NumberValue(int64(load.Busy)),
 		query.NumberValue(int64(backend.Slots)),
 		query.NumberValue(int64(load.Refusals)),
+		query.TextValue(""), // configured back ends have one life
+		query.DurationValue(0),
 	}
 }
 
@@ -208,5 +210,6 @@
 		query.TextValue(fmt.Sprintf("%016x", snapshot.Digest())),
 		query.DurationValue(time.Since(*s.since.Load())),
 		query.TextValue(version.String()),
+		query.TextValue(""), // objects are refused one by one, not the whole of a revision
 	})
 }
--- a/internal/status/tables.go
+++ b/internal/status/tables.go
@@ -24,6 +24,7 @@
 	ColumnControl   = "control"
 	ColumnRevision  = "revision"
 	ColumnDigest    = "digest"
+	ColumnRefused   = "refused"
 	ColumnName      = "name"
 	ColumnProtocol  = "protocol"
 	ColumnAddress   = "address"
@@ -87,6 +88,8 @@
 		{Name: ColumnBusy, Type: query.Number, Help: "slots in use; 0 unless the service is http"},
 		{Name: ColumnSlots, Type: query.Number, Help: "slots as configured"},
 		{Name: ColumnRefusals, Type: query.Number, Help: "requests answered not-run since its agent started"},
+		{Name: "born", Type: query.Text, Help: "when its present life began by its own clock, where it tells that"},
+		{Name: "age", Type: query.Duration, Help: "since its agent first heard of its present life; 0: not known"},
 	}}, Agents},
 	{query.Table{Name: TableFlows, Help: "open flows", Columns: []query.Column{
 		{Name: ColumnNode, Type: query.Text, Help: "id of the agent"},
@@ -102,6 +105,7 @@
 		{Name: ColumnDigest, Type: query.Text, Help: "hash over the objects held; equal revisions must have equal ones"},
 		{Name: "age", Type: query.Duration, Help: "time since it came into force there"},
 		{Name: "program", Type: query.Text, Help: "version of the program"},
+		{Name: ColumnRefused, Type: query.Text, Help: "why a newer configuration of the store is not in force; empty: none was refused"},
 	}}, AllNodes},
 	{query.Table{Name: TableEvents, Help: "latest events of each process", Columns: []query.Column{
 		{Name: ColumnNode, Type: query.Text, Help: "id of the process"},
