--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -55,6 +55,8 @@
 	tried        map[flow.Key]*tried // flows whose trier this agent is
 	triesFrom    time.Time           // before it, datagrams are tried for no balancer
 	lastTick     time.Time           // zero: none yet
+	proof        *heldFlow           // given back by a back end that would hold it had it lived on; nil: none
+	provedAt     time.Time           // when
 	over         []*heldFlow         // of an earlier life of the back end; their balancers are yet to be told
 	lives        uint64              // changes of the back end's life whose work was forgotten
 	refusals     uint64
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -239,7 +239,7 @@
 	}
 	a.drop(held)
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: !tentative, Bytes: datagram.Bytes}, datagram.Key)
-	a.endEarlier(now, held)
+	a.noteProof(now, held)
 }
 
 // Tick forgets work that is not answered, reservations that are not used, and flows that are over.
@@ -247,6 +247,7 @@
 	a.notePause(now)
 	a.reservations.expire(now)
 	a.expireSearches(now)
+	a.endEarlier(now)
 	a.tellOver()
 	a.forgetWork()
 	for held := range a.owing {
--- a/handshake/lives.go
+++ b/handshake/lives.go
@@ -31,13 +31,31 @@
 	f.spokeLast = now
 }
 
-// endEarlier concludes from a flow that the back end has just given back which others are over. The back
-// end spoke on it a short time ago, so it has started anew since; what it had spoken on by then went with that life. The
-// news of a life alone does not say so much: the new life may have taken flows before it was heard of.
-func (a *Agent) endEarlier(now time.Time, proof *heldFlow) {
-	if !a.tracker.Superseded() || !proof.spokeLast.Before(a.tracker.Since()) || !a.surelyHeld(now, proof) {
+// noteProof notes a flow that the back end has just given back. If it spoke on it a short time ago, it has started
+// anew since. Of several proofs the one says most on which it spoke last.
+func (a *Agent) noteProof(now time.Time, given *heldFlow) {
+	if !a.surelyHeld(now, given) || a.proof != nil && a.proof.spokeLast.After(given.spokeLast) {
 		return
 	}
+	a.proof, a.provedAt = given, now
+}
+
+// endEarlier concludes from the proof which other flows are over, once there is news of another life, which may come
+// after it: what the back end had taken by its word on the proof went with the earlier life. The
+// news alone does not say so much: the new life may have taken flows before it was heard of.
+func (a *Agent) endEarlier(now time.Time) {
+	proof := a.proof
+	if proof == nil {
+		return
+	}
+	if now.Sub(a.provedAt) > surelyHeldTime {
+		a.proof = nil
+		return
+	}
+	if !a.tracker.Superseded() || !proof.spokeLast.Before(a.tracker.Since()) {
+		return
+	}
+	a.proof = nil
 	var over []*heldFlow
 	for _, held := range a.flows {
 		if held.state == stateOpen && held.endedWith(proof) {
--- a/handshake/lives_test.go
+++ b/handshake/lives_test.go
@@ -183,3 +183,22 @@
 	is.True(old.reset)
 	is.Equal(resetOf(callers), 1)
 }
+
+// TestProofBeforeTheNews: the new life gives a flow back before its first report is heard.
+func TestProofBeforeTheNews(t *testing.T) {
+	is := is.New(t)
+	w := bornWorld(t, 37)
+	agent := w.agents[0]
+	callers := openAt(t, w, agent, 20)
+	speak(t, w, callers)
+	w.pass(overtaken)
+	w.rebirth(agent, w.now)
+	sender := callers[len(callers)-1]
+	w.fromCaller(Datagram{Key: sender.key, Kind: Data, Confirms: sender.number, Payload: 1})
+	w.pass(resendPause)
+	is.Equal(resetOf(callers), 1)
+	w.report(agent)
+	w.pass(resendPause)
+	is.Equal(resetOf(callers), len(callers))
+	is.Equal(w.violation, "")
+}
