--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -348,8 +348,8 @@
 // giveUpFinding drops what has waited and leaves the flow alone for a while.
 func (b *Balancer) giveUpFinding(now time.Time, known *balancedFlow) {
 	known.findPause = min(max(2*known.findPause, firstFindPause), mostFindPause)
-	if f := known.finding; !f.undecided && len(f.perhaps) > 0 {
-		known.findPause = mostFindPause // all have answered, and tries take their time
+	if f := known.finding; !f.undecided && len(f.perhaps) > 0 && !b.young(now) {
+		known.findPause = mostFindPause // all have answered, and tries take their time; but agents that have just started know more soon
 	}
 	known.findAgain = now.Add(known.findPause)
 	known.leftAt = now
