--- a/handshake/board.go
+++ b/handshake/board.go
@@ -129,7 +129,7 @@
 	case agent.status.Incarnation != status.Incarnation:
 		*agent = agentState{address: from}
 		b.changed = true
-	case agent.status.Backend != status.Backend || agent.status.Load.Accepts != status.Load.Accepts:
+	case agent.status.Backend != status.Backend || agent.status.Load.Accepts != status.Load.Accepts || agent.status.HoldsNothing != status.HoldsNothing:
 		b.changed = true
 	}
 	if agent.started.IsZero() {
