--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -47,14 +47,19 @@
 	flows        map[flow.Key]*heldFlow
 	owing        map[*heldFlow]bool // flows whose back end owes an answer: its work
 	leaving      bool
+	gone         bool          // nothing runs beside it any more, and it is about to end
 	evacuated    bool          // its zone is evacuated
 	confirm      time.Duration // that callers take to confirm a back end's number; 0: not known yet
 	reservations reservations
 	pace         pace
 	searches     []*search           // for balancers, in the order in which they began
+	census       uint32              // number of the latest census
+	nextCensus   time.Time           // no census begins before
 	tried        map[flow.Key]*tried // flows whose trier this agent is
 	triesFrom    time.Time           // before it, datagrams are tried for no balancer
 	lastTick     time.Time           // zero: none yet
+	proof        *heldFlow           // given back by a back end that would hold it had it lived on; nil: none
+	provedAt     time.Time           // when
 	over         []*heldFlow         // of an earlier life of the back end; their balancers are yet to be told
 	lives        uint64              // changes of the back end's life whose work was forgotten
 	refusals     uint64
@@ -112,6 +117,7 @@
 		owing:        map[*heldFlow]bool{},
 		reservations: newReservations(),
 		started:      now,
+		census:       uint32(now.UnixNano()), // answers to an agent's earlier life count for none of its censuses
 		tried:        map[flow.Key]*tried{},
 		triesFrom:    now.Add(trySettleTime),
 	}
@@ -155,14 +161,36 @@
 	return open
 }
 
-// HoldsNothing says whether the back end has left, or was never there, and holds no flow for certain.
+// HoldsNothing says whether the back end has left, is gone, or was never there, and holds no flow for certain.
 func (a *Agent) HoldsNothing(now time.Time) bool {
-	if a.tracker.NobodyThere() {
+	if a.gone || a.tracker.NobodyThere() {
 		return true
 	}
-	return a.tracker.State() == instance.Leaving && a.Unfinished() == 0 && a.unknownHolding(now) == HoldsNot
+	return a.tracker.State() == instance.Leaving && !a.expectsDatagrams() && a.unknownHolding(now) == HoldsNot
 }
 
+// expectsDatagrams says whether the back end may speak on a flow that is known.
+func (a *Agent) expectsDatagrams() bool {
+	for _, held := range a.flows {
+		if held.state != stateEnded {
+			return true
+		}
+	}
+	return false
+}
+
+// EndWithoutBackend notes, of an agent that is about to end, that nothing runs at the back end's address any more: whatever was
+// held there is gone.
+func (a *Agent) EndWithoutBackend() {
+	a.leaving = true
+	a.gone = true
+}
+
+// IsBesideNobody says whether the back end has given no sign since the agent started, and nothing was found at its address. Such
+// an agent has nothing to tell: its machine may be about to be taken away, and balancers that had heard it
+// could not tell that from a machine that is cut off.
+func (a *Agent) IsBesideNobody() bool { return a.tracker.Unseen() }
+
 // Leave makes the agent refuse new flows because it is about to stop.
 func (a *Agent) Leave() { a.leaving = true }
 
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burlmill/burlmill/flow"
+	"github.com/burlmill/burlmill/instance"
 )
 
 // Forwarded handles a datagram that a balancer takes to be of a flow held here. Where the
@@ -119,6 +120,8 @@
 func (a *Agent) holding(now time.Time, question Locate) Holding {
 	held := a.flows[question.Key]
 	switch {
+	case a.gone:
+		return HoldsNot
 	case held == nil || held.state == stateTentative:
 		return a.unknownHolding(now)
 	case !held.opened(question.Confirms):
@@ -132,6 +135,9 @@
 // started after its back end may have missed the flow's opening. Only then, since
 // each back end that is asked in vain gets datagrams of a flow of another.
 func (a *Agent) unknownHolding(now time.Time) Holding {
+	if a.gone {
+		return HoldsNot
+	}
 	if now.Sub(a.started) < a.options.FlowLifetime && !a.tracker.SawBegin() {
 		return HoldsPerhaps
 	}
@@ -140,19 +146,24 @@
 
 // FromBackend handles a datagram of the back end.
 func (a *Agent) FromBackend(now time.Time, datagram *Datagram) []Action {
-	a.tracker.Alive(now)
 	held := a.flows[datagram.Key]
+	if !datagram.Returned || a.tracker.State() != instance.Absent {
+		a.tracker.Alive(now) // what is given back where no back end is known, shows none that holds flows
+	}
 	if datagram.Returned {
 		a.returned(now, held, datagram)
 		a.reserve(now)
 		return a.take()
 	}
-	if held == nil {
+	if held == nil && datagram.Kind != Reset {
 		held = a.hold(now, datagram.Key, stateSpokenOn(datagram.Kind))
+		held.latest = spokenNumber(datagram)
+	}
+	if held != nil {
+		held.seen = now
+		held.noteSpoken(now)
+		a.fromHolder(now, held, datagram)
 	}
-	held.seen = now
-	held.noteSpoken(now)
-	a.fromHolder(now, held, datagram)
 	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
 	a.reserve(now)
 	return a.take()
@@ -167,11 +178,39 @@
 	return stateOpen
 }
 
+// spokenNumber returns about what a caller confirms of the flow on which the back end speaks, 0 if that is not told: so
+// a datagram of another flow with the same key is told from one of this.
+func spokenNumber(datagram *Datagram) uint32 {
+	if datagram.Kind != Data {
+		return 0
+	}
+	return datagram.Number
+}
+
+// isSpokenOf says whether the back end's datagram proves that it holds the flow of which a datagram was tried
+// there. It may have taken the flow's opening and have given it up since, as the caller opened it elsewhere: then it
+// resets, or confirms, what it does not hold, by a number of its own.
+func (f *heldFlow) isSpokenOf(datagram *Datagram) bool {
+	return datagram.Kind == Data && near(f.latest, datagram.Number)
+}
+
+// doubt notes that what the back end says does not prove that it holds the flow that was tried there. Nor does it prove
+// the contrary, as a datagram given back does: so the flow is searched for on.
+func (a *Agent) doubt(held *heldFlow) {
+	a.drop(held)
+	a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: HoldsPerhaps}})
+	a.act(Decision{Event: EventNotHeld, Key: held.key, Service: a.options.Service, Peer: held.balancer,
+		Reason: reasonAnother})
+}
+
 // fromHolder notes what a back end's datagram does to its flow.
 func (a *Agent) fromHolder(now time.Time, held *heldFlow, datagram *Datagram) {
 	switch {
 	case datagram.Kind == Accept:
 		a.acceptedBy(now, held, datagram.Number)
+	case held.state == stateTentative && !held.isSpokenOf(datagram):
+		a.doubt(held)
+		return
 	case held.state == stateTentative:
 		held.state = stateOpen
 		a.act(Send{To: held.balancer, Message: Located{Key: held.key, Holding: Holds}})
@@ -239,7 +278,7 @@
 	}
 	a.drop(held)
 	a.giveBack(balancer, NotHeld{Tried: tentative, Gone: !tentative, Bytes: datagram.Bytes}, datagram.Key)
-	a.endEarlier(now, held)
+	a.noteProof(now, held)
 }
 
 // Tick forgets work that is not answered, reservations that are not used, and flows that are over.
@@ -247,8 +286,10 @@
 	a.notePause(now)
 	a.reservations.expire(now)
 	a.expireSearches(now)
+	a.endEarlier(now)
 	a.tellOver()
 	a.forgetWork()
+	a.startCensus(now)
 	for held := range a.owing {
 		if now.Sub(held.owedAt) > a.busyTime(held) {
 			a.settle(held)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -50,11 +50,16 @@
 	status     Status
 	load       Load // latest, from a status or an answer
 	heard      time.Time
+	started    time.Time // by its own word; zero: not told
 	since      time.Time // since when it has been heard without a pause
 	loadHeard  time.Time
+	recorded   bool      // its record was seen where it lasts, since it was first heard
 	unanswered int       // offers without an answer since load was heard
 	silent     int       // offers in a row that ran out without an answer
 	silentAt   time.Time // when the latest of them did
+	alive      time.Time // when it last sent anything
+	// carriedFirst and carriedLast are when it was sent callers' datagrams from here, without a pause of carryPause between.
+	carriedFirst, carriedLast time.Time
 	// answerTime is how long the agent takes to answer: it follows longer times at
 	// once and shorter ones slowly.
 	answerTime time.Duration
@@ -105,6 +110,7 @@
 	order       []*agentState // by address, so that every run decides alike
 	random      *rand.Rand
 	evacuations evacuation.Set // zones whose agents get no new flows
+	changed     bool           // an agent or its back end is a new one since this was last looked at: it may deny more flows, or know more
 	grown       bool           // an agent has been heard for the first time since this was last looked at
 }
 
@@ -122,6 +128,12 @@
 		b.add(agent)
 	case agent.status.Incarnation != status.Incarnation:
 		*agent = agentState{address: from}
+		b.changed = true
+	case agent.status.Backend != status.Backend || agent.status.Load.Accepts != status.Load.Accepts || agent.status.HoldsNothing != status.HoldsNothing:
+		b.changed = true
+	}
+	if agent.started.IsZero() {
+		agent.started = startOf(now, status)
 	}
 	agent.noteHeard(now)
 	agent.status = status
@@ -208,13 +220,22 @@
 	return agents
 }
 
-// known says whether the agent may be asked for flows.
+// known says whether the agent may be asked for flows: not where it has said that there is nothing to ask for.
 func (a *agentState) known(now time.Time) bool {
-	return now.Sub(a.heard) <= max(KnownTime, patience(a.status))
+	return !a.status.HoldsNothing && now.Sub(a.heard) <= max(KnownTime, patience(a.status))
+}
+
+// noteRecords notes which agents are recorded.
+func (b *Board) noteRecords(recorded []netip.AddrPort) {
+	for _, address := range recorded {
+		if agent := b.agents[address]; agent != nil {
+			agent.recorded = true
+		}
+	}
 }
 
 // hearsAll says whether all agents that were ever heard, and all those that are recorded, can
-// be asked for flows; but for those that have withdrawn their records since they were heard.
+// be asked for flows, but for those that hold none for certain.
 func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort, recordedAt time.Time) bool {
 	for _, address := range recorded {
 		if b.agents[address] == nil {
@@ -222,14 +243,22 @@
 		}
 	}
 	for _, agent := range b.order {
-		withdrawn := agent.status.Leaving && recordedAt.After(agent.heard) && !slices.Contains(recorded, agent.address)
-		if !agent.known(now) && !withdrawn {
+		if !agent.known(now) && !agent.status.HoldsNothing && !agent.withdrew(recorded, recordedAt) {
 			return false
 		}
 	}
 	return true
 }
 
+// withdrew says whether the agent has withdrawn its record since it was heard, which only one does whose back end
+// holds nothing. One that has started so lately that its record was never seen counts only if it said that it leaves.
+func (a *agentState) withdrew(recorded []netip.AddrPort, recordedAt time.Time) bool {
+	if !recordedAt.After(a.heard) || slices.Contains(recorded, a.address) {
+		return false
+	}
+	return a.recorded || a.status.Leaving
+}
+
 // searcher returns an agent, heard of late, that is to search for a flow: one of the own zone
 // if there is any, by chance, so that the work is spread. Not the one given, unless it is the only one.
 func (b *Board) searcher(now time.Time, except netip.AddrPort) *agentState {
@@ -268,14 +297,25 @@
 	nobodyElse        // no agent takes new flows
 )
 
-// choose returns the agent of the service that is to get the next new flow, none
+// chooseAny returns the agent of the service that is to get the next new flow, none
 // of those in except.
-func (b *Board) choose(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+func (b *Board) chooseAny(now time.Time, service catalog.ServiceName, except []netip.AddrPort) (*agentState, choice) {
+	var agents []*agentState
+	for _, agent := range b.order {
+		if agent.status.Service == service {
+			agents = append(agents, agent)
+		}
+	}
+	return b.leastBusyOf(now, agents, except)
+}
+
+// leastBusyOf returns which of the agents is to get the next new flow, none of those in except.
+func (b *Board) leastBusyOf(now time.Time, agents []*agentState, except []netip.AddrPort) (*agentState, choice) {
 	var best *agentState
 	bestScore := 0.0
 	outcome := nobodyElse
-	for _, agent := range b.order {
-		if agent.status.Service != service || !b.usable(now, agent) || slices.Contains(except, agent.address) {
+	for _, agent := range agents {
+		if !b.usable(now, agent) || slices.Contains(except, agent.address) {
 			continue
 		}
 		if agent.full() {
--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -21,6 +21,7 @@
 	counts        map[Role]int
 	subscribed    int // contacts in subscriptions, or those who have subscribed here
 	nextSelection time.Time
+	leaving       bool // this process stops
 }
 
 // contact is what is known of one other process.
@@ -36,6 +37,7 @@
 	subscription time.Time // until when it wants the load, or is asked for it
 	seed         bool      // never forgotten
 	lost         bool      // noticed as no longer heard
+	carried      time.Time // when it last sent a caller's datagram; zero: never
 }
 
 // NewContacts returns the contacts of a process in the zone that knows nobody.
@@ -120,6 +122,15 @@
 	return now.Sub(other.heard), true
 }
 
+// Zone returns the zone of a process; known is false if it was never heard.
+func (c *Contacts) Zone(address netip.AddrPort) (zone catalog.ZoneName, known bool) {
+	other := c.contacts[address]
+	if other == nil || other.heard.IsZero() {
+		return "", false
+	}
+	return other.status.Zone, true
+}
+
 // Lost returns the processes that have fallen silent since the last call.
 func (c *Contacts) Lost(now time.Time) []Contact {
 	var lost []Contact
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/burlmill/burlmill/routing"
 )
 
 // Finding: a balancer that gets a datagram of a flow it does not know (routers have moved
@@ -33,7 +31,8 @@
 	// flows share one; the longest is for records that nobody removes, of machines that were lost.
 	firstRecordsPause = time.Second
 	mostRecordsPause  = 30 * time.Second
-	recordsLifetime   = 30 * time.Second // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
+	youngRecordsPause = 300 * time.Millisecond // while the balancer is young: about what agents take to find that nobody runs beside them
+	recordsLifetime   = 30 * time.Second       // of what was read: agents that were added since tell it within DiscoveryTime, if they reach this process
 )
 
 // finding is the search for the agent that holds one flow.
@@ -44,6 +43,7 @@
 	under     []netip.AddrPort // agents of the question under way
 	asked     []netip.AddrPort // agents that were asked before it
 	perhaps   []netip.AddrPort // agents that may hold the flow
+	unnamed   []netip.AddrPort // those of them that were not named to the trier
 	tries     bool             // the question under way is a datagram tried at back ends
 	tried     bool             // it has been: it is not again before the caller's next datagram
 	undecided bool             // some have not answered
@@ -60,7 +60,7 @@
 	if datagram.Kind == Reset && known.finding == nil {
 		return // its caller has given up; the back end notices without it
 	}
-	if now.Before(known.findAgain) || len(known.buffered) >= MaximumBuffered {
+	if now.Before(known.findAgain) && !b.newsAt.After(known.leftAt) || len(known.buffered) >= MaximumBuffered {
 		return
 	}
 	known.buffered = append(known.buffered, bytes.Clone(datagram.Bytes))
@@ -80,7 +80,7 @@
 		return
 	}
 	known.resetAt = now
-	b.act(ResetCaller{Key: known.key, Confirms: known.latest})
+	b.act(ResetCaller{Key: known.key, Confirms: known.latest, Restarted: known.restarted})
 }
 
 // queueFinding lets a flow wait until it is its turn to be searched for.
@@ -137,11 +137,11 @@
 func (b *Balancer) ask(now time.Time, known *balancedFlow) {
 	f := known.finding
 	f.tries = false
-	remaining := b.candidates(now, known)
+	remaining := b.unasked(now, known)
 	switch {
 	case len(remaining) > 0:
 		b.search(now, known, remaining)
-	case len(f.perhaps) > 0 && !f.tried:
+	case len(f.perhaps) > 0 && !f.tried && !now.Before(known.tryAgain):
 		b.try(now, known)
 	default:
 		b.findingEnded(now, known)
@@ -151,7 +151,7 @@
 // search lets an agent ask the others.
 func (b *Balancer) search(now time.Time, known *balancedFlow, agents []netip.AddrPort) {
 	f := known.finding
-	searcher := b.board.searcher(now, f.searcher)
+	searcher := b.searcher(now, f, len(agents))
 	if searcher == nil {
 		f.undecided = true
 		b.findingEnded(now, known)
@@ -168,37 +168,7 @@
 	f.under = agents
 	known.sentAt = now
 	b.await(known, now.Add(2*LocateTime+searcher.patience()))
-	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram}})
-}
-
-// candidates returns agents to ask for a flow that have not been asked. Those of the services
-// to which its route sends new flows come first: with many services, few agents are of those.
-// A flow that is older than its route's present targets is with another service, so all others
-// come after.
-func (b *Balancer) candidates(now time.Time, known *balancedFlow) []netip.AddrPort {
-	var likely, others []netip.AddrPort
-	route := b.route(known)
-	for _, agent := range b.board.known(now) {
-		switch {
-		case slices.Contains(known.finding.asked, agent.address):
-		case route != nil && route.Has(agent.status.Service):
-			likely = append(likely, agent.address)
-		default:
-			others = append(others, agent.address)
-		}
-	}
-	if len(likely) == 0 {
-		likely = others
-	}
-	return likely[:min(len(likely), MaximumSearched)]
-}
-
-// route returns the flow's route, nil if there is none.
-func (b *Balancer) route(known *balancedFlow) *routing.Route {
-	if b.table == nil {
-		return nil
-	}
-	return b.table.Route(known.key.Service)
+	b.act(Send{To: searcher.address, Message: Search{Key: known.key, Confirms: known.confirms, Agents: agents, Datagram: datagram, Question: known.questions}})
 }
 
 // found handles the answer of the agent that has searched.
@@ -212,14 +182,13 @@
 		return
 	}
 	f := known.finding
-	if f.searcher != from || f.under == nil {
-		return // a late answer
+	if f.searcher != from || f.under == nil || answer.Question != known.questions {
+		return // a late answer, which says nothing of those who have been asked since
 	}
+	known.questions++
 	f.undecided = f.undecided || answer.Unanswered > 0
 	if f.tries {
-		f.under = nil
-		f.perhaps = answer.Perhaps
-		b.findingEnded(now, known)
+		b.triedBy(now, known, answer)
 		b.startFindings(now)
 		return
 	}
@@ -230,9 +199,15 @@
 	b.startFindings(now)
 }
 
-// located handles the answer of an agent that another balancer has named.
+// located handles the answer of an agent that another balancer has named, or whose back end has not proved
+// that it holds a flow whose datagrams are sent to it: the next one is searched for.
 func (b *Balancer) located(now time.Time, from netip.AddrPort, answer Located) {
 	known := b.flows[answer.Key]
+	if known != nil && known.agent == from && answer.Holding != Holds {
+		known.agent = netip.AddrPort{}
+		b.act(Decision{Event: EventNotHeld, Key: known.key, Peer: from, Reason: reasonAnother})
+		return
+	}
 	if known == nil || known.agent.IsValid() || known.finding == nil || answer.Holding != Holds {
 		return
 	}
@@ -254,6 +229,7 @@
 		b.queueFinding(now, known)
 		return
 	}
+	known.questions++
 	if f.tries {
 		f.under = nil
 		b.findingEnded(now, known)
@@ -280,6 +256,8 @@
 	switch {
 	case certain && len(f.perhaps) == 0:
 		b.lose(now, known, reasonNobody)
+	case !f.undecided && b.mayRepeat(known) && b.restartedTogether(now, f.perhaps):
+		b.tellRestarted(now, known)
 	case !f.hinted:
 		b.hint(now, known)
 		b.await(known, now.Add(2*LocateTime))
@@ -309,15 +287,25 @@
 func (b *Balancer) Record(now, at time.Time, agents []netip.AddrPort) {
 	b.recorded = agents
 	b.recordedAt = at
+	b.board.noteRecords(agents)
 	b.recordsWanted = false
 	b.recordsPause = min(max(2*b.recordsPause, firstRecordsPause), mostRecordsPause)
 	if b.knowsAll(now) {
 		b.recordsPause = 0
 	}
-	b.recordsAgain = now.Add(max(b.recordsPause, firstRecordsPause))
+	b.recordsAgain = now.Add(b.nextRecordsPause(now))
 	b.board.grown = true
 }
 
+// nextRecordsPause returns the pause before the records may be read again. In a balancer's first seconds, after an
+// outage perhaps, agents withdraw those of back ends that have not come back, and many callers wait.
+func (b *Balancer) nextRecordsPause(now time.Time) time.Duration {
+	if now.Sub(b.started) < DiscoveryTime {
+		return youngRecordsPause
+	}
+	return max(b.recordsPause, firstRecordsPause)
+}
+
 // RecordsDue says whether Record is to be called soon: a flow may be gone, and only which
 // agents there are can tell. Where the records do not help, since one of them is of an agent
 // that cannot be heard, they are read more and more seldom.
@@ -343,6 +331,10 @@
 
 // searchNewAgents searches anew for the flows that wait for agents which are not known yet.
 func (b *Balancer) searchNewAgents(now time.Time) {
+	if b.board.grown || b.board.changed {
+		b.newsAt = now
+		b.board.changed = false
+	}
 	if !b.board.grown {
 		return
 	}
@@ -356,10 +348,11 @@
 // giveUpFinding drops what has waited and leaves the flow alone for a while.
 func (b *Balancer) giveUpFinding(now time.Time, known *balancedFlow) {
 	known.findPause = min(max(2*known.findPause, firstFindPause), mostFindPause)
-	if f := known.finding; !f.undecided && len(f.perhaps) > 0 {
-		known.findPause = mostFindPause // all have answered, and tries take their time
+	if f := known.finding; !f.undecided && len(f.perhaps) > 0 && !b.young(now) {
+		known.findPause = mostFindPause // all have answered, and tries take their time; but agents that have just started know more soon
 	}
 	known.findAgain = now.Add(known.findPause)
+	known.leftAt = now
 	b.act(Decision{Event: EventLost, Key: known.key, Attempts: len(known.finding.asked), Reason: reasonUnheard, Age: known.findPause})
 	b.endFinding(known)
 }
@@ -379,6 +372,7 @@
 		return
 	}
 	b.stopSearching(known)
+	known.questions++ // one may be under way
 	known.finding = nil
 	known.buffered = nil
 }
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -1,7 +1,6 @@
 package handshake
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +23,7 @@
 	address  netip.AddrPort
 	zone     catalog.ZoneName
 	heard    time.Time
+	started  time.Time     // by its own word; zero: not told
 	patience time.Duration // silence after which it is not asked
 }
 
@@ -33,7 +33,11 @@
 
 // take takes in another balancer's status.
 func (n *neighbors) take(now time.Time, from netip.AddrPort, status Status) {
-	n.known[from] = &neighbor{address: from, zone: status.Zone, heard: now, patience: max(KnownTime, patience(status))}
+	started := startOf(now, status)
+	if before := n.known[from]; before != nil && started.IsZero() {
+		started = before.started // of the same start: a process that starts anew tells a whole status first
+	}
+	n.known[from] = &neighbor{address: from, zone: status.Zone, heard: now, started: started, patience: max(KnownTime, patience(status))}
 }
 
 // forget drops balancers that are no longer heard.
@@ -45,18 +49,19 @@
 	}
 }
 
-// nearest returns the balancers to ask for a flow, those of the own zone first: routers
+// nearest returns the balancers to ask for a flow, those of the own zone alone if there are any: routers
 // move flows within a zone while it has balancers.
 func (n *neighbors) nearest(now time.Time) []netip.AddrPort {
 	var heard []*neighbor
+	closest := 1
 	for _, other := range n.known {
 		if now.Sub(other.heard) <= other.patience {
 			heard = append(heard, other)
+			closest = min(closest, n.distance(other))
 		}
 	}
-	slices.SortFunc(heard, func(a, b *neighbor) int {
-		return cmp.Or(cmp.Compare(n.distance(a), n.distance(b)), a.address.Compare(b.address))
-	})
+	heard = slices.DeleteFunc(heard, func(other *neighbor) bool { return n.distance(other) > closest })
+	slices.SortFunc(heard, func(a, b *neighbor) int { return a.address.Compare(b.address) })
 	heard = heard[:min(len(heard), maximumNeighbors)]
 	addresses := make([]netip.AddrPort, 0, len(heard))
 	for _, other := range heard {
--- a/handshake/trying.go
+++ b/handshake/trying.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/burlmill/burlmill/flow"
 )
 
@@ -37,8 +35,11 @@
 	// tryMemory is how long a trier remembers which back ends have given back a flow's datagram, after it was
 	// last asked about the flow: longer than the longest pause between two datagrams of a caller that waits.
 	tryMemory = 10 * time.Second
+	// mostNamed is how many back ends that may hold a flow are named to its trier: what can be tried in the
+	// time for which a caller waits, and some to choose from. (A guess.)
+	mostNamed = 16
 	// maximumTried is how many flows a trier keeps account of; no others are tried. (A guess: with
-	// MaximumSearched addresses each 3 MB.)
+	// mostNamed addresses each half a megabyte.)
 	maximumTried = 1024
 )
 
@@ -160,18 +161,22 @@
 		return
 	}
 	f.tries, f.tried = true, true
-	agents := b.board.nearestFirst(f.perhaps)
+	agents := b.likeliestFirst(now, known)
+	f.unnamed = agents[min(len(agents), mostNamed):]
 	b.act(Decision{Event: EventTried, Key: known.key, Peer: trier.address, Attempts: len(agents)})
-	b.sendSearch(now, known, trier, agents[:min(len(agents), MaximumSearched)], known.buffered[0])
+	b.sendSearch(now, known, trier, agents[:len(agents)-len(f.unnamed)], known.buffered[0])
 }
 
-// rankOf ranks an agent for a flow: the agent of the highest rank is the flow's.
-func rankOf(key flow.Key, agent netip.AddrPort) uint64 {
-	var buffer [96]byte
-	encoded, _ := key.Caller.AppendBinary(buffer[:0]) // has no error to return
-	encoded, _ = key.Service.AppendBinary(encoded)
-	encoded, _ = agent.AppendBinary(encoded)
-	return xxhash.Sum64(encoded)
+// triedBy handles the trier's answer: back ends are left that may hold the flow, or none. Where some have
+// been tried, no more are before the span is over.
+func (b *Balancer) triedBy(now time.Time, known *balancedFlow, answer Found) {
+	f := known.finding
+	if len(answer.Perhaps) > 0 && len(answer.Perhaps) < len(f.under) {
+		known.tryAgain = now.Add(trySpan)
+	}
+	f.under = nil
+	f.perhaps = slices.Concat(answer.Perhaps, f.unnamed)
+	b.findingEnded(now, known)
 }
 
 // trier returns the agent that keeps account of the tries of the flow, nil if the balancer cannot
@@ -202,11 +207,14 @@
 	return best
 }
 
-// nearestFirst returns the agents in order of distance, those that are not known last.
-func (b *Board) nearestFirst(agents []netip.AddrPort) []netip.AddrPort {
-	sorted := slices.Clone(agents)
+// likeliestFirst returns the agents that may hold the flow: its candidates first, and of these and of the others
+// the nearest.
+func (b *Balancer) likeliestFirst(now time.Time, known *balancedFlow) []netip.AddrPort {
+	candidates := b.candidates(now, known)
+	sorted := slices.Clone(known.finding.perhaps)
 	slices.SortFunc(sorted, func(x, y netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(b.distance(x), b.distance(y)), x.Compare(y))
+		return cmp.Or(compareBools(slices.Contains(candidates, y), slices.Contains(candidates, x)),
+			cmp.Compare(b.board.distance(x), b.board.distance(y)), x.Compare(y))
 	})
 	return slices.Compact(sorted)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -176,6 +176,11 @@
 // NobodyThere says that no instance was there when it was last looked, and none was ever known.
 func (t *Tracker) NobodyThere() bool { return t.foundNobody && t.latest.ID == "" && t.heard.IsZero() }
 
+// Unseen says that the back end has given no sign since the tracker began, and refuses health checks: there may be none.
+func (t *Tracker) Unseen() bool {
+	return t.latest.ID == "" && t.heard.IsZero() && !t.refusedFrom.IsZero()
+}
+
 // Heard returns when the present life last gave a sign of life.
 func (t *Tracker) Heard() time.Time { return t.heard }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -23,6 +23,7 @@
 const (
 	agentDrainMargin = 1500 * time.Millisecond // of the drain limit, left for the rest of the stop
 	agentDrainLook   = 50 * time.Millisecond   // between two looks whether they have ended
+	firstCheckTime   = 50 * time.Millisecond   // for the first health check, before others are told of the agent (a guess: some times what one takes on a machine)
 )
 
 // agent is a running agent.
@@ -34,7 +35,10 @@
 	last     handshake.Load              // as last told
 	lives    uint64                      // changes of the back end's life that were logged
 	life     instance.Life               // as last logged
+	began    time.Time                   // when it began to decide
+	checked  bool                        // a health check has ended
 	backend  sighting                    // of any sign of the back end
+	nobody   sighting                    // of the proof that no back end runs beside the agent
 }
 
 // sighting is something that is waited for and happens once.
@@ -54,7 +58,7 @@
 	if s.Backend.Service == "" {
 		return fault.InvalidField("backend.service", s.Backend.Service, "must be given to an agent where flows.transport is handshake")
 	}
-	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger), backend: newSighting()}
+	a := &agent{node: newNode(s, adapter, handshake.RoleAgent, logger), backend: newSighting(), nobody: newSighting()}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Zone:           s.Node.Zone,
 		Service:        s.Backend.Service,
@@ -84,6 +88,7 @@
 	}
 	a.data.Store(data)
 	a.addAgentGauges()
+	a.began = time.Now()
 	a.start(a)
 	a.outbound.Store(outbound) // from now on the back end's datagrams are handled
 	if err := a.serve(a.settings.Node.ControlAddress, a.adapter.HostHandler(a)); err != nil {
@@ -93,22 +98,11 @@
 		return err
 	}
 	a.spawn(a.directoryLoop)
-	a.spawn(a.publishWithBackend)
+	a.spawn(a.keepRecord)
 	a.spawn(func() { a.reloadLoop(changes) })
 	return nil
 }
 
-// publishWithBackend records the agent once there is a back end beside it. Without one it
-// holds no flow; and if its machine is then taken away, nobody removes the record, so that no
-// balancer could ever tell a caller again that all agents deny its flow.
-func (a *agent) publishWithBackend() {
-	select {
-	case <-a.context.Done():
-	case <-a.backend.seen:
-		a.publish()
-	}
-}
-
 // addAgentGauges adds the values that only agents have.
 func (a *agent) addAgentGauges() {
 	a.metrics.gauge("flows", "Flows known.", a.locked(func(time.Time) float64 {
@@ -134,16 +128,24 @@
 	return !a.leaving
 }
 
-// stop refuses new flows and waits for the open ones.
+// tells says whether others are told of this process.
+func (a *agent) tells(now time.Time) bool {
+	return !a.flows.IsBesideNobody() && (a.checked || now.Sub(a.began) > firstCheckTime)
+}
+
+// stop refuses new flows, tells the balancers that use the agent, and waits for the open flows.
 func (a *agent) stop() {
+	begun := time.Now()
 	a.mutex.Lock()
 	a.leaving = true
 	a.urgent = true
+	a.contacts.Leave(begun)
 	a.flows.Leave()
 	a.log.WithField("flows", a.flows.Unfinished()).Info("leaving")
 	a.mutex.Unlock()
-	deadline := time.Now().Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
-	for time.Now().Before(deadline) && a.unfinished() > 0 {
+	told := begun.Add(handshake.DepartingTime)
+	deadline := begun.Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
+	for time.Now().Before(deadline) && (time.Now().Before(told) || a.unfinished() > 0) {
 		a.sleep(agentDrainLook)
 	}
 }
@@ -154,18 +156,8 @@
 	return a.flows.Unfinished()
 }
 
-// holdsNothing says whether the agent is needed no more: its back end has left, and no flow is
-// open there. An agent that stops beside a back end that lives on starts again.
-func (a *agent) holdsNothing() bool {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.flows.HoldsNothing(time.Now())
-}
-
 func (a *agent) closeAll() error {
-	if a.holdsNothing() {
-		a.withdraw()
-	}
+	a.sayFarewell()
 	err := errors.Join(a.outbound.Load().Close(), a.data.Load().Close(), a.close())
 	a.log.Info("stopped")
 	return err
@@ -183,7 +175,9 @@
 		a.limited.Log(log.WarnLevel, "datagram-invalid", log.Fields{"from": from, "error": err})
 		return
 	}
-	a.backend.note()
+	if !datagram.Returned {
+		a.backend.note()
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.perform(a.flows.FromBackend(time.Now(), &datagram))
@@ -216,6 +210,8 @@
 		Service: a.settings.Backend.Service,
 		Backend: string(a.flows.Tracker().Latest().ID),
 		Load:    a.flows.Load(now),
+
+		HoldsNothing: a.leaving && a.flows.HoldsNothing(now),
 	}
 }
 
@@ -227,6 +223,9 @@
 func (a *agent) tick(now time.Time) {
 	a.perform(a.flows.Tick(now))
 	a.noteChange(now)
+	if a.flows.Tracker().NobodyThere() {
+		a.nobody.note()
+	}
 	if a.flows.Tracker().CheckDue(now) {
 		path := a.healthPath()
 		a.spawn(func() { a.check(path) })
@@ -268,7 +267,7 @@
 }
 
 // check asks the back end whether it is well.
-func (a *agent) check(path string) {
+func (a *agent) check(path string) instance.Check {
 	ctx, cancel := context.WithTimeout(a.context, instance.CheckTimeout)
 	defer cancel()
 	begun := time.Now()
@@ -278,11 +277,13 @@
 	if result.Well || result.ID != "" {
 		a.backend.note()
 	}
-	a.limited.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Well, "backend": result.ID, "took": now.Sub(begun)})
+	a.limited.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Well, "backend": result.ID, "refused": result.Refused, "took": now.Sub(begun)})
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.checked = true
 	a.flows.Tracker().Checked(now, result)
 	a.tellChange(now)
+	return result
 }
 
 // Report takes in a report of the back end.
@@ -327,10 +328,12 @@
 func (a *agent) received(now time.Time, from netip.AddrPort, message handshake.Message) {
 	switch message := message.(type) {
 	case handshake.Offer:
+		a.contacts.Carried(now, from)
 		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
 			return a.flows.Offered(now, from, message, datagram)
 		})
 	case handshake.Forward:
+		a.contacts.Carried(now, from)
 		a.onDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
 			return a.flows.Forwarded(now, from, datagram)
 		})
@@ -338,6 +341,10 @@
 		a.perform(a.flows.Asked(now, from, message))
 	case handshake.Search:
 		a.perform(a.flows.Searched(now, from, message))
+	case handshake.Summarize:
+		a.perform(a.flows.Summarized(now, from, message))
+	case handshake.Digest:
+		a.perform(a.flows.Digested(from, message))
 	case handshake.Located:
 		a.perform(a.flows.Located(from, message))
 	case handshake.NotHeld:
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -159,6 +159,7 @@
 		case handshake.Send:
 			b.send(action.To, action.Message)
 		case handshake.ResetCaller:
+			b.countReset(action)
 			b.reply(action.Key.Caller, b.adapter.FormatReset(action.Key, action.Confirms))
 		case handshake.Decision:
 			b.note(action)
@@ -166,6 +167,15 @@
 	}
 }
 
+// countReset counts a reset by its reason and the kind of the route's requests.
+func (b *balancer) countReset(reset handshake.ResetCaller) {
+	requests := routing.RequestsUnknown
+	if route := b.table.Route(reset.Key.Service); route != nil {
+		requests = route.Requests
+	}
+	b.metrics.resets.WithLabelValues(reset.Reason(), requests.String()).Inc()
+}
+
 func (b *balancer) reply(caller netip.AddrPort, bytes []byte) {
 	to := b.adapter.ReplyAddress(caller, b.settings.Node.DataAddress)
 	if err := b.socket.Load().Send(bytes, to); err != nil {
@@ -183,6 +193,8 @@
 
 func (b *balancer) status(time.Time) handshake.Status { return handshake.Status{} }
 
+func (b *balancer) tells(time.Time) bool { return true }
+
 func (b *balancer) evacuated(set evacuation.Set) { b.flows.Evacuate(set) }
 
 func (b *balancer) configured(_ time.Time, table *routing.Table) { b.flows.Configure(table) }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -16,6 +16,9 @@
 	"github.com/burlmill/burlmill/routing"
 )
 
+// mostUptime is the longest time since a process's start that is told: longer ones differ in nothing.
+const mostUptime = time.Hour
+
 // Encode returns the bytes of a message between processes.
 func Encode(message handshake.Message) ([]byte, error) {
 	encoded, err := proto.Marshal(envelopeOf(message))
@@ -56,9 +59,14 @@
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: encodeHint(m)}}
 	case handshake.Search:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Search{Search: &burlmillv1.HandshakeSearch{
-			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram}}}
+			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents), Datagram: m.Datagram, Question: m.Question}}}
 	case handshake.Found:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Found{Found: encodeFound(m)}}
+	case handshake.Summarize:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Summarize{Summarize: &burlmillv1.HandshakeSummarize{Census: m.Census}}}
+	case handshake.Digest:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Digest{Digest: &burlmillv1.HandshakeDigest{
+			Census: m.Census, Filter: m.Filter, MayHold: m.MayHold}}}
 	default:
 		return &burlmillv1.HandshakeMessage{}
 	}
@@ -103,6 +111,10 @@
 		return decodeSearch(body.Search)
 	case *burlmillv1.HandshakeMessage_Found:
 		return decodeFound(body.Found)
+	case *burlmillv1.HandshakeMessage_Summarize:
+		return handshake.Summarize{Census: body.Summarize.GetCensus()}, nil
+	case *burlmillv1.HandshakeMessage_Digest:
+		return decodeDigest(body.Digest)
 	default:
 		return nil, fault.New(fault.Invalid, "message of %d bytes without a known body", len(encoded))
 	}
@@ -122,6 +134,9 @@
 		IntervalMs:  uint32(status.Interval.Milliseconds()),
 		Subscribe:   status.Subscribe,
 		StoreFresh:  status.StoreFresh,
+
+		HoldsNothing: status.HoldsNothing,
+		UptimeMs:     uint32(min(status.Uptime, mostUptime).Milliseconds()),
 	}
 	if status.Load != (handshake.Load{}) {
 		encoded.Load = encodeLoad(status.Load)
@@ -168,6 +183,9 @@
 		Interval:    time.Duration(encoded.GetIntervalMs()) * time.Millisecond,
 		Subscribe:   encoded.GetSubscribe(),
 		StoreFresh:  encoded.GetStoreFresh(),
+
+		HoldsNothing: encoded.GetHoldsNothing(),
+		Uptime:       time.Duration(encoded.GetUptimeMs()) * time.Millisecond,
 	}
 	var err error
 	if status.Peers, err = decodeAddresses(encoded.GetPeers()); err != nil {
@@ -258,11 +276,11 @@
 		return nil, err
 	}
 	agents, err := decodeAddresses(encoded.GetAgents())
-	return handshake.Search{Key: key, Confirms: encoded.GetConfirms(), Agents: agents, Datagram: encoded.GetDatagram()}, err
+	return handshake.Search{Key: key, Confirms: encoded.GetConfirms(), Agents: agents, Datagram: encoded.GetDatagram(), Question: encoded.GetQuestion()}, err
 }
 
 func encodeFound(found handshake.Found) *burlmillv1.HandshakeFound {
-	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(found.Key), Perhaps: encodeAddresses(found.Perhaps), Unanswered: found.Unanswered}
+	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(found.Key), Perhaps: encodeAddresses(found.Perhaps), Unanswered: found.Unanswered, Question: found.Question}
 	if found.Agent.IsValid() {
 		encoded.Agent = encodeAddress(found.Agent)
 	}
@@ -274,7 +292,7 @@
 	if err != nil {
 		return nil, err
 	}
-	found := handshake.Found{Key: key, Unanswered: encoded.GetUnanswered()}
+	found := handshake.Found{Key: key, Unanswered: encoded.GetUnanswered(), Question: encoded.GetQuestion()}
 	if found.Perhaps, err = decodeAddresses(encoded.GetPerhaps()); err != nil || len(encoded.GetAgent()) == 0 {
 		return found, err
 	}
@@ -282,6 +300,13 @@
 	return found, err
 }
 
+func decodeDigest(encoded *burlmillv1.HandshakeDigest) (handshake.Message, error) {
+	if size := len(encoded.GetFilter()); size > handshake.MaximumFilter {
+		return nil, fault.New(fault.Invalid, "filter of a digest has %d bytes, more than %d", size, handshake.MaximumFilter)
+	}
+	return handshake.Digest{Census: encoded.GetCensus(), Filter: encoded.GetFilter(), MayHold: encoded.GetMayHold()}, nil
+}
+
 func encodeAddresses(addresses []netip.AddrPort) [][]byte {
 	var encoded [][]byte
 	for _, address := range addresses {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -48,6 +48,7 @@
 // with the node's lock held.
 type decider interface {
 	status(now time.Time) handshake.Status
+	tells(now time.Time) bool // whether others are to be told the status
 	received(now time.Time, from netip.AddrPort, message handshake.Message)
 	configured(now time.Time, table *routing.Table)
 	evacuated(set evacuation.Set)
@@ -85,11 +86,14 @@
 	endWatch     context.CancelFunc // of the evacuations, which waits longer than that of the configuration; nil: none
 	storeRefused time.Time          // last call for the present configuration that was refused; zero: none
 	leaving      bool
-	urgent       bool // the status has changed in a way that others must know at once
+	urgent       bool      // the status has changed in a way that others must know at once
+	begun        time.Time // when the process started
 	started      bool
 	nextLook     time.Time // for peers that have fallen silent
 
-	recorded atomic.Uint64 // revision of the own record in the store; 0: none
+	recorded  atomic.Uint64 // revision of the own record in the store; 0: none
+	withdrawn atomic.Bool   // it has been withdrawn, which may be done late; it is not since it was written anew
+	ending    atomic.Bool   // it is not written any more
 
 	peers   *wire.Socket
 	servers []*http.Server
@@ -107,6 +111,7 @@
 		events:       events,
 		limited:      logging.NewLimiter(logging.LimiterOptions{Log: logger, PerSecond: linesPerSecond, Burst: lineBurst, Now: time.Now}),
 		metrics:      newMetrics(),
+		begun:        time.Now(),
 		configuredAt: time.Now(),
 		incarnation:  rand.Uint64(),
 		role:         role,
@@ -244,6 +249,9 @@
 	}
 	n.log.WithFields(log.Fields{"version": table.Version(), "previous": n.table.Version(), "source": source,
 		"routes": table.Len()}).Info("configuration")
+	for _, remark := range table.Remarks() {
+		n.limited.Log(log.WarnLevel, "configuration-remark", log.Fields{"version": table.Version(), "error": remark})
+	}
 	n.table = table
 	n.document = document
 	n.configuredAt = now
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -13,6 +13,9 @@
 
 // tellStatus sends the own status to all that are due. The lock is held.
 func (n *node) tellStatus(now time.Time) {
+	if !n.decider.tells(now) {
+		return
+	}
 	due := n.contacts.Due(now, n.urgent)
 	n.urgent = false
 	if len(due) == 0 {
@@ -39,6 +42,7 @@
 	own.Zone = n.settings.Node.Zone
 	own.Region = n.settings.Node.Region
 	own.Incarnation = n.incarnation
+	own.Uptime = max(now.Sub(n.begun), time.Millisecond)
 	own.Version = n.table.Version()
 	own.Leaving = n.leaving
 	own.StoreFresh = n.storeFresh(now)
@@ -53,9 +57,23 @@
 		n.limited.Log(log.ErrorLevel, "encode-failed", log.Fields{"error": err})
 		return
 	}
+	n.metrics.sent(message, n.distance(to), len(encoded))
 	n.sendBytes(encoded, to)
 }
 
+// distance says how far away another process is, as a value of a label. The lock is held.
+func (n *node) distance(to netip.AddrPort) string {
+	zone, known := n.contacts.Zone(to)
+	switch {
+	case !known:
+		return distanceUnknown
+	case zone == n.settings.Node.Zone:
+		return distanceNear
+	default:
+		return distanceFar
+	}
+}
+
 func (n *node) sendBytes(encoded []byte, to netip.AddrPort) {
 	if err := n.peers.Send(encoded, to); err != nil {
 		n.limited.Log(log.WarnLevel, "send-failed", log.Fields{"to": to, "error": err})
