Agents that are heard while a datagram is tried are asked before a flow is told gone

A try that ends leads back to ask now, and nobody is told while an agent that is known has not been asked.

TestAgentHeardDuringATryIsAsked fails without the change.

--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -232,7 +232,7 @@
 	known.questions++
 	if f.tries {
 		f.under = nil
-		b.findingEnded(now, known)
+		b.ask(now, known) // agents that were heard meanwhile
 		return
 	}
 	f.missed++
@@ -251,7 +251,7 @@
 func (b *Balancer) findingEnded(now time.Time, known *balancedFlow) {
 	f := known.finding
 	b.stopSearching(known)
-	certain := !f.undecided && b.knowsAll(now)
+	certain := !f.undecided && len(b.unasked(now, known)) == 0 && b.knowsAll(now)
 	b.recordsWanted = b.recordsWanted || !f.undecided && !certain
 	switch {
 	case certain && len(f.perhaps) == 0:
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -316,3 +316,19 @@
 	late.Question = many.Question
 	is.True(hasReset(b.FromPeer(now, first, late)))
 }
+
+// TestAgentHeardDuringATryIsAsked: before the flow is told gone. It may hold it.
+func TestAgentHeardDuringATryIsAsked(t *testing.T) {
+	is := is.New(t)
+	agent, heard := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2)
+	b, now := settled(t, agent)
+	now = hearOn(b, now, trySettleTime, agent)
+	searcher, _ := searchIn(t, b.FromCaller(now, unknownData(1)))
+	trier, _ := searchIn(t, b.FromPeer(now, searcher, Found{Key: holdKey(1), Perhaps: []netip.AddrPort{agent}}))
+	hearAgents(b, now, worldService, agent, heard)
+	b.Record(now, now, []netip.AddrPort{agent, heard})
+	actions := b.FromPeer(now, trier, Found{Key: holdKey(1), Question: 1})
+	is.True(!hasReset(actions))
+	_, search := searchIn(t, actions)
+	is.Equal(search.Agents, []netip.AddrPort{heard})
+}
--- a/handshake/trying.go
+++ b/handshake/trying.go
@@ -176,7 +176,7 @@
 	}
 	f.under = nil
 	f.perhaps = slices.Concat(answer.Perhaps, f.unnamed)
-	b.findingEnded(now, known)
+	b.ask(now, known) // agents that were heard meanwhile
 }
 
 // trier returns the agent that keeps account of the tries of the flow, nil if the balancer cannot
