Findings of two reviews: other balancers are asked before a flow is told gone, and eight more

Found by reading the merged code, each shown by a test of the reviewers or reasoned (said below); tests here fail without the change unless said. * A flow that another balancer has opened at an agent that has just come was told gone on records read before it came: other balancers of the zone are asked first (TestOtherBalancersAreAskedBeforeAFlowIsToldGone). * Questions to agents that may be away carried no number, so that one that runs denied the flow, and its balancer searched for it: they carry what the caller confirmed. A farewell's checks have 100 ms, as the stop has a margin of 1.5 s in all. * The leaving of a life that is not believed lets the present one be checked (TestLeavingThatIsNotBelievedIsLookedInto). * A back end of another service that is known by its health check alone is told by its first report (TestBackEndKnownByItsHealthCheckAlone); an agent that hears nobody refuses no service.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -47,12 +47,18 @@
 	case r.Restarted:
 		return restartedReason
 	case r.Confirms != 0:
-		return "gone"
+		return goneReason
 	default:
-		return "not-opened"
+		return unopenedReason
 	}
 }
 
+// Reasons of resets that need no doubt: the flow is gone for certain, or it has not opened.
+const (
+	goneReason     = "gone"
+	unopenedReason = "not-opened"
+)
+
 // Decision is something that a decider did to a flow, for the log.
 type Decision struct {
 	Event    Event
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -94,8 +94,9 @@
 	acceptedAt time.Time // when the back end's number came; zero: unknown
 	finished   uint8     // ends that have finished, as bits
 	latest     uint32    // what the caller's latest datagram confirmed; 0: none is known
-	contentEnd uint32    // where the caller's content ends that has passed, if hasContent
-	hasContent bool
+	// content is the caller's that has passed. What the caller sends once more is no further work: the back end may
+	// have answered it already, and then would seem busy with it for BusyTime.
+	content contentMark
 	// unsure says that the agent has not known the flow from its opening on, and has seen no
 	// answer on it: what is owed may have been answered before the agent's start.
 	unsure bool
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -45,7 +45,7 @@
 
 // fromCaller notes what a caller's datagram does to its flow.
 func (a *Agent) fromCaller(now time.Time, held *heldFlow, datagram *Datagram) {
-	if held.takeContent(datagram) {
+	if held.content.take(datagram) {
 		a.owe(now, held)
 	}
 	if datagram.Finish {
@@ -56,21 +56,6 @@
 	}
 }
 
-// takeContent says whether the caller's datagram has content that has not passed before. What
-// the caller sends once more is no further work: the back end may have answered it already,
-// and then would seem busy with it for BusyTime.
-func (f *heldFlow) takeContent(datagram *Datagram) bool {
-	if datagram.Payload == 0 {
-		return false
-	}
-	end := datagram.Number + uint32(datagram.Payload)
-	if f.hasContent && int32(end-f.contentEnd) <= 0 {
-		return false
-	}
-	f.hasContent, f.contentEnd = true, end
-	return true
-}
-
 func (a *Agent) finish(held *heldFlow, end uint8) {
 	held.finished |= end
 	if held.finished == bothFinished && held.state != stateEnded {
@@ -159,12 +144,16 @@
 		held = a.hold(now, datagram.Key, stateSpokenOn(datagram.Kind))
 		held.latest = spokenNumber(datagram)
 	}
+	// A back end that resets what was tried there may mean another flow with its key: the caller's own may be open elsewhere.
+	doubtful := held != nil && held.state == stateTentative && !held.isSpokenOf(datagram)
 	if held != nil {
 		held.seen = now
 		held.noteSpoken(now)
 		a.fromHolder(now, held, datagram)
 	}
-	a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
+	if datagram.Kind != Reset || !doubtful {
+		a.act(Reply{Caller: datagram.Key.Caller, Bytes: datagram.Bytes})
+	}
 	a.reserve(now)
 	return a.take()
 }
--- a/handshake/away.go
+++ b/handshake/away.go
@@ -16,29 +16,30 @@
 
 // Times and bounds of the sign that an agent is away.
 const (
-	AwayTime       = 800 * time.Millisecond // silence of an agent, at least, until it is away: above the half second that a choked link delays answers by
-	awayRounds     = 4                      // questions in a row that it has not answered, and its witness has (a guess: where one datagram in ten is lost, four answers are once in 800 rows, and all statuses of AwayTime besides)
-	askInterval    = 150 * time.Millisecond // between two questions: half of AwayTime and more for the four, many round trips between zones each
-	awayInterval   = 300 * time.Millisecond // the same once the agent is away, to notice that the way to its zone has failed
-	witnessTime    = 500 * time.Millisecond // for the witness to answer; then the rounds are counted anew with another
-	askedTime      = 5 * time.Second        // after which an agent is asked no more that no caller has waited for (a guess: the longest pause of a caller is 1.6 s)
-	maximumSilent  = 24                     // agents that are asked at once: 320 datagrams a second at most (a guess)
-	quietTime      = 500 * time.Millisecond // silence of all agents after which this balancer may have missed what they say (a guess: two and a half of the shortest intervals)
-	carryPause     = 30 * time.Second       // after which an agent counts as not used before: half of CarrierTime
-	brokenOffSince = 300 * time.Millisecond // before an agent's last sign: what callers sent since then may be unanswered (a guess: a request's work, and its ways)
+	AwayTime      = 800 * time.Millisecond // silence of an agent, at least, until it is away: above the half second that a choked link delays answers by
+	awayRounds    = 4                      // questions in a row that it has not answered, and its witness has (a guess: where one datagram in ten is lost, four answers are once in 800 rows, and all statuses of AwayTime besides)
+	askInterval   = 150 * time.Millisecond // between two questions: half of AwayTime and more for the four, many round trips between zones each
+	awayInterval  = 300 * time.Millisecond // the same once the agent is away, to notice that the way to its zone has failed
+	witnessTime   = 500 * time.Millisecond // for the witness to answer; then the rounds are counted anew with another
+	askedTime     = 5 * time.Second        // after which an agent is asked no more that no caller has waited for (a guess: the longest pause of a caller is 1.6 s)
+	maximumSilent = 24                     // agents that are asked at once: 320 datagrams a second at most (a guess)
+	quietTime     = 500 * time.Millisecond // silence of all agents after which this balancer may have missed what they say (a guess: two and a half of the shortest intervals)
+	carryPause    = 30 * time.Second       // after which an agent counts as not used before: half of CarrierTime
+	brokenOffSpan = 300 * time.Millisecond // before an agent's last sign: what callers sent since then may be unanswered (a guess: a request's work, and its ways)
 )
 
 // silentAgent is an agent that may be away, and is asked whether it runs.
 type silentAgent struct {
-	address netip.AddrPort
-	key     flow.Key       // of a flow that it holds: the question is who holds it
-	begun   time.Time      // of the first question
-	sentAt  time.Time      // of the question under way, or when there was no witness
-	witness netip.AddrPort // that was asked the same; zero: nobody was
-	heard   bool           // the witness has answered it
-	missed  int            // rounds in a row that only the witness answered
-	wanted  time.Time      // when a caller last waited for the agent
-	away    bool
+	address  netip.AddrPort
+	key      flow.Key       // of a flow that it holds: the question is who holds it
+	confirms uint32         // what the flow's caller confirmed: an agent that runs says that it holds it
+	begun    time.Time      // of the first question
+	sentAt   time.Time      // of the question under way, or when there was no witness
+	witness  netip.AddrPort // that was asked the same; zero: nobody was
+	heard    bool           // the witness has answered it
+	missed   int            // rounds in a row that only the witness answered
+	wanted   time.Time      // when a caller last waited for the agent
+	away     bool
 }
 
 // awayReason is the reason of resets of flows whose agent is away.
@@ -58,7 +59,7 @@
 	if len(b.silent) >= maximumSilent {
 		return
 	}
-	silent := &silentAgent{address: known.agent, key: known.key, begun: now, wanted: now}
+	silent := &silentAgent{address: known.agent, key: known.key, confirms: known.latest, begun: now, wanted: now}
 	b.silent = append(b.silent, silent)
 	b.askWhetherAway(now, silent)
 }
@@ -82,7 +83,7 @@
 		return
 	}
 	silent.sentAt, silent.witness, silent.heard = now, witness.address, false
-	question := Locate{Key: silent.key}
+	question := Locate{Key: silent.key, Confirms: silent.confirms}
 	b.act(Send{To: silent.address, Message: question})
 	b.act(Send{To: witness.address, Message: question})
 }
@@ -190,7 +191,7 @@
 	switch {
 	case silent.heard && now.Sub(silent.sentAt) >= interval:
 		silent.missed++
-		b.judge(now, silent)
+		b.findAway(now, silent)
 		b.askWhetherAway(now, silent)
 	case now.Sub(silent.sentAt) >= witnessTime:
 		witness := silent.witness
@@ -200,9 +201,9 @@
 	}
 }
 
-// judge finds the agent away once it has been silent for long enough, and breaks off the flows whose
+// findAway finds the agent away once it has been silent for long enough, and breaks off the flows whose
 // callers wait for it.
-func (b *Balancer) judge(now time.Time, silent *silentAgent) {
+func (b *Balancer) findAway(now time.Time, silent *silentAgent) {
 	agent := b.board.agents[silent.address]
 	silence := now.Sub(agent.alive)
 	if silent.away || silent.missed < awayRounds || silence < AwayTime {
@@ -217,7 +218,7 @@
 
 // waitingFor returns the flows of the agent whose callers may wait for an answer, in a fixed order.
 func (b *Balancer) waitingFor(agent *agentState) []*balancedFlow {
-	since := agent.alive.Add(-brokenOffSince)
+	since := agent.alive.Add(-brokenOffSpan)
 	var found []*balancedFlow
 	for _, known := range b.flows {
 		if known.agent == agent.address && !known.finished && known.seen.After(since) && b.mayRepeat(known) {
@@ -270,19 +271,6 @@
 	b.act(ResetCaller{Key: known.key, Confirms: known.latest, Away: true})
 }
 
-// takeContent notes the caller's content. It says whether the datagram holds nothing that was not sent before.
-func (f *balancedFlow) takeContent(datagram *Datagram) (again bool) {
-	if datagram.Kind != Data || datagram.Payload == 0 {
-		return false
-	}
-	end := datagram.Number + uint32(datagram.Payload)
-	if f.hasContent && int32(end-f.contentEnd) <= 0 {
-		return true
-	}
-	f.contentEnd, f.hasContent = end, true
-	return false
-}
-
 // noteDisturbance notes that this balancer stood still, or heard no agent at all: what agents have said meanwhile
 // may be lost, that they leave among it.
 func (b *Balancer) noteDisturbance(now time.Time) {
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -112,9 +112,8 @@
 	resetAt   time.Time     // when the caller was last told so, or that its agent is away
 
 	// What the caller has sent, as far as this balancer has seen it.
-	contentEnd uint32 // where the content ends, if hasContent
-	hasContent bool
-	finished   bool // it has nothing more to send, or has given up
+	content  contentMark
+	finished bool // it has nothing more to send, or has given up
 }
 
 // accept is one back end's answer to an opening.
@@ -188,7 +187,7 @@
 	known.seen = now
 	if !known.owns(datagram) && (known.agent.IsValid() || known.gone) {
 		known.agent, known.gone, known.restarted = netip.AddrPort{}, false, false // a later flow of the same caller's port, which another balancer has opened
-		known.hasContent, known.finished = false, false
+		known.content, known.finished = contentMark{}, false
 	}
 	known.noteConfirms(datagram)
 	b.carry(now, known, datagram)
--- a/handshake/board.go
+++ b/handshake/board.go
@@ -225,40 +225,6 @@
 	return !a.status.HoldsNothing && now.Sub(a.heard) <= max(KnownTime, patience(a.status))
 }
 
-// noteRecords notes which agents are recorded.
-func (b *Board) noteRecords(recorded []netip.AddrPort) {
-	for _, address := range recorded {
-		if agent := b.agents[address]; agent != nil {
-			agent.recorded = true
-		}
-	}
-}
-
-// hearsAll says whether all agents that were ever heard, and all those that are recorded, can
-// be asked for flows, but for those that hold none for certain.
-func (b *Board) hearsAll(now time.Time, recorded []netip.AddrPort, recordedAt time.Time) bool {
-	for _, address := range recorded {
-		if b.agents[address] == nil {
-			return false
-		}
-	}
-	for _, agent := range b.order {
-		if !agent.known(now) && !agent.status.HoldsNothing && !agent.withdrew(recorded, recordedAt) {
-			return false
-		}
-	}
-	return true
-}
-
-// withdrew says whether the agent has withdrawn its record since it was heard, which only one does whose back end
-// holds nothing. One that has started so lately that its record was never seen counts only if it said that it leaves.
-func (a *agentState) withdrew(recorded []netip.AddrPort, recordedAt time.Time) bool {
-	if !recordedAt.After(a.heard) || slices.Contains(recorded, a.address) {
-		return false
-	}
-	return a.recorded || a.status.Leaving
-}
-
 // searcher returns an agent, heard of late, that is to search for a flow: one of the own zone
 // if there is any, by chance, so that the work is spread. Not the one given, unless it is the only one.
 func (b *Board) searcher(now time.Time, except netip.AddrPort) *agentState {
--- a/handshake/carry.go
+++ b/handshake/carry.go
@@ -9,7 +9,7 @@
 // the agent that holds the flow.
 func (b *Balancer) carry(now time.Time, known *balancedFlow, datagram *Datagram) {
 	b.release(known) // the caller has opened it
-	again := known.takeContent(datagram)
+	again := known.content.repeats(datagram)
 	if known.agent.IsValid() {
 		if !b.breaksOff(now, known, datagram, again) {
 			b.forward(now, known.agent, datagram.Bytes)
--- a/handshake/common_restart.go
+++ b/handshake/common_restart.go
@@ -18,11 +18,12 @@
 	// take different times to start a process anew (a guess; 0.3 s where they start for the first time).
 	togetherSpan = 2 * time.Second
 	// togetherTime is how long after its start a balancer tells callers so: for as long as copies come of
-	// what callers have sent before (callerPause), twice.
-	togetherTime = 2 * callerPause
-	// togetherShare is the part of the agents on record that must be heard: some machines may be lost at the
-	// same moment. (A guess.)
+	// what callers have sent before (callerPause), and half as long again.
+	togetherTime = callerPause + callerPause/2
+	// togetherShare is the part of the agents on record that must be heard once comingTime has passed: some machines may be
+	// lost at the same moment. (A guess.) Before, all must be.
 	togetherShare = 0.9
+	comingTime    = 1500 * time.Millisecond // in which machines start that were not lost (a guess; 0.5 s measured)
 	// fewestTogether is how many other processes must have started anew, so that one or two that are
 	// restarted as planned do not look like all (a guess).
 	fewestTogether = 4
@@ -61,6 +62,9 @@
 			heard++
 		}
 	}
+	if now.Sub(b.started) < comingTime {
+		return heard == len(b.recorded)
+	}
 	return float64(heard) >= togetherShare*float64(len(b.recorded))
 }
 
--- a/handshake/common_restart_test.go
+++ b/handshake/common_restart_test.go
@@ -122,3 +122,15 @@
 	is.True(!b.restartedTogether(now, nil))
 	is.True(b.restartedTogether(start.Add(YoungTime), nil))
 }
+
+// TestCallersAreNotResetForLongAfterACommonRestart: whoever may be in touch again by then may find the flow.
+func TestCallersAreNotResetForLongAfterACommonRestart(t *testing.T) {
+	is := is.New(t)
+	b, _ := newConfiguredBalancer(t, time.Unix(1000, 0))
+	now := b.started.Add(togetherTime - resetPause)
+	b.FromCaller(now, unknownData(1))
+	b.tellRestarted(now, b.flows[holdKey(1)])
+	b.take()
+	is.True(hasReset(b.FromCaller(now.Add(resetPause), unknownData(1)))) // the first may be lost
+	is.True(!hasReset(b.FromCaller(now.Add(3*resetPause), unknownData(1))))
+}
--- a/handshake/finding.go
+++ b/handshake/finding.go
@@ -53,6 +53,9 @@
 
 // locate lets a datagram of a flow that is not known wait until its agent is found.
 func (b *Balancer) locate(now time.Time, known *balancedFlow, datagram *Datagram) {
+	if known.restarted && now.Sub(b.started) > togetherTime {
+		known.gone, known.restarted = false, false // the flow may live, and may be found by now
+	}
 	if known.gone {
 		b.resetAgain(now, known)
 		return
@@ -246,7 +249,8 @@
 
 // findingEnded handles a flow that none of the agents that are known holds. In a balancer's first
 // seconds others may be learned of: the flow waits for them. If all agents that there are
-// have said for certain that they do not hold it, it is gone. Else it may be held by an agent
+// have said for certain that they do not hold it, and no other balancer knows where it is, it is gone: another one may
+// have opened it at an agent that has just come, and is not heard here yet. Else it may be held by an agent
 // that cannot be heard from here, and its caller is left to its own patience.
 func (b *Balancer) findingEnded(now time.Time, known *balancedFlow) {
 	f := known.finding
@@ -254,9 +258,9 @@
 	certain := !f.undecided && len(b.unasked(now, known)) == 0 && b.knowsAll(now)
 	b.recordsWanted = b.recordsWanted || !f.undecided && !certain
 	switch {
-	case certain && len(f.perhaps) == 0:
+	case certain && len(f.perhaps) == 0 && (f.hinted || b.neighbors.heardOnce() == 0):
 		b.lose(now, known, reasonNobody)
-	case !f.undecided && b.mayRepeat(known) && b.restartedTogether(now, f.perhaps):
+	case !f.undecided && len(b.unasked(now, known)) == 0 && b.mayRepeat(known) && b.restartedTogether(now, f.perhaps):
 		b.tellRestarted(now, known)
 	case !f.hinted:
 		b.hint(now, known)
--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -332,3 +332,24 @@
 	_, search := searchIn(t, actions)
 	is.Equal(search.Agents, []netip.AddrPort{heard})
 }
+
+// TestOtherBalancersAreAskedBeforeAFlowIsToldGone: one of them may have opened it at an agent that has just come.
+func TestOtherBalancersAreAskedBeforeAFlowIsToldGone(t *testing.T) {
+	is := is.New(t)
+	agent, newcomer, other := contactAddress(RoleAgent, 1), contactAddress(RoleAgent, 2), contactAddress(RoleBalancer, 2)
+	search := func() (*Balancer, time.Time, []Action) {
+		b, now := settled(t, agent)
+		b.TakeStatus(now, other, Status{Role: RoleBalancer, Zone: "a"})
+		searcher, question := searchIn(t, b.FromCaller(now, unknownData(1)))
+		return b, now, b.FromPeer(now, searcher, Found{Key: holdKey(1), Question: question.Question})
+	}
+	b, now, actions := search()
+	is.True(!hasReset(actions))
+	is.Equal(sentTo(actions, other), []Message{Locate{Key: holdKey(1), Confirms: 50}})
+	b.FromPeer(now, other, Hint{Key: holdKey(1)}) // it does not know the flow either
+	is.True(hasReset(b.Tick(now.Add(2 * LocateTime))))
+
+	b, now, _ = search()
+	is.Equal(sentTo(b.FromPeer(now, other, Hint{Key: holdKey(1), Agent: newcomer}), newcomer), []Message{Locate{Key: holdKey(1), Confirms: 50}})
+	is.True(!hasReset(b.Tick(now.Add(2 * LocateTime)))) // it has not answered
+}
--- a/handshake/holder_test.go
+++ b/handshake/holder_test.go
@@ -1,6 +1,7 @@
 package handshake
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,17 @@
 	agent.FromBackend(now, &Datagram{Key: holdKey(2), Kind: Reset, Number: 5000})
 	is.Equal(holding(2, 5000), []Message{Located{Key: holdKey(2), Holding: HoldsPerhaps}})
 }
+
+// TestResetOfAnotherFlowIsNotPassedOn: a back end that once took a copy of the flow's opening resets what is tried there.
+func TestResetOfAnotherFlowIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	agent := readyAgent(t, now)
+	agent.Forwarded(now, holdAgent, unknownData(1))
+	passedOn := func() bool {
+		actions := agent.FromBackend(now, &Datagram{Key: holdKey(1), Kind: Reset, Number: 9})
+		return slices.ContainsFunc(actions, func(action Action) bool { _, is := action.(Reply); return is })
+	}
+	is.True(!passedOn())
+	is.True(passedOn()) // on a flow that was not tried there it is the back end's own
+}
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -102,5 +102,8 @@
 	if known == nil || known.finding == nil || !hint.Agent.IsValid() {
 		return
 	}
+	if b.board.agents[hint.Agent] == nil {
+		known.finding.undecided = true // it may hold the flow, and is not known here
+	}
 	b.act(Send{To: hint.Agent, Message: Locate{Key: known.key, Confirms: known.confirms}})
 }
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -216,8 +216,8 @@
 func (b *Balancer) refused(now time.Time, from netip.AddrPort, message Refused) {
 	b.board.takeAnswer(now, from, message.Load)
 	known := b.flows[message.Key]
-	if known == nil || known.agent.IsValid() || !slices.Contains(known.tried, from) {
-		return
+	if known == nil || known.agent.IsValid() || known.finding != nil || !slices.Contains(known.tried, from) {
+		return // it has opened, or is searched for
 	}
 	known.refused++
 	b.act(Decision{Event: EventRefused, Key: known.key, Service: known.service, Peer: from,
--- a/instance/checks.go
+++ b/instance/checks.go
@@ -23,7 +23,7 @@
 	unheard := t.state == Absent && t.latest.ID == ""
 	recalling := t.displaced != nil && now.Before(t.recallEnd)
 	claiming := t.claim.reports >= claimReports && now.Sub(t.claim.heard) <= missedReports*t.interval
-	if t.state != Unverified && !silent && !unheard && !recalling && !claiming {
+	if t.state != Unverified && !silent && !unheard && !recalling && !claiming && !(t.state == Ready && t.doubtedLeaving) {
 		return false
 	}
 	t.checking = true
@@ -50,6 +50,7 @@
 		return false
 	}
 	t.checking = false
+	t.doubtedLeaving = false
 	t.nextCheck = now.Add(CheckInterval)
 	t.noteRefusal(now, check.Refused)
 	before := t.state
--- a/instance/claims.go
+++ b/instance/claims.go
@@ -57,6 +57,7 @@
 		t.leave(now)
 		return true, nil
 	case report.Leaving && t.state != Leaving:
+		t.doubtedLeaving = true
 		return false, t.stale("leaving", report.Life()) // the order of what it says is not known
 	}
 	t.claimed(now, report)
@@ -71,6 +72,7 @@
 func (t *Tracker) late(now time.Time, report Report) error {
 	if report.Leaving {
 		t.noteLeft(report.Life())
+		t.doubtedLeaving = report.ID == t.latest.ID
 	}
 	t.claimed(now, report)
 	return t.stale("report", report.Life())
@@ -104,7 +106,7 @@
 		t.succeed(now)
 	}
 	t.retire()
-	t.present = present{latest: c.latest, cause: CauseClaim, state: Ready, reported: true, verified: true, twice: true,
+	t.present = present{latest: c.latest, cause: CauseClaim, state: Ready, reported: true, verified: true, reportedTwice: true,
 		heard: now, since: c.since, coldUntil: c.heard.Add(c.latest.Cold), outcomes: t.outcomes}
 	t.displaced = nil
 	t.noteChange(now)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,9 +19,9 @@
 // Times by which an instance is judged.
 const (
 	CheckInterval = 100 * time.Millisecond // between two health checks of an instance that has not answered yet
-	CheckTimeout  = 800 * time.Millisecond // for one health check
-	missedReports = 3                      // reports missed in a row after which the instance is checked
-	recallTime    = time.Second            // after a report of another id, in which the life before it may prove that it is still there
+	CheckTimeout  = 800 * time.Millisecond // for one health check: above what a busy back end takes (a guess)
+	missedReports = 3                      // reports missed in a row after which the instance is checked (a guess: one may be lost, and one late)
+	recallTime    = time.Second            // after a report of another id, in which the life before it may prove that it is still there: a health check and more (a guess)
 	coldReports   = 2                      // that must come before a back end which may have turned cold unseen is taken for warm: one may have been sent before
 	firstReports  = 1                      // sequence of the report with which a life begins
 )
@@ -83,20 +83,23 @@
 
 // Tracker follows the lives of one back end. It is not safe for concurrent use.
 type Tracker struct {
-	service     catalog.ServiceName
-	interval    time.Duration // between reports
-	present                   // the life that is believed to be there
-	displaced   *present      // the one before it, of another id, while that may prove that it is still there
-	recallEnd   time.Time     // of that time
-	past        pastLives     // that have left or were replaced
-	claim       claim         // of a life that is not believed to be there
-	newsAt      time.Time     // when another life was last heard of; a check that began before says nothing of it
-	changes     uint64        // of the present life
-	nextCheck   time.Time
-	checking    bool
-	checkBegan  time.Time // of the check under way
-	coldDoubt   int       // reports that are still wanted before it is believed that the back end is not cold
-	refusedFrom time.Time // since when every health check was refused; zero: the latest was not
+	service   catalog.ServiceName
+	interval  time.Duration // between reports
+	present                 // the life that is believed to be there
+	displaced *present      // the one before it, of another id, while that may prove that it is still there
+	recallEnd time.Time     // of that time
+	past      pastLives     // that have left or were replaced
+	claim     claim         // of a life that is not believed to be there
+	// doubtedLeaving says that a life of the present one's id has said that it leaves, and was not believed: the present one
+	// has to answer another health check, which says so if it was it.
+	doubtedLeaving bool
+	newsAt         time.Time // when another life was last heard of; a check that began before says nothing of it
+	changes        uint64    // of the present life
+	nextCheck      time.Time
+	checking       bool
+	checkBegan     time.Time // of the check under way
+	coldDoubt      int       // reports that are still wanted before it is believed that the back end is not cold
+	refusedFrom    time.Time // since when every health check was refused; zero: the latest was not
 	// foundNobody says that no instance ran at some time since the tracker began, and none was
 	// known before: whatever runs now has started since.
 	foundNobody bool
@@ -104,18 +107,18 @@
 
 // present is what is believed of one life.
 type present struct {
-	latest    Report
-	cause     Cause // of its being taken for the present one
-	began     bool  // it has started since the tracker knows the back end
-	reported  bool  // it has reported at all
-	twice     bool  // it has reported at least twice, with time in between
-	verified  bool  // it has answered a health check by its id
-	removed   bool  // somebody has said that it is gone
-	state     State
-	heard     time.Time // last sign of life
-	since     time.Time // when it was first heard of
-	coldUntil time.Time
-	outcomes  Outcomes // of it, and crashes of those before it
+	latest        Report
+	cause         Cause // of its being taken for the present one
+	began         bool  // it has started since the tracker knows the back end
+	reported      bool  // it has reported at all
+	reportedTwice bool  // it has reported at least twice, with time in between
+	verified      bool  // it has answered a health check by its id
+	removed       bool  // somebody has said that it is gone
+	state         State
+	heard         time.Time // last sign of life
+	since         time.Time // when it was first heard of
+	coldUntil     time.Time
+	outcomes      Outcomes // of it, and crashes of those before it
 }
 
 // NewTracker returns a tracker of a back end of the service that knows no
@@ -170,7 +173,7 @@
 // tells from the one before has to report twice: its first report may be an old one, and health checks name only the id.
 // Its birth is not compared with any clock: the one that told it may have been set since.
 func (t *Tracker) SawBegin() bool {
-	return t.foundNobody || t.began && t.verified && (t.twice || t.cause != CauseBirth)
+	return t.foundNobody || t.began && t.verified && (t.reportedTwice || t.cause != CauseBirth)
 }
 
 // NobodyThere says that no instance was there when it was last looked, and none was ever known.
@@ -220,7 +223,7 @@
 	life.Born = canonical(life.Born)
 	switch t.order(life) {
 	case lifeSame:
-		t.latest.Born = told(t.latest.Born, life.Born)
+		t.latest.Born = bornOr(t.latest.Born, life.Born)
 		t.past.add(t.Life(), t.latest.Leaving || !life.Born.IsZero())
 		t.removed = true
 		t.leave(now) // it may serve on for a while
@@ -241,7 +244,7 @@
 
 // supersede begins to judge a later life of the present one's id.
 func (t *Tracker) supersede(now time.Time, report Report) {
-	began := report.Sequence == firstReports || t.twice && t.verified
+	began := report.Sequence == firstReports || t.reportedTwice && t.verified
 	t.begin(now, report, CauseBirth)
 	t.began = began
 }
@@ -310,10 +313,10 @@
 		t.claim = claim{} // the present life is there
 	}
 	t.reported = true
-	t.twice = t.twice || now.Sub(t.since) >= t.claimPace()
+	t.reportedTwice = t.reportedTwice || now.Sub(t.since) >= t.claimPace()
 	t.coldDoubt = max(0, t.coldDoubt-1)
 	leaving := t.latest.Leaving || report.Leaving
-	report.Born = told(report.Born, t.latest.Born)
+	report.Born = bornOr(report.Born, t.latest.Born)
 	t.latest = report
 	t.latest.Leaving = leaving
 	t.heard = now
--- a/instance/lives.go
+++ b/instance/lives.go
@@ -63,8 +63,8 @@
 	return time.UnixMilli(born.UnixMilli()).UTC()
 }
 
-// told returns the birth, or the other one if it is not told.
-func told(born, other time.Time) time.Time {
+// bornOr returns the birth, or the other one if it is not told.
+func bornOr(born, other time.Time) time.Time {
 	if born.IsZero() {
 		return other
 	}
--- a/instance/lives_test.go
+++ b/instance/lives_test.go
@@ -300,3 +300,25 @@
 	is.Equal(goesOn(tracker, now, untold, 10), claimReports) // an earlier release of its software runs again
 	is.Equal(tracker.Life(), untold)
 }
+
+// TestLeavingThatIsNotBelievedIsLookedInto: a word that may be of an earlier life does not end the present one, but if its
+// next health check is not well either, it gets no new flows.
+func TestLeavingThatIsNotBelievedIsLookedInto(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker("lessons", time.Second)
+	now := start
+	take := func(report Report) error {
+		_, err := tracker.Report(now, report)
+		return err
+	}
+	is.NoErr(take(Report{ID: "a", Service: "lessons", Sequence: 9}))
+	is.True(tracker.CheckDue(now))
+	tracker.Checked(now, Check{Well: true, ID: "a"})
+	now = now.Add(time.Second)
+	is.True(!tracker.CheckDue(now))
+	is.Equal(fault.Of(take(Report{ID: "a", Service: "lessons", Sequence: 3, Leaving: true})), fault.Stale)
+	is.Equal(tracker.State(), Ready)
+	is.True(tracker.CheckDue(now))
+	tracker.Checked(now, Check{ID: "a"})
+	is.Equal(tracker.State(), Unverified)
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -49,6 +49,16 @@
 
 func newSighting() sighting { return sighting{seen: make(chan struct{})} }
 
+// happened says whether it has happened.
+func (s *sighting) happened() bool {
+	select {
+	case <-s.seen:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *sighting) note() { s.once.Do(func() { close(s.seen) }) }
 
 // RunAgent serves until the context ends and then stops cleanly. Errors at the
@@ -268,7 +278,12 @@
 
 // check asks the back end whether it is well.
 func (a *agent) check(path string) instance.Check {
-	ctx, cancel := context.WithTimeout(a.context, instance.CheckTimeout)
+	return a.checkWithin(path, instance.CheckTimeout)
+}
+
+// checkWithin is a check that has so long to be answered.
+func (a *agent) checkWithin(path string, limit time.Duration) instance.Check {
+	ctx, cancel := context.WithTimeout(a.context, limit)
 	defer cancel()
 	begun := time.Now()
 	result := a.adapter.CheckHealth(ctx, a.settings.Backend.Address, path)
@@ -303,7 +318,6 @@
 		a.noteStale(saidReport, report.Life(), err)
 		return err
 	}
-	a.backend.note()
 	if !heard.IsZero() {
 		a.metrics.reports.Observe(now.Sub(heard).Seconds())
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -27,7 +27,6 @@
 type balancer struct {
 	*node
 	flows      *handshake.Balancer
-	begun      time.Time // when the process started
 	socket     atomic.Pointer[wire.Socket]
 	wasReady   bool
 	lastCaller time.Time            // when the latest datagram of a caller came
@@ -39,7 +38,7 @@
 // start are of kind fault.Unavailable. Settings that come from changes take effect as
 // far as they can without a restart.
 func RunBalancer(ctx context.Context, s settings.Settings, adapter Adapter, logger *log.Logger, changes <-chan settings.Settings) error {
-	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger), begun: time.Now(), recordsDue: make(chan struct{}, 1)}
+	b := &balancer{node: newNode(s, adapter, handshake.RoleBalancer, logger), recordsDue: make(chan struct{}, 1)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{
 		Zone:          s.Node.Zone,
 		Region:        s.Node.Region,
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"time"
@@ -159,7 +160,7 @@
 func decodeLocated(encoded *burlmillv1.HandshakeLocated) (handshake.Message, error) {
 	holding := encoded.GetHolding()
 	if holding < uint32(handshake.HoldsNot) || holding > uint32(handshake.HoldsNoMore) {
-		return nil, fault.InvalidField("holding", holding, "must be 1 to 4")
+		return nil, fault.InvalidField("holding", holding, fmt.Sprintf("must be 1 to %d", handshake.HoldsNoMore))
 	}
 	key, err := decodeKey(encoded.GetKey())
 	return handshake.Located{Key: key, Holding: handshake.Holding(holding)}, err
@@ -167,7 +168,7 @@
 
 func decodeStatus(encoded *burlmillv1.HandshakeStatus) (handshake.Message, error) {
 	if encoded.GetRole() > uint32(handshake.RoleAgent) {
-		return nil, fault.InvalidField("role", encoded.GetRole(), "must be at most 2")
+		return nil, fault.InvalidField("role", encoded.GetRole(), fmt.Sprintf("must be at most %d", handshake.RoleAgent))
 	}
 	status := handshake.Status{
 		ID:          encoded.GetId(),
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -22,9 +22,9 @@
 	directoryFirstDelay = 150 * time.Millisecond
 	recordsRetry        = time.Second            // after a look that failed: calls are priced, refused ones too
 	recordCheck         = 20 * time.Second       // after a record was found, until it is looked for again: what was found may have been some seconds old
-	publishRetry        = 2 * time.Second        // the same for the own record, which nobody needs at once
+	publishRetry        = 2 * time.Second        // after a look for the own record, or a writing of it, that failed: nobody needs it at once
 	configurationLook   = 50 * time.Millisecond  // between two looks whether a configuration is held
-	withdrawTimeout     = 500 * time.Millisecond // of a process that stops
+	withdrawTimeout     = 500 * time.Millisecond // of all calls of a withdrawal: a process that stops waits for it
 	// skippedPatience is how long after its start a balancer waits for records of agents that can be used, before
 	// it goes without those that cannot: by then it hears all agents that live.
 	skippedPatience = handshake.DiscoveryTime
@@ -38,7 +38,7 @@
 
 // publish notes in the store where this process is, so that others find it when
 // their seeds are of no use. An earlier start may have done so: that is looked for first,
-// as it costs a tenth, and once more later, as the record that was found may have been
+// as it costs a tenth, and again each recordCheck, as the record that was found may have been
 // removed shortly before.
 func (n *node) publish() {
 	for !n.ending.Load() {
@@ -60,8 +60,10 @@
 	}
 }
 
-// publishOnce makes sure that the own record is in the store. It says whether it was found there.
+// publishOnce makes sure that the own record is in the store. It says whether it may be removed all the same: it was
+// found there, and an old answer may show one that has just been removed, or its removal was asked for before.
 func (n *node) publishOnce() (found bool, err error) {
+	again := n.withdrawn.Load() // a removal without an answer may be done late, and take the record along
 	revision, err := n.lookForRecord()
 	if err != nil {
 		return false, err
@@ -77,7 +79,7 @@
 	if err == nil {
 		n.recorded.Store(revision)
 	}
-	return found, err
+	return found || again, err
 }
 
 // lookForRecord returns the revision of the own record in the store, 0 if there is none: or none
@@ -107,7 +109,7 @@
 			n.limited.Log(log.WarnLevel, "withdraw-failed", log.Fields{"error": err})
 		}
 		if found == 0 {
-			return // it is not recorded
+			return // it is not recorded, or that could not be learnt: then it stays
 		}
 		revision = found
 	}
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -8,7 +8,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/entry"
@@ -104,21 +103,26 @@
 	if report.Address.IsValid() && report.Address != own {
 		return entry.Refuse(entry.Mismatch, label+" address", report.Address, "must be that of the agent's back end, "+own.String())
 	}
-	if !a.mayNameService(now, report.Service) {
+	if !a.mayNameService(now, report) {
 		return entry.Refuse(entry.Unnamed, label+" service", report.Service, "must be a service of the configuration in force")
 	}
 	return nil
 }
 
-// mayNameService says whether a service is named, as far as this process can tell. Another service
+// mayNameService says whether the report's service is named, as far as this process can tell. Another service
 // than the agent's counts as well: its back end has taken over the address, and what was believed of the one
-// before it must end. A configuration that is not the newest heard of proves nothing. The lock is held.
-func (a *agent) mayNameService(now time.Time, service catalog.ServiceName) bool {
-	if service == a.settings.Backend.Service || service == a.flows.Tracker().Latest().Service || a.table.Names(service) {
+// before it must end. So does any service of a life that is known by its health check alone, and was taken for one of the agent's
+// service. A configuration that may not be the newest proves nothing. The lock is held.
+func (a *agent) mayNameService(now time.Time, report instance.Report) bool {
+	latest := a.flows.Tracker().Latest()
+	switch {
+	case report.Service == a.settings.Backend.Service || report.Service == latest.Service || a.table.Names(report.Service):
+		return true
+	case latest.Sequence == 0 && latest.ID == report.ID:
 		return true
 	}
 	_, newest := a.contacts.Newest(now)
-	return a.table == nil || newest > a.table.Version()
+	return a.table == nil || a.contacts.CountHeard(now) == 0 || newest > a.table.Version()
 }
 
 // Refused notes a report or a removal that names no back end.
--- a/internal/relay/entries_test.go
+++ b/internal/relay/entries_test.go
@@ -35,6 +35,7 @@
 		Routes:   []routing.Route{{Name: "r", Address: ownBackend, Targets: []routing.Target{{Service: "songs", Weight: 1}}}}})
 	is.New(t).NoErr(err)
 	a.table = table
+	a.contacts.Heard(time.Now(), netip.MustParseAddrPort("10.0.0.2:1"), handshake.Status{Role: handshake.RoleBalancer, Version: 5, Incarnation: 1, Interval: time.Hour})
 	a.decider = a
 	a.peers, err = wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, time.Time) {})
 	is.New(t).NoErr(err)
@@ -115,6 +116,18 @@
 	is.Equal(a.flows.Load(time.Now()).Slots, uint32(0))
 }
 
+// TestBackEndKnownByItsHealthCheckAlone may be of another service than its agent's: its first report is what tells, whatever it names.
+func TestBackEndKnownByItsHealthCheckAlone(t *testing.T) {
+	is := is.New(t)
+	a := newReportedAgent(t)
+	a.flows.Tracker().Checked(time.Now(), instance.Check{Well: true, ID: "i-2"})
+	is.True(a.flows.Load(time.Now()).Accepts)
+	report := goodReport(9)
+	report.ID, report.Service = "i-2", "nobody"
+	is.NoErr(a.Report(report))
+	is.True(!a.flows.Load(time.Now()).Accepts)
+}
+
 // TestServicesThatMayBeNamed: another service's back end that has taken the address over displaces the one before
 // it, so that no flow of the old service reaches it. What cannot be known is no reason to refuse.
 func TestServicesThatMayBeNamed(t *testing.T) {
@@ -124,7 +137,10 @@
 	}{
 		"another service of the configuration": {"sheets", func(*agent) {}},
 		"the target of a route":                {"songs", func(*agent) {}},
-		"no configuration is held":             {"nobody", func(a *agent) { a.table = nil }},
+		"nobody is heard, who may hold a newer one": {"nobody", func(a *agent) {
+			a.contacts = handshake.NewContacts(a.settings.Node.PeerAddress, handshake.RoleAgent, "")
+		}},
+		"no configuration is held": {"nobody", func(a *agent) { a.table = nil }},
 		"a newer configuration is heard of": {"nobody", func(a *agent) {
 			a.contacts.Heard(time.Now(), netip.MustParseAddrPort("10.0.0.1:1"), handshake.Status{Role: handshake.RoleBalancer, Version: 6, Incarnation: 1, Interval: time.Hour})
 		}},
@@ -212,7 +228,7 @@
 func TestBalancerDoesWithoutSpoiledRecords(t *testing.T) {
 	is := is.New(t)
 	store := newSpoiledStore("agent-7")
-	b := &balancer{node: newReadingNode(t, store), begun: time.Now(), recordsDue: make(chan struct{}, 1)}
+	b := &balancer{node: newReadingNode(t, store), recordsDue: make(chan struct{}, 1)}
 	b.flows = handshake.NewBalancer(time.Now(), handshake.BalancerOptions{})
 	is.True(!b.readAgents()) // it may know too few agents
 	is.Equal(b.passedOver(entryRecord, entry.Missing), 1.0)
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -74,7 +74,7 @@
 	r.latest, r.known = next, true
 	r.node.mutex.Lock()
 	defer r.node.mutex.Unlock()
-	return r.node.takeEvacuations(time.Now(), next, "store"), nil
+	return r.node.takeEvacuations(time.Now(), next, sourceStore), nil
 }
 
 // read returns the next set. The first list may be old, which costs less: the watch from
--- a/internal/relay/farewell.go
+++ b/internal/relay/farewell.go
@@ -18,6 +18,7 @@
 	// goneChecks refused health checks in a row show, of an agent that stops, that its back end has ended: one may have
 	// just closed its address, and start again.
 	goneChecks     = 2
+	farewellCheck  = 100 * time.Millisecond // for each of them: a closed address refuses at once
 	farewellPause  = 10 * time.Millisecond  // between two balancers that are told, so that what is sent at once does not grow with the fleet
 	farewellRounds = 2                      // one status may be lost
 	farewellTime   = 700 * time.Millisecond // of the margin that an agent that stops keeps (agentDrainMargin)
@@ -32,6 +33,9 @@
 		return
 	case <-a.backend.seen:
 	case <-a.nobody.seen:
+		if a.backend.happened() {
+			break // both, and the back end came later
+		}
 		a.limited.Log(log.InfoLevel, "backend-missing", log.Fields{"backend": a.settings.Backend.Address})
 		a.withdraw()
 	}
@@ -70,7 +74,7 @@
 		a.mutex.Lock()
 		path := a.healthPath()
 		a.mutex.Unlock()
-		if !a.check(path).Refused || !a.sleep(instance.CheckInterval) {
+		if !a.checkWithin(path, farewellCheck).Refused || !a.sleep(instance.CheckInterval) {
 			return false
 		}
 	}
--- a/internal/relay/farewell_test.go
+++ b/internal/relay/farewell_test.go
@@ -47,6 +47,8 @@
 	waitUntil(t, func() bool { return adapter.made("withdraw") })
 	is.Equal(adapter.withdrawn, uint64(7))
 	a.backend.note()
+	waitUntil(t, func() bool { return adapter.made("publish") })
+	a.cancel() // it would look again: the removal may be done late
 	<-kept
 	is.Equal(adapter.calls, []string{"published", "withdraw", "publish"})
 }
@@ -110,3 +112,13 @@
 	a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 1})
 	is.True(a.tells(a.began))
 }
+
+// TestRecordIsLookedForAgainAfterItsRemoval: a removal without an answer may be done late.
+func TestRecordIsLookedForAgainAfterItsRemoval(t *testing.T) {
+	is := is.New(t)
+	a := newRecordedAgent(t, &healthAdapter{})
+	a.withdrawn.Store(true)
+	again, err := a.publishOnce()
+	is.NoErr(err)
+	is.True(again)
+}
