--- a/handshake/trying_test.go
+++ b/handshake/trying_test.go
@@ -297,3 +297,30 @@
 	_, search = ask(later)
 	is.Equal(len(search.Agents), mostNamed)
 }
+
+// TestAgentLearnedOfDuringATryIsAskedToo: nobody may tell the caller that its flow is gone before the agents are asked that
+// have been heard since the search began. Found by TestPromisesUnderAnyOrderOfEvents (seed 0, no loss, these steps).
+func TestAgentLearnedOfDuringATryIsAskedToo(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 0, 3, 4)
+	w.call(1000)
+	w.call(1001)
+	w.agents[0].up = false
+	w.loseSight(w.agents[1])
+	w.call(1002)
+	w.call(1003)
+	w.loseSight(w.agents[0])
+	for _, agent := range w.agents {
+		if !agent.up {
+			w.startAgent(agent)
+		}
+		w.report(agent)
+	}
+	w.pass(worldCalm)
+	for _, port := range []uint16{1000, 1001, 1002, 1003} {
+		if caller := w.callers[holdKey(port)]; caller.openAt != nil {
+			is.True(w.exchange(caller))
+		}
+	}
+	is.Equal(w.violation, "")
+}
