A flow whose confirmation is handled before the answer to its offer is logged as opened

The balancer knew from the answer to its own offer who holds the flow, so it was opened, not found. TestAnswerAfterItsConfirmationOpensTheFlow fails without the change.

--- a/handshake/finding_test.go
+++ b/handshake/finding_test.go
@@ -353,3 +353,19 @@
 	is.Equal(sentTo(b.FromPeer(now, other, Hint{Key: holdKey(1), Agent: newcomer}), newcomer), []Message{Locate{Key: holdKey(1), Confirms: 50}})
 	is.True(!hasReset(b.Tick(now.Add(2 * LocateTime)))) // it has not answered
 }
+
+// TestAnswerAfterItsConfirmationOpensTheFlow: the log says that the flow was opened, not that it was found.
+func TestAnswerAfterItsConfirmationOpensTheFlow(t *testing.T) {
+	is := is.New(t)
+	agent := contactAddress(RoleAgent, 1)
+	b, now := settled(t, agent)
+	b.FromCaller(now, &Datagram{Key: holdKey(1), Kind: Opening, Number: 7, Bytes: []byte{7}})
+	b.FromCaller(now, unknownData(1))
+	var events []Event
+	for _, action := range b.FromPeer(now, agent, Accepted{Key: holdKey(1), Number: 50, Load: Load{Accepts: true, Slots: 3}}) {
+		if decision, ok := action.(Decision); ok {
+			events = append(events, decision.Event)
+		}
+	}
+	is.Equal(events, []Event{EventAccepted, EventOpened})
+}
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -209,7 +209,8 @@
 	b.act(Decision{Event: EventAccepted, Key: known.key, Service: known.service, Peer: from, Attempts: len(known.tried),
 		Load: message.Load, Age: now.Sub(known.sentAt)})
 	if known.finding != nil && known.confirms == message.Number {
-		b.foundAt(now, known, from) // the caller's confirmation was handled before this
+		b.hold(now, known, from, EventOpened) // the caller's confirmation was handled before this
+		b.startFindings(now)
 	}
 }
 
