Fault proxy: a line that ran late sent items in the order of their arrival

Cause: line.run takes in one item, then sends what is due. If it was not scheduled for longer than ReorderDelay (5 ms), everything is due by then, and each item goes out as it is taken in, so that nothing is reordered. Change: all that has arrived is taken in before anything is sent.

--- a/internal/lab/faultproxy/line.go
+++ b/internal/lab/faultproxy/line.go
@@ -59,6 +59,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		l.takeArrived(&waiting, &order)
 		frozen, changed := l.controls.frozen(l.direction)
 		for !frozen && len(waiting) > 0 && !waiting[0].due.After(time.Now()) {
 			next := heap.Pop(&waiting).(item)
@@ -76,9 +77,7 @@
 		}
 		select {
 		case arrived := <-arrivals:
-			arrived.order = order
-			order++
-			heap.Push(&waiting, arrived)
+			waiting.add(arrived, &order)
 		case <-due:
 		case <-changed:
 		case <-l.closed:
@@ -87,9 +86,29 @@
 	}
 }
 
+// takeArrived takes in all that has arrived already. A line that has not run for a while would otherwise send each
+// item as it takes it in, as all of them are due by then, and so undo a reordering.
+func (l *line) takeArrived(waiting *dueHeap, order *uint64) {
+	for len(*waiting) < lineLength {
+		select {
+		case arrived := <-l.arrivals:
+			waiting.add(arrived, order)
+		default:
+			return
+		}
+	}
+}
+
 // dueHeap is a heap.Interface with the earliest due item first.
 type dueHeap []item
 
+// add puts an item in, numbered in the order of arrival.
+func (h *dueHeap) add(arrived item, order *uint64) {
+	arrived.order = *order
+	*order++
+	heap.Push(h, arrived)
+}
+
 // Len implements heap.Interface.
 func (h dueHeap) Len() int { return len(h) }
 
