Configuration: the log says since when a process is behind, and tells a forgotten history from an outage

What could not be told apart: a balancer that does not know of a newer version from one that cannot fetch it; a reader in a watch from one that is refused it because the history is gone (410, logged as store-lost and store-regained by turns: no outage); how long ago anybody had proof that the configuration is the present one.

--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -156,7 +156,7 @@
 		}
 		begun := time.Now()
 		document, err := n.nextDocument(revision, duty.Reading, health)
-		health.note(err)
+		n.noteAnswer(health, err, revision, duty.Reading)
 		if err == nil {
 			n.noteServed(duty.Reading)
 			revision = max(revision, document.Revision)
@@ -177,6 +177,16 @@
 	}
 }
 
+// noteAnswer logs what an answer says of the store. One that has forgotten its history has answered.
+func (n *node) noteAnswer(health *storeHealth, err error, revision uint64, reading handshake.Reading) {
+	if fault.Of(err) != fault.Stale {
+		health.note(err)
+		return
+	}
+	health.note(nil)
+	n.limited.Log(log.InfoLevel, "store-history-gone", log.Fields{"after": revision, "reads": reading, "error": err})
+}
+
 // takeDocument puts what the store has answered in force and says whether it was news.
 func (n *node) takeDocument(document Document) (news bool) {
 	if document.Bytes == nil {
@@ -211,7 +221,7 @@
 	if duty.Reading != n.reading {
 		n.reading = duty.Reading
 		n.log.WithFields(log.Fields{"reads": duty.Reading, "served": n.storeFresh(now), "others_served": duty.Served,
-			"version": n.table.Version(), "peers": n.contacts.CountHeard(now)}).Info("store-reader")
+			"version": n.table.Version(), "peers": n.contacts.CountHeard(now), "confirmed_age": n.confirmedAge(now)}).Info("store-reader")
 	}
 	return duty
 }
@@ -227,11 +237,41 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
+	if reading == handshake.ReadsCurrent {
+		n.confirmedAt = now
+	}
 	if reading == handshake.ReadsCurrent || now.Sub(n.storeRefused) > refusalTime {
 		n.storeHeard = now
 	}
 }
 
+// confirmedAge returns how long ago the store last told this process itself what it held then, 0 if it never has. The lock
+// is held.
+func (n *node) confirmedAge(now time.Time) time.Duration {
+	if n.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(n.confirmedAt)
+}
+
+// noteBehind notes that another process holds a newer configuration. The lock is held.
+func (n *node) noteBehind(now time.Time, told handshake.Status) {
+	if !n.behindSince.IsZero() {
+		return
+	}
+	n.behindSince = now
+	n.limited.Log(log.InfoLevel, "configuration-behind", log.Fields{"version": n.table.Version(), "newer": told.Version, "peer": told.ID})
+}
+
+// behindAge returns since when another process is known to hold a newer configuration than this one, 0 if none is. The
+// lock is held.
+func (n *node) behindAge(now time.Time) time.Duration {
+	if n.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(n.behindSince)
+}
+
 // noteRefused notes that the store has not answered, and tells other balancers at once if
 // they take this one for a reader.
 func (n *node) noteRefused(reading handshake.Reading) {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -85,6 +85,8 @@
 	storeHeard   time.Time          // last answer of the store; zero: none, or it has refused a call since
 	endWatch     context.CancelFunc // of the evacuations, which waits longer than that of the configuration; nil: none
 	storeRefused time.Time          // last call for the present configuration that was refused; zero: none
+	confirmedAt  time.Time          // last answer of the store to a call for what it holds now; zero: none
+	behindSince  time.Time          // when another process was first heard to hold a newer configuration; zero: none does
 	leaving      bool
 	urgent       bool      // the status has changed in a way that others must know at once
 	begun        time.Time // when the process started
@@ -248,13 +250,14 @@
 		return nil
 	}
 	n.log.WithFields(log.Fields{"version": table.Version(), "previous": n.table.Version(), "source": source,
-		"routes": table.Len()}).Info("configuration")
+		"routes": table.Len(), "behind": n.behindAge(now), "confirmed_age": n.confirmedAge(now)}).Info("configuration")
 	for _, remark := range table.Remarks() {
 		n.limited.Log(log.WarnLevel, "configuration-remark", log.Fields{"version": table.Version(), "error": remark})
 	}
 	n.table = table
 	n.document = document
 	n.configuredAt = now
+	n.behindSince = time.Time{}
 	n.spoiled = nil
 	n.urgent = true
 	n.decider.configured(now, table)
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -18,6 +18,12 @@
 	n.metrics.gauge("configuration_age_seconds", "Time since the configuration in force was taken in.", n.locked(func(now time.Time) float64 {
 		return now.Sub(n.configuredAt).Seconds()
 	}))
+	n.metrics.gauge("configuration_confirmed_age_seconds", "Time since the store last told this process itself what it held then, 0 if it never has.", n.locked(func(now time.Time) float64 {
+		return n.confirmedAge(now).Seconds()
+	}))
+	n.metrics.gauge("configuration_behind_seconds", "Time since another process is known to hold a newer configuration, 0 if none is.", n.locked(func(now time.Time) float64 {
+		return n.behindAge(now).Seconds()
+	}))
 	n.metrics.gauge("configuration_refused", "1 if the store's newest configuration could not be used, so that an older one is in force.", n.locked(func(time.Time) float64 {
 		return truth(n.spoiled != nil)
 	}))
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -116,6 +116,7 @@
 			"service": told.Service, "version": told.Version}).Info("peer-heard")
 	}
 	if told.Version > n.table.Version() {
+		n.noteBehind(now, told)
 		n.wantFetch()
 	}
 	n.takeEvacuations(now, told.Evacuations, told.ID)
