--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -68,7 +68,6 @@
 
 // fetchLoop pulls the configuration from peers that hold a newer one.
 func (n *node) fetchLoop() {
-	client := newPeerClient()
 	for {
 		select {
 		case <-n.context.Done():
@@ -78,7 +77,7 @@
 		if n.role == handshake.RoleAgent && !n.sleep(jitter(agentFetchDelay)) {
 			return
 		}
-		n.fetchNewest(client)
+		n.fetchNewest()
 		if !n.sleep(n.pauseAfterFetch()) {
 			return
 		}
@@ -95,7 +94,7 @@
 	return fetchPause
 }
 
-func (n *node) fetchNewest(client *http.Client) {
+func (n *node) fetchNewest() {
 	n.mutex.Lock()
 	held := n.table.Version()
 	peer, version := n.contacts.Newest(time.Now())
@@ -103,7 +102,7 @@
 	if version <= held {
 		return
 	}
-	document, err := fetchFrom(n.context, client, peer, uint64(held))
+	document, err := fetchFrom(n.context, n.peerClient, peer, uint64(held))
 	if err != nil {
 		n.limited.Log(log.WarnLevel, "configuration-fetch-failed", log.Fields{"peer": peer, "version": version, "error": err})
 		return
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -97,9 +97,16 @@
 	withdrawn atomic.Bool   // it has been withdrawn, which may be done late; it is not since it was written anew
 	ending    atomic.Bool   // it is not written any more
 
-	peers   *wire.Socket
-	servers []*http.Server
-	fetch   chan struct{} // a peer holds a newer configuration
+	peers      peerSocket
+	peerClient *http.Client // for fetches from other processes
+	servers    []*http.Server
+	fetch      chan struct{} // a peer holds a newer configuration
+}
+
+// peerSocket sends messages to other processes.
+type peerSocket interface {
+	Send(datagram []byte, to netip.AddrPort) error
+	Close() error
 }
 
 func newNode(s settings.Settings, adapter Adapter, role handshake.Role, output *log.Logger) *node {
@@ -120,16 +127,18 @@
 		context:      ctx,
 		cancel:       cancel,
 		contacts:     handshake.NewContacts(s.Node.PeerAddress, role, s.Node.Zone),
+		peerClient:   newPeerClient(),
 		fetch:        make(chan struct{}, 1),
 	}
 }
 
 // open opens the socket and the server for other processes.
-func (n *node) open() (err error) {
-	n.peers, err = wire.Listen(n.settings.Node.PeerAddress, n.receivePeer)
+func (n *node) open() error {
+	socket, err := wire.Listen(n.settings.Node.PeerAddress, n.receivePeer)
 	if err != nil {
 		return err
 	}
+	n.peers = socket
 	if err := n.serve(n.settings.Node.PeerAddress, n.peerHandler()); err != nil {
 		return err
 	}
