Readers of the store: a loss is acted on at once, a watch for the present is short, and goes on from the store's own revision

Cause: a change reaches the fleet through two balancers, and nothing bounded the time in which neither of them has a call under way that the change answers. Now each reader tells whether the store has told it the present in the last 2 s; a reader whose duty rises ends its watch of old answers and reads. Readers tell each other their status every 0.7 s in any fleet. - A watch was given up after 5 s (evacuations 13 s). Now 1 s + 0.6 s for the present, drawn anew for each call; its failure ends that of evacuations, which has a keep-alive besides. - Read returned the revision of the object: once the history went back less, each watch got 410. Now that of the store (a list). The same cause elsewhere: evacuations (first list may be old, watch of 12 s, duty looked at between two); a version that a peer cannot hand out (read from the store now, and fetched again); a read that a peer's document overtook counted as a refusal for 10 s; old answers did not bring a refused process back for 10 s even where nobody else asked; a reader of the present paused up to 6 s between failed calls.

Ruled out: openings and offers under an older version (placed anew by the table in force, 1.7 s at most).

--- a/handshake/contacts.go
+++ b/handshake/contacts.go
@@ -22,6 +22,7 @@
 	subscribed    int // contacts in subscriptions, or those who have subscribed here
 	nextSelection time.Time
 	leaving       bool // this process stops
+	reads         bool // this process is one of the first Readers, as of the latest selection
 }
 
 // contact is what is known of one other process.
@@ -38,6 +39,7 @@
 	seed         bool      // never forgotten
 	lost         bool      // noticed as no longer heard
 	carried      time.Time // when it last sent a caller's datagram; zero: never
+	reads        bool      // it is one of the first Readers, as of the latest selection
 }
 
 // NewContacts returns the contacts of a process in the zone that knows nobody.
--- a/handshake/intervals.go
+++ b/handshake/intervals.go
@@ -23,6 +23,7 @@
 	helloPerPeer        = 150 * time.Millisecond  // for each of them: the interval is the sum, if that is more
 	balancerInterval    = 400 * time.Millisecond  // between balancers, at least
 	balancerPerPeer     = 40 * time.Millisecond   // for each of them: the interval is the sum, if that is more
+	readerInterval      = 700 * time.Millisecond  // between readers of the store at most, in any fleet: a lost one is missed after 2.45 s then, and a change is to be in force 3 s after its confirmation
 	startInterval       = 500 * time.Millisecond  // between balancers of one zone at most, while one has just started
 	startTime           = 3 * time.Second         // for which it has
 	StrangerInterval    = 500 * time.Millisecond  // to a process that has not been heard
@@ -143,9 +144,14 @@
 }
 
 // balancerInterval is how often a balancer tells its status to another. In its first
-// seconds it learns of many agents, which neighbors that have started with it may need.
+// seconds it learns of many agents, which neighbors that have started with it may need. Readers of the store miss each
+// other soon in any fleet: with 40 balancers, of whom each would tell another every 1.6 s, after 2.45 s
+// in place of 5.6 s (TestConfigurationWithoutItsReaders). With 16 that did so a balancer of 50 would send 3.3 KB a second, the bound is 3.
 func (c *Contacts) balancerInterval(now time.Time, known *contact) time.Duration {
 	interval := max(balancerInterval, time.Duration(c.counts[RoleBalancer])*balancerPerPeer)
+	if c.reads && known.reads {
+		return min(interval, readerInterval)
+	}
 	if now.Sub(c.started) < startTime && c.isNeighbor(known) {
 		return min(interval, startInterval)
 	}
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -79,7 +79,7 @@
 	Interval    time.Duration       // until the receiver is told again
 	Subscribe   bool                // the sender wants the receiver's load often; balancers only
 	Uptime      time.Duration       // since the sender's start; 0: not told, as in brief ones
-	StoreFresh  bool                // the sender has heard the store of late; balancers only
+	StoreFresh  bool                // the store has told the sender of late what it holds now; balancers only
 	// HoldsNothing says that the sender leaves and its back end holds no flow for certain; agents only.
 	HoldsNothing bool
 	Peers        []netip.AddrPort // some processes that the sender has heard lately
--- a/handshake/readers.go
+++ b/handshake/readers.go
@@ -12,16 +12,23 @@
 // Readers of the store. A few balancers read it, so that calls to it do not grow with the
 // fleet; the others learn the configuration from them. Two of them ask for what the store
 // holds now, the others for answers that cost a tenth and may be seconds old: they are
-// there for the moment in which the store turns the two away. Each balancer decides for
-// itself from what the others say, so two may differ for a moment: then one more reads,
+// there for the moment in which the store turns the two away.
+//
+// Old answers may be old without end, so what counts is who has had an answer to a call for the present: each reader tells it with its
+// status, for StoreFreshTime. Where fewer than two of those that come before it say so, every reader that the store serves asks
+// at once, and all but two of them leave it again. So a change comes late by at most the time in which a loss is noticed, ContactTime or that of one call. Each
+// balancer decides for itself from what the others say, so two may differ for a moment: then one more reads,
 // or one less.
 const (
 	CurrentReaders = 2               // balancers that ask for the present configuration: one may be lost
 	Readers        = 8               // balancers that read at all while the store serves some of them
-	StoreFreshTime = 6 * time.Second // after an answer of the store, during which its reader counts as served: a watch takes up to 5 s
+	StoreFreshTime = 2 * time.Second // after an answer to a call for what the store holds now, during which its reader counts as one that reads: such a call takes up to 1.6 s
 	// probeInterval is the time, on average, between two calls of all the other balancers
 	// together while the store serves none that is known.
 	probeInterval = 250 * time.Millisecond
+	// unfetchedSpread is the pause, on average, of a balancer that is no reader before it asks the store for a configuration which no peer
+	// could hand out: if the only holder dies, all the others of a fleet ask, 3,200 balancers so with half of the calls that a store of such a fleet takes.
+	unfetchedSpread = 400 * time.Millisecond
 )
 
 // Reading says how a balancer reads the store.
@@ -51,14 +58,21 @@
 	Served bool
 }
 
-// StoreDuty decides whether and how this balancer reads the store. served says whether the
-// store has answered this process of late. Balancers stand in an order that is the same
+// StoreState is what a balancer knows of the configuration and of its own way to the store.
+type StoreState struct {
+	Version routing.Version // of the configuration in force; 0: none is
+	Served  bool            // the store has answered this process of late, and has refused nothing since
+	// Unfetched says that another process holds a newer configuration and could not be asked for it.
+	Unfetched bool
+}
+
+// StoreDuty decides whether and how this balancer reads the store. Balancers stand in an order that is the same
 // everywhere (a hash of their addresses): the first two that are served ask for the present
 // configuration, and the first eight read in any case. Where the store refuses all those, the
 // others try it in turn. Whoever is served by a cheap call takes over.
-func (c *Contacts) StoreDuty(now time.Time, version routing.Version, served bool) StoreDuty {
+func (c *Contacts) StoreDuty(now time.Time, state StoreState) StoreDuty {
 	own := hashOf(c.self)
-	ahead, servedAhead, servedInAll, others := 0, 0, 0, 0
+	ahead, currentAhead, currentInAll, others := 0, 0, 0, 0
 	for address, known := range c.contacts {
 		if known.status.Role != RoleBalancer || known.status.Leaving || !known.heardLately(now) {
 			continue
@@ -69,23 +83,28 @@
 			ahead++
 		}
 		if known.status.StoreFresh {
-			servedInAll++
+			currentInAll++
 			if isAhead {
-				servedAhead++
+				currentAhead++
 			}
 		}
 	}
-	duty := StoreDuty{Served: servedInAll >= CurrentReaders}
+	duty := StoreDuty{Served: currentInAll >= CurrentReaders}
 	switch {
-	case version == 0:
+	case state.Version == 0:
 		duty.Reading = ReadsCurrent // it cannot serve without
-	case ahead < Readers && !served && duty.Served:
+	case state.Unfetched:
+		duty.Reading = ReadsCurrent // what others read does not reach it
+		if ahead >= Readers {
+			duty.Pause = unfetchedSpread
+		}
+	case ahead < Readers && !state.Served && duty.Served:
 		duty.Reading = ReadsLatest // a cheap look whether the store serves this process again
-	case servedAhead < CurrentReaders && (ahead < CurrentReaders || served):
+	case currentAhead < CurrentReaders && (ahead < CurrentReaders || state.Served):
 		duty.Reading = ReadsCurrent
 	case ahead < Readers:
 		duty.Reading = ReadsLatest
-	case servedInAll < CurrentReaders:
+	case currentInAll < CurrentReaders:
 		duty.Reading = ReadsLatest
 		duty.Pause = time.Duration(others) * probeInterval
 	}
--- a/handshake/selection.go
+++ b/handshake/selection.go
@@ -12,7 +12,7 @@
 	"github.com/burlmill/burlmill/catalog"
 )
 
-// Which agents a balancer places flows on.
+// Which agents a balancer places flows on, and which balancers read the store.
 
 // How many agents of one service a balancer places flows on. Most are of its own zone, since each
 // of them tells it its load several times a second, and bytes between zones are dear; those of
@@ -53,6 +53,7 @@
 	if c.role != RoleBalancer {
 		return
 	}
+	c.selectReaders(now)
 	for _, agents := range services {
 		for _, chosen := range c.highest(agents) {
 			if !chosen.wants(now) {
@@ -63,6 +64,23 @@
 	}
 }
 
+// selectReaders notes which balancers come first in the order of readers.
+func (c *Contacts) selectReaders(now time.Time) {
+	order := []uint64{hashOf(c.self)}
+	for address, known := range c.contacts {
+		known.reads = known.status.Role == RoleBalancer && known.heardLately(now)
+		if known.reads {
+			order = append(order, hashOf(address))
+		}
+	}
+	slices.Sort(order)
+	lowest := order[max(0, len(order)-Readers)]
+	c.reads = hashOf(c.self) >= lowest
+	for address, known := range c.contacts {
+		known.reads = known.reads && hashOf(address) >= lowest
+	}
+}
+
 // highest returns the agents of one service that this balancer places flows on: the highest of
 // its zone, then the highest of all that are left.
 func (c *Contacts) highest(agents []*contact) []*contact {
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/evacuation"
@@ -48,7 +49,9 @@
 
 // Document is one version of the configuration as its source holds it.
 type Document struct {
-	Revision uint64 // of the source; 0: the source has none
+	// Revision is that of the source at which it held this, not that of the latest change, which may be too old to be
+	// watched from. 0: the source has none.
+	Revision uint64
 	Bytes    []byte // nil: there is no newer one
 }
 
@@ -59,11 +62,10 @@
 	// Read returns the configuration; fault.NotFound if there is none. It costs less where
 	// the answer may be seconds old.
 	Read(ctx context.Context, mayBeOld bool) (Document, error)
-	// Watch waits until the configuration is newer than the revision, or for the
-	// store's own time limit. fault.Stale says that the revision is too old to be
+	// Watch waits for so long until the configuration is newer than the revision. fault.Stale says that the revision is too old to be
 	// watched from and Read must begin anew. It costs less where the answer may be
 	// seconds old.
-	Watch(ctx context.Context, revision uint64, mayBeOld bool) (Document, error)
+	Watch(ctx context.Context, revision uint64, wait time.Duration, mayBeOld bool) (Document, error)
 	// ParseConfiguration reads a document. Errors are of kind fault.Invalid.
 	ParseConfiguration(document []byte) (*routing.Table, error)
 	// Evacuations returns the zones that are to be empty, as the store holds them. It costs
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -27,9 +29,29 @@
 	agentFetchInterval = 4 * time.Second        // on average, between two fetches of an agent: it needs the path of health checks only, and keeps the rest for balancers that start while the store is down
 	maximumDocument    = 8 << 20                // bytes
 	readerLook         = 250 * time.Millisecond // between two looks whether to read the store
-	refusalTime        = 10 * time.Second       // for which a refused call for the present configuration counts more than answers that may be old (a guess)
+	refusalTime        = 10 * time.Second       // for which a refused call for the present configuration counts more than answers that may be old, while others ask for it (a guess)
+	servedTime         = 6 * time.Second        // after any answer of the store, during which it counts as serving this process: a watch of old answers takes up to 5 s
+	fetchRetry         = 200 * time.Millisecond // on average, after a fetch that failed, before the next: another peer is asked, most likely
 )
 
+// Waits of a watch of the configuration, asked of the store. That for the present is short: only its end shows that the connection still
+// works, and a change may have been confirmed just after it fell silent. With 1 s such a change is in force within 2 s, with 4 s it took
+// 5 s (TestConfigurationWhenConnectionsFallSilent). It is drawn for each call, as each change ends all watches at once, and the next ones are
+// to end at different moments.
+const (
+	currentWait       = time.Second
+	currentWaitSpread = currentWait / 4 // by which it is shorter at most
+	latestWait        = 4 * time.Second
+)
+
+// watchWait returns how long the next watch waits.
+func watchWait(reading handshake.Reading) time.Duration {
+	if reading == handshake.ReadsCurrent {
+		return currentWait - rand.N(currentWaitSpread)
+	}
+	return latestWait
+}
+
 // configurationServer hands out the configuration that a node holds.
 type configurationServer struct{ node *node }
 
@@ -105,6 +127,7 @@
 	document, err := fetchFrom(n.context, n.peerClient, peer, uint64(held))
 	if err != nil {
 		n.limited.Log(log.WarnLevel, "configuration-fetch-failed", log.Fields{"peer": peer, "version": version, "error": err})
+		n.noteUnfetched(version)
 		return
 	}
 	if len(document) > 0 {
@@ -112,6 +135,16 @@
 	}
 }
 
+// noteUnfetched notes that a version could not be fetched: it is tried again, and a balancer reads the store meanwhile.
+func (n *node) noteUnfetched(version routing.Version) {
+	n.mutex.Lock()
+	n.unfetched = version
+	n.mutex.Unlock()
+	if n.sleep(jitter(fetchRetry)) {
+		n.wantFetch()
+	}
+}
+
 func fetchFrom(ctx context.Context, client *http.Client, peer netip.AddrPort, above uint64) ([]byte, error) {
 	service := burlmillv1connect.NewConfigurationServiceClient(client, "http://"+peer.String(), connect.WithReadMaxBytes(maximumDocument))
 	response, err := service.Fetch(ctx, connect.NewRequest(&burlmillv1.FetchRequest{Above: above}))
@@ -142,7 +175,8 @@
 func (n *node) watchLoop() {
 	health := &storeHealth{node: n}
 	var retry backoff
-	var revision uint64
+	var revision uint64 // that the next watch goes on from; 0: the next call is a read
+	read := handshake.ReadsNothing
 	for n.context.Err() == nil {
 		duty := n.storeDuty()
 		if duty.Reading == handshake.ReadsNothing {
@@ -153,19 +187,27 @@
 		if duty.Pause > 0 && !n.stillReadsAfter(duty.Pause) {
 			continue
 		}
+		if duty.Reading > read {
+			revision = 0 // what was read until now may be old
+		}
+		read = duty.Reading
 		begun := time.Now()
-		document, err := n.nextDocument(revision, duty.Reading, health)
+		wait := n.beginWait(&n.configurationWait, duty.Reading)
+		document, err := n.nextDocument(wait.context, revision, duty.Reading, health)
+		if wait.ended() || errors.Is(err, errPeerWasFirst) {
+			revision = 0
+			continue
+		}
 		n.noteAnswer(health, err, revision, duty.Reading)
 		if err == nil {
-			n.noteServed(duty.Reading)
+			n.noteServed(duty)
 			revision = max(revision, document.Revision)
 			if pause := retry.pauseAfter(duty.Reading, time.Since(begun), n.takeDocument(document)); pause > 0 {
 				n.sleep(pause)
 			}
 			continue
 		}
-		// The next call is a short one: a store that was silent does not answer what it got meanwhile, and a
-		// watch would notice up to 5 s late.
+		// The next call is a short one: a store that was silent does not answer what it got meanwhile.
 		revision = 0
 		if fault.Of(err) != fault.Stale { // then the store has answered: its history is gone
 			n.noteRefused(duty.Reading)
@@ -203,9 +245,9 @@
 	return n.table.Version()
 }
 
-// mostPause returns the longest pause between two calls that fail.
+// mostPause returns the longest pause between two calls that fail. Whoever asks for the present has no time.
 func mostPause(duty handshake.StoreDuty) time.Duration {
-	if duty.Served {
+	if duty.Served && duty.Reading != handshake.ReadsCurrent {
 		return storeRetryServed
 	}
 	return storeRetryMost
@@ -216,30 +258,38 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	duty := n.contacts.StoreDuty(now, n.table.Version(), n.storeFresh(now))
+	duty := n.dutyAt(now)
 	if duty.Reading != n.reading {
 		n.reading = duty.Reading
-		n.log.WithFields(log.Fields{"reads": duty.Reading, "served": n.storeFresh(now), "others_served": duty.Served,
+		n.log.WithFields(log.Fields{"reads": duty.Reading, "served": n.storeServed(now), "others_current": duty.Served, "unfetched": n.isUnfetched(),
 			"version": n.table.Version(), "peers": n.contacts.CountHeard(now), "confirmed_age": n.confirmedAge(now)}).Info("store-reader")
 	}
 	return duty
 }
 
+// dutyAt is storeDuty without a log line. The lock is held.
+func (n *node) dutyAt(now time.Time) handshake.StoreDuty {
+	return n.contacts.StoreDuty(now, handshake.StoreState{Version: n.table.Version(), Served: n.storeServed(now), Unfetched: n.isUnfetched()})
+}
+
+// isUnfetched says whether a newer version than that in force could not be fetched. The lock is held.
+func (n *node) isUnfetched() bool { return n.unfetched > n.table.Version() }
+
 // stillReadsAfter waits and says whether this process is to read the store then.
 func (n *node) stillReadsAfter(pause time.Duration) bool {
 	return n.sleep(jitter(pause)) && n.storeDuty().Reading != handshake.ReadsNothing
 }
 
 // noteServed notes that the store has answered. Where it has refused a call for the present
-// configuration not long ago, an answer that may be old does not say that it serves those again.
-func (n *node) noteServed(reading handshake.Reading) {
+// configuration not long ago, and others ask for that, an answer that may be old does not say that it serves those again.
+func (n *node) noteServed(duty handshake.StoreDuty) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	if reading == handshake.ReadsCurrent {
+	if duty.Reading == handshake.ReadsCurrent {
 		n.confirmedAt = now
 	}
-	if reading == handshake.ReadsCurrent || now.Sub(n.storeRefused) > refusalTime {
+	if duty.Reading == handshake.ReadsCurrent || !duty.Served || now.Sub(n.storeRefused) > refusalTime {
 		n.storeHeard = now
 	}
 }
@@ -282,26 +332,29 @@
 	}
 	n.urgent = n.urgent || n.storeFresh(now)
 	n.storeHeard = time.Time{}
-	if n.endWatch != nil {
-		n.endWatch() // its connection may have fallen silent as well
-	}
+	n.evacuationWait.end() // its connection may have fallen silent as well
+}
+
+// storeServed says whether the store has answered of late, be it with what is old. The lock is held.
+func (n *node) storeServed(now time.Time) bool {
+	return !n.storeHeard.IsZero() && now.Sub(n.storeHeard) <= servedTime
 }
 
-// storeFresh says whether the store has answered of late. The lock is held.
+// storeFresh says whether the store has told of late what it holds now. The lock is held.
 func (n *node) storeFresh(now time.Time) bool {
-	return !n.storeHeard.IsZero() && now.Sub(n.storeHeard) <= handshake.StoreFreshTime
+	return n.storeServed(now) && !n.confirmedAt.IsZero() && now.Sub(n.confirmedAt) <= handshake.StoreFreshTime
 }
 
-func (n *node) nextDocument(revision uint64, reading handshake.Reading, health *storeHealth) (Document, error) {
+func (n *node) nextDocument(ctx context.Context, revision uint64, reading handshake.Reading, health *storeHealth) (Document, error) {
 	mayBeOld := reading == handshake.ReadsLatest
 	switch {
 	case revision == 0 && !n.holdsConfiguration():
 		return n.firstDocument(health)
 	case revision == 0:
-		return n.read(n.context, mayBeOld)
+		return n.read(ctx, mayBeOld)
 	default:
 		begun := time.Now()
-		document, err := n.adapter.Watch(n.context, revision, mayBeOld)
+		document, err := n.adapter.Watch(ctx, revision, watchWait(reading), mayBeOld)
 		n.metrics.called(callName("watch", mayBeOld), begun, err)
 		return document, n.passOver(entryConfiguration, err)
 	}
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -19,6 +19,7 @@
 func (n *node) evacuationLoop() {
 	var retry backoff
 	reader := &evacuationReader{node: n}
+	read := handshake.ReadsNothing
 	for n.sleep(readerLook) && !n.holdsConfiguration() {
 	}
 	for n.context.Err() == nil {
@@ -28,8 +29,17 @@
 			n.sleep(readerLook)
 			continue
 		}
+		if duty.Reading > read {
+			reader.forget() // what was read until now may be old
+		}
+		read = duty.Reading
 		begun := time.Now()
-		news, err := reader.step(duty.Reading)
+		wait := n.beginWait(&n.evacuationWait, duty.Reading)
+		news, err := reader.step(wait.context, duty.Reading)
+		if wait.ended() {
+			reader.forget()
+			continue
+		}
 		pause := retry.pauseAfter(duty.Reading, time.Since(begun), news)
 		if err != nil {
 			reader.forget() // the next call is a short one
@@ -47,7 +57,7 @@
 func (n *node) storeServes() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.storeFresh(time.Now())
+	return n.storeServed(time.Now())
 }
 
 // evacuationReader reads the evacuations from the store: first all of them, then what changes.
@@ -62,11 +72,12 @@
 
 // step makes one call, and a second one where the history is gone. It says whether other zones are evacuated now. Its
 // error is that of the call, or of kind fault.Invalid.
-func (r *evacuationReader) step(reading handshake.Reading) (news bool, err error) {
-	next, err := r.read(reading)
+func (r *evacuationReader) step(ctx context.Context, reading handshake.Reading) (news bool, err error) {
+	mayBeOld := reading == handshake.ReadsLatest
+	next, err := r.read(ctx, mayBeOld)
 	if fault.Of(err) == fault.Stale {
 		r.forget() // the store has answered: its history is gone
-		next, err = r.list(reading == handshake.ReadsLatest)
+		next, err = r.list(ctx, mayBeOld)
 	}
 	if err != nil {
 		return false, err
@@ -77,15 +88,11 @@
 	return r.node.takeEvacuations(time.Now(), next, sourceStore), nil
 }
 
-// read returns the next set. The first list may be old, which costs less: the watch from
-// there brings at once what has changed since.
-func (r *evacuationReader) read(reading handshake.Reading) (evacuation.Set, error) {
+// read returns the next set.
+func (r *evacuationReader) read(ctx context.Context, mayBeOld bool) (evacuation.Set, error) {
 	if !r.known {
-		return r.list(true)
+		return r.list(ctx, mayBeOld)
 	}
-	mayBeOld := reading == handshake.ReadsLatest
-	ctx, cancel := r.node.watchContext()
-	defer cancel()
 	begun := time.Now()
 	changes, err := r.node.adapter.WatchEvacuations(ctx, r.latest.Revision(), mayBeOld)
 	r.node.metrics.called(callName("watch-evacuations", mayBeOld), begun, err)
@@ -95,19 +102,9 @@
 	return r.latest.With(changes)
 }
 
-// watchContext returns the context of a watch of evacuations. It ends when the store refuses or does not answer the
-// shorter watch of the configuration.
-func (n *node) watchContext() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(n.context)
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.endWatch = cancel
-	return ctx, cancel
-}
-
-func (r *evacuationReader) list(mayBeOld bool) (evacuation.Set, error) {
+func (r *evacuationReader) list(ctx context.Context, mayBeOld bool) (evacuation.Set, error) {
 	begun := time.Now()
-	set, err := r.node.adapter.Evacuations(r.node.context, mayBeOld)
+	set, err := r.node.adapter.Evacuations(ctx, mayBeOld)
 	r.node.metrics.called(callName("list-evacuations", mayBeOld), begun, err)
 	return set, r.node.passOver(entryEvacuation, err)
 }
--- a/internal/relay/first_document.go
+++ b/internal/relay/first_document.go
@@ -11,6 +11,9 @@
 // once while no configuration is held.
 const firstReadPause = 400 * time.Millisecond
 
+// errPeerWasFirst says that no answer of the store was waited for any more. It says nothing of the store.
+var errPeerWasFirst = fault.New(fault.Unavailable, "the store has not answered; a peer has sent the configuration")
+
 // storeAnswer is the outcome of one read of the store.
 type storeAnswer struct {
 	document Document
@@ -39,7 +42,7 @@
 			return Document{}, n.context.Err()
 		}
 	}
-	return Document{}, fault.New(fault.Unavailable, "the store has not answered; a peer has sent the configuration")
+	return Document{}, errPeerWasFirst
 }
 
 // readInto makes one read and hands its outcome over, unless nobody waits any more.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -29,7 +29,7 @@
 const (
 	tickInterval  = 20 * time.Millisecond  // between two looks at the clock
 	flushInterval = 10 * time.Second       // between summaries of log lines left out
-	peerLook      = 250 * time.Millisecond // between two looks for peers that have fallen silent
+	peerLook      = 250 * time.Millisecond // between two looks for peers that have fallen silent, and for what follows
 )
 
 // Bounds of the log.
@@ -81,17 +81,20 @@
 	configuredAt time.Time // when the table was taken in; at first the start
 	spoiled      error     // why the store's newest configuration is not in force; nil: it is, as far as is known
 	evacuations  evacuation.View
-	reading      handshake.Reading  // how the store is read
-	storeHeard   time.Time          // last answer of the store; zero: none, or it has refused a call since
-	endWatch     context.CancelFunc // of the evacuations, which waits longer than that of the configuration; nil: none
-	storeRefused time.Time          // last call for the present configuration that was refused; zero: none
-	confirmedAt  time.Time          // last answer of the store to a call for what it holds now; zero: none
-	behindSince  time.Time          // when another process was first heard to hold a newer configuration; zero: none does
-	leaving      bool
-	urgent       bool      // the status has changed in a way that others must know at once
-	begun        time.Time // when the process started
-	started      bool
-	nextLook     time.Time // for peers that have fallen silent
+	reading      handshake.Reading // how the store is read
+	storeHeard   time.Time         // last answer of the store; zero: none, or it has refused a call since
+	storeRefused time.Time         // last call for the present configuration that was refused; zero: none
+	confirmedAt  time.Time         // last answer of the store to a call for what it holds now; zero: none
+	behindSince  time.Time         // when another process was first heard to hold a newer configuration; zero: none does
+	unfetched    routing.Version   // latest version that a peer could not be asked for; 0: none
+
+	configurationWait *waitingCall // latest call of watchLoop; nil: none yet
+	evacuationWait    *waitingCall // the same of evacuationLoop
+	leaving           bool
+	urgent            bool      // the status has changed in a way that others must know at once
+	begun             time.Time // when the process started
+	started           bool
+	nextLook          time.Time // for peers that have fallen silent
 
 	recorded  atomic.Uint64 // revision of the own record in the store; 0: none
 	withdrawn atomic.Bool   // it has been withdrawn, which may be done late; it is not since it was written anew
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// noteLost logs peers that have fallen silent. The lock is held.
+// noteLost logs peers that have fallen silent, and ends calls to the store that are outdated by it. The lock is held.
 func (n *node) noteLost(now time.Time) {
 	if now.Before(n.nextLook) {
 		return
@@ -57,6 +57,7 @@
 		n.limited.Log(log.WarnLevel, "peer-lost", log.Fields{"peer": lost.Address, "id": lost.Status.ID, "role": lost.Status.Role,
 			"age": now.Sub(lost.Heard), "leaving": lost.Status.Leaving})
 	}
+	n.endOutdatedWaits(now)
 }
 
 // reload takes in settings that have changed while the process runs. Only seeds
