Readers of the store: pauses and calls end when the others stop reading; a few that are served find it out soon

The soak changes the configuration in series, lets open connections to the store fall silent and its history be forgotten, and probes each balancer in touch for a dropped route.

--- a/handshake/readers.go
+++ b/handshake/readers.go
@@ -24,8 +24,9 @@
 	Readers        = 8               // balancers that read at all while the store serves some of them
 	StoreFreshTime = 2 * time.Second // after an answer to a call for what the store holds now, during which its reader counts as one that reads: such a call takes up to 1.6 s
 	// probeInterval is the time, on average, between two calls of all the other balancers
-	// together while the store serves none that is known.
-	probeInterval = 250 * time.Millisecond
+	// together while the store serves none that is known. They cost a tenth. If it serves one of 24 balancers only, which is no reader, that one
+	// asks within 2.2 s; with 250 ms it took up to 9 s (TestConfigurationThroughSeriesOfFaults).
+	probeInterval = 60 * time.Millisecond
 	// unfetchedSpread is the pause, on average, of a balancer that is no reader before it asks the store for a configuration which no peer
 	// could hand out: if the only holder dies, all the others of a fleet ask, 3,200 balancers so with half of the calls that a store of such a fleet takes.
 	unfetchedSpread = 400 * time.Millisecond
--- a/internal/lab/faultproxy/stream.go
+++ b/internal/lab/faultproxy/stream.go
@@ -13,6 +13,7 @@
 	lines    [directionCount]*line
 
 	mutex    sync.Mutex
+	silent   bool // nothing passes any more, and neither side is told
 	ended    bool
 	finished int // directions that have reached their end
 }
@@ -25,6 +26,19 @@
 	return created
 }
 
+// silence lets nothing pass any more, without a reset.
+func (s *stream) silence() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = true
+}
+
+func (s *stream) isSilent() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.silent
+}
+
 // finish passes the end of one direction on. After the second one the stream is over.
 func (s *stream) finish(sink net.Conn) {
 	_ = sink.(*net.TCPConn).CloseWrite()
--- a/internal/lab/faultproxy/tcp.go
+++ b/internal/lab/faultproxy/tcp.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,17 +54,25 @@
 
 // Cut resets every present connection, on both sides.
 func (t *TCP) Cut() {
-	t.mutex.Lock()
-	streams := make([]*stream, 0, len(t.streams))
-	for stream := range t.streams {
-		streams = append(streams, stream)
-	}
-	t.mutex.Unlock()
-	for _, stream := range streams {
+	for _, stream := range t.present() {
 		stream.spoil()
 	}
 }
 
+// Silence lets nothing pass any more on every present connection, and tells neither side; new ones work.
+func (t *TCP) Silence() {
+	for _, stream := range t.present() {
+		stream.silence()
+	}
+}
+
+// present returns the connections that there are.
+func (t *TCP) present() []*stream {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Collect(maps.Keys(t.streams))
+}
+
 // Refuse makes the proxy reset new connections before a byte passes, or stop doing so.
 func (t *TCP) Refuse(refuse bool) {
 	t.mutex.Lock()
@@ -155,6 +165,13 @@
 	for {
 		piece := make([]byte, pieceLength)
 		length, err := source.Read(piece)
+		if current.isSilent() {
+			if err != nil {
+				current.reset() // that side has given it up
+				return
+			}
+			continue
+		}
 		fate := t.decide(direction)
 		due := time.Now().Add(fate.delay)
 		if due.Before(latest) {
--- a/internal/relay/configuration_test.go
+++ b/internal/relay/configuration_test.go
@@ -35,39 +35,42 @@
 	is.Equal(n.pauseAfterFetch(), fetchPause)
 }
 
+// hearCurrentReaders lets the node hear so many balancers that the store tells the present.
+func hearCurrentReaders(n *node, readers uint16) {
+	for port := range readers {
+		other := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port+1)
+		n.contacts.Heard(time.Now(), other, handshake.Status{Role: handshake.RoleBalancer, Incarnation: 1, StoreFresh: true, Interval: time.Hour})
+	}
+}
+
 // TestOldAnswersDoNotUndoARefusal: a store that refuses the calls for the present
 // configuration and serves the cheap ones is no reason to read for the others again.
 func TestOldAnswersDoNotUndoARefusal(t *testing.T) {
 	is := is.New(t)
 	n := newReadingNode(t, &silentAdapter{})
-	n.noteServed(othersCurrent)
+	hearCurrentReaders(n, handshake.CurrentReaders)
+	n.noteServed(handshake.ReadsLatest)
 	is.True(n.storeServed(time.Now())) // nothing was refused before
 	is.True(!n.storeFresh(time.Now())) // what may be old says nothing of the present
-	n.noteServed(current)
+	n.noteServed(handshake.ReadsCurrent)
 	is.True(n.storeFresh(time.Now()))
 	n.noteRefused(handshake.ReadsCurrent)
 	is.True(n.urgent) // the others are told at once
 	is.True(!n.storeFresh(time.Now()))
-	n.noteServed(othersCurrent)
+	n.noteServed(handshake.ReadsLatest)
 	is.True(!n.storeServed(time.Now()))
 	is.True(!n.storeFresh(time.Now()))
-	n.noteServed(current)
+	n.noteServed(handshake.ReadsCurrent)
 	is.True(n.storeFresh(time.Now()))
 }
 
-// Duties of a balancer.
-var (
-	current       = handshake.StoreDuty{Reading: handshake.ReadsCurrent}
-	othersCurrent = handshake.StoreDuty{Reading: handshake.ReadsLatest, Served: true}
-	nobodyCurrent = handshake.StoreDuty{Reading: handshake.ReadsLatest}
-)
-
 // TestOldAnswersCountWhereNobodyAsksForThePresent: a process that the store refused not long ago tries that again.
 func TestOldAnswersCountWhereNobodyAsksForThePresent(t *testing.T) {
 	is := is.New(t)
 	n := newReadingNode(t, &silentAdapter{})
+	hearCurrentReaders(n, handshake.CurrentReaders-1)
 	n.noteRefused(handshake.ReadsCurrent)
-	n.noteServed(nobodyCurrent)
+	n.noteServed(handshake.ReadsLatest)
 	is.True(n.storeServed(time.Now()))
 	is.True(!n.storeFresh(time.Now()))
 }
@@ -93,9 +96,9 @@
 	is.Equal(strings.Count(output.String(), "event=configuration-behind"), 1)
 	is.True(strings.Contains(output.String(), "newer=8"))
 
-	n.noteServed(nobodyCurrent)
+	n.noteServed(handshake.ReadsLatest)
 	is.True(n.confirmedAt.IsZero()) // an answer that may be old confirms nothing
-	n.noteServed(current)
+	n.noteServed(handshake.ReadsCurrent)
 	is.True(!n.confirmedAt.IsZero())
 }
 
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -34,7 +34,7 @@
 		}
 		read = duty.Reading
 		begun := time.Now()
-		wait := n.beginWait(&n.evacuationWait, duty.Reading)
+		wait := n.beginWait(&n.evacuationWait, duty)
 		news, err := reader.step(wait.context, duty.Reading)
 		if wait.ended() {
 			reader.forget()
@@ -46,9 +46,7 @@
 			n.limited.Log(log.WarnLevel, "evacuations-failed", log.Fields{"error": err, "kind": fault.Of(err), "after": reader.latest.Revision()})
 			pause = retry.next(mostPause(duty))
 		}
-		if pause > 0 {
-			n.sleep(pause)
-		}
+		n.pauseReading(pause, duty)
 	}
 }
 
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -177,7 +177,7 @@
 	told := &takenSets{}
 	n.decider = told
 	n.table, _ = store.ParseConfiguration(nil)
-	n.noteServed(current)
+	n.noteServed(handshake.ReadsCurrent)
 	now := time.Now()
 	for port := uint16(1); latest && n.storeDuty().Reading != handshake.ReadsLatest; port++ {
 		other := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
@@ -189,7 +189,7 @@
 // keepServed lets the store count as having answered, as the watch of the configuration does.
 func (n *node) keepServed(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
-		n.noteServed(current)
+		n.noteServed(handshake.ReadsCurrent)
 		time.Sleep(time.Second)
 	}
 }
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -33,8 +33,10 @@
 	fleetWrites  = 3 * time.Second        // between two changes of objects that nobody here reads
 	storeDelay   = 4 * time.Millisecond   // of an answer
 	watchMargin  = 600 * time.Millisecond // that the answer of a watch may take beyond its wait, as in package platform
-	storeLook    = 20 * time.Millisecond  // between two looks of a watch for changes
-	peerDelay    = time.Millisecond       // of a datagram, and of an answer to a fetch
+	// storeKeepAlive is the time after which a keep-alive ends a silent connection, as in package platform.
+	storeKeepAlive = 3 * time.Second
+	storeLook      = 20 * time.Millisecond // between two looks of a watch for changes
+	peerDelay      = time.Millisecond      // of a datagram, and of an answer to a fetch
 )
 
 // strictStore is a store as strict as its protocol allows: what may be old is old, history is short, and changes of other
@@ -144,6 +146,13 @@
 	close(l.cut)
 }
 
+// regain lets everything pass again; calls that had waited get no answer.
+func (l *storeLink) regain() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cut = make(chan struct{})
+}
+
 // refuse lets the store turn away what it is asked from now on, and end the calls that wait.
 func (l *storeLink) refuse() {
 	l.refuses.Store(true)
@@ -169,6 +178,7 @@
 	connection, end := l.store.connection(), time.After(limit)
 	lost, cutOff := l.lost()
 	wake := time.After(storeDelay)
+	var unanswered <-chan time.Time // since the connection has fallen silent
 	if l.refuses.Load() {
 		time.Sleep(storeDelay)
 		return fault.New(fault.Overloaded, "refused")
@@ -182,9 +192,11 @@
 		case <-cutOff:
 			return fault.New(fault.Unavailable, "reset")
 		case <-lost:
-			lost, wake = nil, nil
+			lost, wake, unanswered = nil, nil, time.After(storeKeepAlive)
 		case <-connection:
-			connection, wake = nil, nil
+			connection, wake, unanswered = nil, nil, time.After(storeKeepAlive)
+		case <-unanswered:
+			return fault.New(fault.Unavailable, "connection timed out")
 		case <-wake:
 			if answer(l.store.state(mayBeOld)) {
 				return nil
@@ -296,7 +308,9 @@
 
 // start starts the balancer's process.
 func (m *member) start() {
-	m.link = newStoreLink(m.fleet.store)
+	if m.link == nil {
+		m.link = newStoreLink(m.fleet.store)
+	}
 	s := settings.Settings{Node: settings.Node{ID: m.address.String(), PeerAddress: m.address}}
 	s.Peers.Seeds = []netip.AddrPort{m.fleet.members[0].address, m.fleet.members[1].address}
 	n := newNode(s, m.link, handshake.RoleBalancer, logging.New(io.Discard, "error"))
@@ -391,6 +405,13 @@
 	f.oneWay[m.address] = true
 }
 
+// join lets everything pass again.
+func (f *fleet) join(m *member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.oneWay, m.address)
+}
+
 // reach returns the node that a process reaches at the address, nil if none.
 func (f *fleet) reach(from *member, to netip.AddrPort) (*node, http.Handler) {
 	f.mutex.Lock()
