Log: a request's id leads to its flow, its agent and the version by which it was routed

Nothing is decided by it. Weighed: heads over several packets (a parser on the path of every packet; not done).

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -85,11 +85,12 @@
 	sentAt   time.Time
 	held     bool // in Balancer.held
 	heldAt   time.Time
-	priority uint          // the priority of its route when it was last placed; 0 is the highest
-	aim      time.Duration // of its route then; 0: not told
-	begun    time.Time     // when the caller sent the first copy of the opening datagram, as far as can be told
-	copies   uint32        // number of the latest copy of the opening datagram
-	copyAt   time.Time     // when it came
+	version  routing.Version // by which it was last offered; 0: another balancer did, or none
+	priority uint            // the priority of its route when it was last placed; 0 is the highest
+	aim      time.Duration   // of its route then; 0: not told
+	begun    time.Time       // when the caller sent the first copy of the opening datagram, as far as can be told
+	copies   uint32          // number of the latest copy of the opening datagram
+	copyAt   time.Time       // when it came
 	// uncertain says that the flow may have opened without this balancer's
 	// knowing it: through another one, or by an offer whose answer was lost. Such a
 	// flow is never reset for want of an agent.
@@ -143,6 +144,22 @@
 // Table returns the configuration in force, nil if none is.
 func (b *Balancer) Table() *routing.Table { return b.table }
 
+// Placement is where a flow is, as far as a balancer knows.
+type Placement struct {
+	Service catalog.ServiceName // "": another balancer has opened it
+	Agent   netip.AddrPort      // the zero value: not known yet
+	Version routing.Version     // of the configuration by which it was offered; 0: another balancer has opened it
+}
+
+// Placement returns where a flow is.
+func (b *Balancer) Placement(key flow.Key) Placement {
+	known := b.flows[key]
+	if known == nil {
+		return Placement{}
+	}
+	return Placement{Service: known.service, Agent: known.agent, Version: known.version}
+}
+
 // Flows returns the number of flows known.
 func (b *Balancer) Flows() int { return len(b.flows) }
 
--- a/handshake/opening.go
+++ b/handshake/opening.go
@@ -113,6 +113,7 @@
 	b.release(known)
 	known.tried = append(known.tried, agent.address)
 	known.sentAt = now
+	known.version = b.table.Version()
 	agent.unanswered++
 	agent.noteCarried(now)
 	b.await(known, now.Add(agent.patience()))
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -39,6 +39,8 @@
 	// ParseBackend reads a datagram that comes from a back end: one of its own, or
 	// a caller's that it has given back, whose mark is then taken off.
 	ParseBackend(datagram []byte) (handshake.Datagram, error)
+	// RequestID returns the id of the request that begins in a caller's datagram, "" if none does whose id can be told. It is for the log.
+	RequestID(datagram *handshake.Datagram) string
 	// FormatReset returns the datagram that ends a flow towards its caller, whose latest
 	// datagram confirmed so much (handshake.Datagram.Confirms; 0 where the flow has not opened).
 	FormatReset(key flow.Key, confirms uint32) []byte
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -149,6 +149,29 @@
 	now := time.Now()
 	b.lastCaller = now
 	b.perform(b.flows.FromCaller(now, &datagram))
+	b.noteRequest(&datagram)
+}
+
+// noteRequest logs which request begins in a datagram, where its flow is, and by which version of the configuration that was
+// offered, so that an operator gets from a request's id to its flow. The lock is held.
+func (b *balancer) noteRequest(datagram *handshake.Datagram) {
+	id := b.adapter.RequestID(datagram)
+	if id == "" {
+		return
+	}
+	line, admitted := b.limited.Admit(log.InfoLevel, "request")
+	if !admitted {
+		return
+	}
+	placed := b.flows.Placement(datagram.Key)
+	fields := log.Fields{"request": id, "caller": datagram.Key.Caller, "address": datagram.Key.Service, "version": b.table.Version()}
+	if placed.Version != 0 {
+		fields["service"], fields["offered_version"] = placed.Service, placed.Version
+	}
+	if placed.Agent.IsValid() {
+		fields["peer"] = placed.Agent
+	}
+	line.Log(fields)
 }
 
 // perform does what the decider asks for. The lock is held.
