--- a/handshake/readers.go
+++ b/handshake/readers.go
@@ -51,12 +51,12 @@
 type StoreDuty struct {
 	Reading Reading
 	// Pause is the wait, on average, before the next call. It is 0 but for balancers that
-	// read only since the store serves nobody who is known: the more there are of them, the
-	// longer each waits.
+	// read only since the store serves nobody who is known (the more there are of them, the
+	// longer each waits), or since no peer could hand out a newer configuration.
 	Pause time.Duration
-	// Served says that other balancers are served, so that one which the store refuses can
-	// leave the reading to them.
-	Served bool
+	// Covered says that CurrentReaders other balancers have been told the present of late, so that one which the
+	// store refuses can leave the reading to them.
+	Covered bool
 }
 
 // StoreState is what a balancer knows of the configuration and of its own way to the store.
@@ -90,7 +90,7 @@
 			}
 		}
 	}
-	duty := StoreDuty{Served: currentInAll >= CurrentReaders}
+	duty := StoreDuty{Covered: currentInAll >= CurrentReaders}
 	switch {
 	case state.Version == 0:
 		duty.Reading = ReadsCurrent // it cannot serve without
@@ -99,7 +99,7 @@
 		if ahead >= Readers {
 			duty.Pause = unfetchedSpread
 		}
-	case ahead < Readers && !state.Served && duty.Served:
+	case ahead < Readers && !state.Served && duty.Covered:
 		duty.Reading = ReadsLatest // a cheap look whether the store serves this process again
 	case currentAhead < CurrentReaders && (ahead < CurrentReaders || state.Served):
 		duty.Reading = ReadsCurrent
--- a/internal/relay/configuration.go
+++ b/internal/relay/configuration.go
@@ -52,8 +52,8 @@
 func (n *node) watchLoop() {
 	health := &storeHealth{node: n}
 	var retry backoff
-	var revision uint64 // that the next watch goes on from; 0: the next call is a read
-	read := handshake.ReadsNothing
+	var revision uint64              // that the next watch goes on from; 0: the next call is a read
+	latest := handshake.ReadsNothing // how the store was read last
 	for n.context.Err() == nil {
 		duty := n.storeDuty()
 		if duty.Reading == handshake.ReadsNothing {
@@ -64,10 +64,10 @@
 		if duty.Pause > 0 && !n.stillReadsAfter(duty.Pause) {
 			continue
 		}
-		if duty.Reading > read {
+		if duty.Reading > latest {
 			revision = 0 // what was read until now may be old
 		}
-		read = duty.Reading
+		latest = duty.Reading
 		begun := time.Now()
 		wait := n.beginWait(&n.configurationWait, duty)
 		document, err := n.nextDocument(wait.context, revision, duty.Reading, health)
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -19,7 +19,7 @@
 func (n *node) evacuationLoop() {
 	var retry backoff
 	reader := &evacuationReader{node: n}
-	read := handshake.ReadsNothing
+	latest := handshake.ReadsNothing // how the store was read last
 	for n.sleep(readerLook) && !n.holdsConfiguration() {
 	}
 	for n.context.Err() == nil {
@@ -29,10 +29,10 @@
 			n.sleep(readerLook)
 			continue
 		}
-		if duty.Reading > read {
+		if duty.Reading > latest {
 			reader.forget() // what was read until now may be old
 		}
-		read = duty.Reading
+		latest = duty.Reading
 		begun := time.Now()
 		wait := n.beginWait(&n.evacuationWait, duty)
 		news, err := reader.step(wait.context, duty.Reading)
--- a/internal/relay/fleet_faults_test.go
+++ b/internal/relay/fleet_faults_test.go
@@ -46,6 +46,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 0))
 				play := &faultyPlay{fleet: newFleet(t, 3+random.IntN(18)), random: random, calm: map[*member]time.Time{}}
--- a/internal/relay/late_configuration_test.go
+++ b/internal/relay/late_configuration_test.go
@@ -102,6 +102,7 @@
 	for _, loss := range losses {
 		for _, balancers := range []int{6, 40} {
 			t.Run(fmt.Sprintf("%s/%d", loss.name, balancers), func(t *testing.T) {
+				t.Parallel()
 				for phase := time.Duration(0); phase < 5*time.Second; phase += time.Duration(balancers) * 100 * time.Millisecond {
 					inFleet(t, balancers, func(f *fleet) {
 						f.store.configure() // all watches begin now
--- a/internal/relay/store_duty.go
+++ b/internal/relay/store_duty.go
@@ -19,7 +19,7 @@
 
 // mostPause returns the longest pause between two calls that fail. Whoever asks for the present has no time.
 func mostPause(duty handshake.StoreDuty) time.Duration {
-	if duty.Served && duty.Reading != handshake.ReadsCurrent {
+	if duty.Covered && duty.Reading != handshake.ReadsCurrent {
 		return storeRetryServed
 	}
 	return storeRetryMost
@@ -33,7 +33,7 @@
 	duty := n.dutyAt(now)
 	if duty.Reading != n.reading {
 		n.reading = duty.Reading
-		n.log.WithFields(log.Fields{"reads": duty.Reading, "served": n.storeServed(now), "others_current": duty.Served, "unfetched": n.isUnfetched(),
+		n.log.WithFields(log.Fields{"reads": duty.Reading, "served": n.storeServed(now), "others_current": duty.Covered, "unfetched": n.isUnfetched(),
 			"version": n.table.Version(), "peers": n.contacts.CountHeard(now), "confirmed_age": n.confirmedAge(now)}).Info("store-reader")
 	}
 	return duty
@@ -58,7 +58,7 @@
 	if reading == handshake.ReadsCurrent {
 		n.confirmedAt = now
 	}
-	if reading == handshake.ReadsCurrent || now.Sub(n.storeRefused) > refusalTime || !n.dutyAt(now).Served {
+	if reading == handshake.ReadsCurrent || now.Sub(n.storeRefused) > refusalTime || !n.dutyAt(now).Covered {
 		n.storeHeard = now
 	}
 }
--- a/internal/relay/waiting_call.go
+++ b/internal/relay/waiting_call.go
@@ -38,6 +38,9 @@
 // endOutdatedWaits ends calls that were made by a duty which is not enough any more. Such a call would go on for up
 // to 5 s, and a change be late by that. The lock is held.
 func (n *node) endOutdatedWaits(now time.Time) {
+	if n.role != handshake.RoleBalancer {
+		return
+	}
 	duty := n.dutyAt(now)
 	for _, wait := range []*waitingCall{n.configurationWait, n.evacuationWait} {
 		if wait != nil && isMore(duty, wait.duty) {
@@ -49,7 +52,7 @@
 // isMore says whether a duty asks for more than an earlier one: for the present, where what may be old was enough, or for a try as
 // the others on whom the process relied ask for the present no more.
 func isMore(duty, earlier handshake.StoreDuty) bool {
-	return duty.Reading > earlier.Reading || earlier.Served && !duty.Served && earlier.Reading != handshake.ReadsCurrent
+	return duty.Reading > earlier.Reading || earlier.Covered && !duty.Covered && earlier.Reading != handshake.ReadsCurrent
 }
 
 // pauseReading waits before the next call to the store, at most until the duty asks for more: the
