Log: a request whose data overtakes the agent's answer names the agent that was offered its flow

Trace: the caller has the back end's answer directly and sends its request before the balancer has handled the agent's acceptance (flow-offered, request, flow-accepted, flow-opened within 0.5 ms), so the holder was not known yet and peer was missing. Now it is the agent that was offered the flow last. The test is unchanged.

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -147,7 +147,7 @@
 // Placement is where a flow is, as far as a balancer knows.
 type Placement struct {
 	Service catalog.ServiceName // "": another balancer has opened it
-	Agent   netip.AddrPort      // the zero value: not known yet
+	Agent   netip.AddrPort      // that holds it, or to which it was offered last; the zero value: not known
 	Version routing.Version     // of the configuration by which it was offered; 0: another balancer has opened it
 }
 
@@ -157,7 +157,11 @@
 	if known == nil {
 		return Placement{}
 	}
-	return Placement{Service: known.service, Agent: known.agent, Version: known.version}
+	placed := Placement{Service: known.service, Agent: known.agent, Version: known.version}
+	if !placed.Agent.IsValid() && len(known.tried) > 0 {
+		placed.Agent = known.tried[len(known.tried)-1] // the caller's data has come before the agent's answer
+	}
+	return placed
 }
 
 // Flows returns the number of flows known.
