--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -118,6 +118,7 @@
 	for _, m := range f.members {
 		m.kill()
 	}
+	time.Sleep(2 * peerDelay) // datagrams that are under way arrive nowhere
 }
 
 // pass lets time pass, while objects that nobody here reads change in the store.
