Log admissions, expiries, membership changes and the liveness lease

What the logs could not tell: whether an agent that admits a flow held its lease at that moment, how old the decision was, and which processes considered an agent suspected or dead. Each is one limited line. Failing tests keep the whole logs (go test -artifacts).

--- a/flow/route.go
+++ b/flow/route.go
@@ -20,6 +20,21 @@
 	StepHint                  // hint without a payload: the chosen back end has the flow
 )
 
+// String returns the name used in logs. The names are stable.
+func (s Step) String() string {
+	switch s {
+	case StepSearch:
+		return "search"
+	case StepArbitrate:
+		return "arbitrate"
+	case StepAdmit:
+		return "admit"
+	case StepHint:
+		return "hint"
+	}
+	return "invalid"
+}
+
 // MaxStep is the highest valid step.
 const MaxStep = StepHint
 
--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/flow"
@@ -48,6 +50,9 @@
 	case flow.Deliver:
 		datagram.Bytes = packet.Payload
 		l.deliver(action, packet, datagram)
+		if action.NewFlow {
+			l.logAdmission(now, packet, action)
+		}
 		l.sendHint(action.Hint, packet.Key)
 	case flow.Forward:
 		l.forward(action.Hop, packet)
@@ -64,6 +69,26 @@
 	}
 }
 
+// logAdmission logs that the datagram has opened a flow. decidedAt is the time of the decision.
+func (l *eventLoop) logAdmission(decidedAt time.Time, packet flow.Packet, action flow.Action) {
+	line, allowed := l.flowLog.Allow(log.InfoLevel, "flow-admitted")
+	if !allowed {
+		return
+	}
+	line.Log(log.Fields{
+		"caller":       packet.Key.Caller,
+		"address":      packet.Key.Service,
+		"backend":      action.Backend.ID,
+		"revision":     action.Service.Revision,
+		"route":        packet.Route.Revision,
+		"step":         packet.Route.Step.String(),
+		"hops":         packet.Route.Hops,
+		"decision_age": time.Since(decidedAt),
+		"arrival_age":  time.Since(packet.EarliestArrival),
+		"confirmed":    l.coordination.SelfConfirmed(),
+	})
+}
+
 // sendHint sends the hint, an empty datagram of the flow, if the hint is set. It reports to the
 // flow's first candidate agent which back end has the flow.
 func (l *eventLoop) sendHint(hint flow.Hop, key flow.Key) {
--- a/internal/agent/event_loop.go
+++ b/internal/agent/event_loop.go
@@ -43,6 +43,7 @@
 	metrics           *metrics
 	log               log.Interface
 	dropLog           *logging.Limiter
+	flowLog           *logging.Limiter // of admitted and expired flows
 	inspection        *inspection
 	drainLimit        time.Duration
 	ready             *atomic.Bool // whether the agent accepts new flows; served at /readyz
@@ -140,10 +141,22 @@
 
 // expireFlows closes flows that are idle or whose connections are closed.
 func (l *eventLoop) expireFlows(now time.Time) {
-	l.closeFlows(l.decider.Expire(now))
+	idle := l.decider.Expire(now)
+	l.logExpired(idle)
+	l.closeFlows(idle)
 	l.closeFlows(l.http.closedFlows(now))
 	l.updateSizeMetrics()
 	l.dropLog.Flush()
+	l.flowLog.Flush()
+}
+
+// logExpired logs the flows that were idle for too long.
+func (l *eventLoop) logExpired(keys []flow.Key) {
+	for _, key := range keys {
+		if line, allowed := l.flowLog.Allow(log.InfoLevel, "flow-expired"); allowed {
+			line.Log(log.Fields{"caller": key.Caller, "address": key.Service})
+		}
+	}
 }
 
 // closeFlows closes the flows in the decider and removes them from the udp and http back ends. It
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -29,6 +29,9 @@
 
 	dropLogRate  = 1 // log entries per second
 	dropLogBurst = 5
+
+	flowLogRate  = 25 // log entries per second
+	flowLogBurst = 50
 )
 
 // process holds the components of a running agent. Components that are not started are nil.
@@ -68,7 +71,7 @@
 	if p.http, err = newHTTPBackends(options, p.socket, metrics); err != nil {
 		return err
 	}
-	drops := newDropLimiter(p.log)
+	drops := newLimiter(p.log, dropLogRate, dropLogBurst)
 	if p.tcp, err = tcpflow.Start(tcpflow.Options{
 		Self:          p.socket.LocalAddress(),
 		Configuration: options.Coordination,
@@ -92,6 +95,7 @@
 		metrics:         metrics,
 		log:             p.log,
 		dropLog:         drops,
+		flowLog:         newLimiter(p.log, flowLogRate, flowLogBurst),
 		ready:           ready,
 		inbox:           inbox,
 		snapshotChanges: make(chan struct{}, 1),
@@ -181,11 +185,11 @@
 	}, nil
 }
 
-func newDropLimiter(logger log.Interface) *logging.Limiter {
+func newLimiter(logger log.Interface, perSecond float64, burst int) *logging.Limiter {
 	return logging.NewLimiter(logging.LimiterOptions{
 		Log:       logger,
-		PerSecond: dropLogRate,
-		Burst:     dropLogBurst,
+		PerSecond: perSecond,
+		Burst:     burst,
 		Now:       time.Now,
 	})
 }
--- a/internal/coordination/exchange/decider.go
+++ b/internal/coordination/exchange/decider.go
@@ -52,8 +52,9 @@
 // Notice is an event to be logged.
 type Notice struct {
 	Event  string
-	Member *membership.Member // may be nil
-	Err    error              // may be nil
+	Member *membership.Member       // may be nil
+	Change *membership.StatusChange // nil unless the status of the member has changed
+	Err    error                    // may be nil
 }
 
 // Output contains the requests to send and the notices to log after one event.
@@ -175,11 +176,14 @@
 func (d *Decider) flush(now time.Time) Output {
 	d.announceChanges(now)
 	d.pullCatalog(now)
+	for _, change := range d.members.TakeStatusChanges() {
+		d.output.Notices = append(d.output.Notices, Notice{Event: "member-status", Member: change.Member, Change: &change})
+	}
 	output := d.output
 	d.output = Output{}
 	return output
 }
 
 func (d *Decider) addNotice(event string, member *membership.Member, err error) {
-	d.output.Notices = append(d.output.Notices, Notice{event, member, err})
+	d.output.Notices = append(d.output.Notices, Notice{Event: event, Member: member, Err: err})
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -23,6 +23,7 @@
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/coordination/exchange"
+	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/objects"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/membership"
@@ -60,6 +61,8 @@
 	view         atomic.Pointer[view]
 	// confirmedUntil is the end of the liveness lease; never nil.
 	confirmedUntil atomic.Pointer[time.Time]
+	leaseHeld      bool // as of the latest call of logLease; used only by run
+	log            *logging.Limiter
 	watchActive    atomic.Bool  // set by storeWatcher
 	lastPullAt     atomic.Int64 // Unix time in nanoseconds of the latest Pull that sent requests
 
@@ -91,6 +94,9 @@
 		decider: exchange.New(now, newSelf(options, now), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		events:  make(chan func(time.Time), eventQueueSize),
 		client:  newClient(),
+		log: logging.NewLimiter(logging.LimiterOptions{
+			Log: options.Log, PerSecond: logLinesPerSecond, Burst: logLineBurst, Now: time.Now,
+		}),
 		context: ctx,
 		stop:    stop,
 	}
@@ -110,6 +116,12 @@
 // eventQueueSize is the capacity of Node.events.
 const eventQueueSize = 256
 
+// Limits of the log lines of each event.
+const (
+	logLinesPerSecond = 25
+	logLineBurst      = 50
+)
+
 func newSelf(options Options, now time.Time) membership.Member {
 	return membership.Member{
 		ID:          options.Node.ID,
@@ -157,15 +169,32 @@
 		n.workers.Go(func() { n.exchange(send) })
 	}
 	for _, notice := range output.Notices {
-		entry := n.options.Log.WithField("node", n.options.Node.ID)
-		if notice.Member != nil {
-			entry = entry.WithField("member", notice.Member.ID)
-		}
-		if notice.Err != nil {
-			entry = entry.WithField("kind", fault.KindOf(notice.Err).String()).WithError(notice.Err)
-		}
-		entry.Warn(notice.Event)
+		n.logNotice(notice)
+	}
+}
+
+func (n *Node) logNotice(notice exchange.Notice) {
+	line, allowed := n.log.Allow(log.WarnLevel, notice.Event)
+	if !allowed {
+		return
+	}
+	fields := log.Fields{"node": n.options.Node.ID}
+	if notice.Member != nil {
+		fields["member"] = notice.Member.ID
+	}
+	if change := notice.Change; change != nil {
+		fields["status"] = change.Member.Status.String()
+		fields["previous"] = change.Previous.String()
+		fields["incarnation"] = change.Member.Incarnation
+		fields["suspected"] = change.Suspected
+		fields["age"] = change.SinceContact
+		fields["source"] = change.Source
+	}
+	if notice.Err != nil {
+		fields["kind"] = fault.KindOf(notice.Err).String()
+		fields["error"] = notice.Err
 	}
+	line.Log(fields)
 }
 
 // exchange sends one request, waits for the outcome and passes it to the decider.
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/membership"
 )
@@ -46,6 +48,22 @@
 	if !until.Equal(*n.confirmedUntil.Load()) {
 		n.confirmedUntil.Store(&until)
 	}
+	n.logLease(now, until)
+}
+
+// logLease logs when the liveness lease expires and when it is valid again.
+func (n *Node) logLease(now, until time.Time) {
+	held := now.Before(until)
+	if held == n.leaseHeld {
+		return
+	}
+	n.leaseHeld = held
+	fields := log.Fields{"node": n.options.Node.ID, "remaining": until.Sub(now)}
+	if held {
+		n.log.Log(log.InfoLevel, "lease-acquired", fields)
+		return
+	}
+	n.log.Log(log.WarnLevel, "lease-expired", fields)
 }
 
 // publish replaces the view if the decider's state has changed, and calls the subscribers if the
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -26,11 +26,13 @@
 	if watched == nil {
 		return
 	}
-	if !watched.suspectedSince.IsZero() {
+	suspected := !watched.suspectedSince.IsZero()
+	watched.suspectedSince = time.Time{}
+	if suspected {
 		m.version++
+		m.recordStatusChange(now, member, member.Status, "")
 	}
 	watched.lastSeenAt = now
-	watched.suspectedSince = time.Time{}
 	delete(m.suspicions, id)
 }
 
@@ -122,6 +124,8 @@
 	if watched.suspectedSince.IsZero() && now.Sub(watched.lastSeenAt) >= m.suspicionTimeout(id) {
 		watched.suspectedSince = now
 		m.version++
+		member := m.table.Get(id)
+		m.recordStatusChange(now, member, member.Status, "")
 	}
 }
 
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -50,6 +50,7 @@
 	lastContactAt    time.Time
 	nextProbeAt      time.Time
 	version          uint64
+	statusChanges    []StatusChange // not taken yet
 }
 
 // watch is the state that a monitor keeps for one member that it watches.
@@ -108,9 +109,13 @@
 
 // mergeRecord merges a record into the table and updates the state derived from it.
 func (m *Machine) mergeRecord(now time.Time, record *Member, source string) bool {
+	previous := m.table.Get(record.ID)
 	if !m.table.Merge(record) {
 		return false
 	}
+	if previous != nil && previous.Status != record.Status {
+		m.recordStatusChange(now, record, previous.Status, source)
+	}
 	m.changes.add(change{record, source})
 	m.targetsStale = true
 	m.version++
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -77,11 +78,15 @@
 }
 
 // close stops the cluster. If the test has failed, it first logs the dropped datagrams and the end
-// of the log of each node.
+// of the log of each node, and writes the whole logs to the artifact directory of the test.
 func (d *deployment) close() {
 	if d.t.Failed() {
+		logs := d.t.ArtifactDir()
 		for _, node := range d.Nodes() {
 			d.t.Logf("%s: dropped %v\n%s", node.ID, d.droppedMetrics(node), lastLines(node.Process.Log()))
+			if err := os.WriteFile(filepath.Join(logs, node.ID+".log"), []byte(node.Process.Log()), 0o644); err != nil {
+				d.t.Error(err)
+			}
 		}
 	}
 	if err := d.Close(); err != nil {
