Send one hint per moved flow; complete searches before starting others

What callers saw (TestPlannedChangesOnRealProcesses, race-built, two copies beside three busy processes): after a change of shares, flows that were open got no answer for seconds, expired at their back end and were admitted at another one.

Cause: an agent sent at most 20 hints a second. After a change that moved 2,000 flows, their datagrams were searched for over and over (up to 9 hops instead of 2). The agents where searches begin then dropped datagrams at random, also those that others had already searched for, so hardly any search ended: in one second 5,000 datagrams were passed among three agents and 350 reached the agents that held the flows.

Evidence: logs of admissions and expiries (no agent was suspected and no lease expired; the flows expired 6 s after the last step of the shift), the metric inbox-full at the three agents that come first in the candidate order, and a sample of received, forwarded and delivered datagrams a second.

Change: a hint goes out for each flow whose datagram took a detour, again after 1 s if it was lost. Inboxes have lanes: hints first, then datagrams that other agents forwarded, then those from balancers, with at least every ninth from the latter. A decider is told up to which arrival all datagrams have been read, as they are no longer read in order.

Why it works: each flow is searched for once after a change, and a search that has begun ends, so that its hint spares the next ones.

TestMovedFlowsAreSearchedOnce, TestLostHintIsSentAgain and TestHintsOfOneFlowAreLimited fail on the old code; TestMovedFlowsSurviveOverload fails with the old limit of hints.

--- a/flow/action.go
+++ b/flow/action.go
@@ -19,6 +19,10 @@
 	// EarliestArrival is the earliest time at which the datagram can have reached the socket of
 	// this process. Zero means the time at which the datagram is handled.
 	EarliestArrival time.Time
+
+	// ReadUntil is a time such that every datagram that reached the socket before it has been read
+	// before this one. Zero means EarliestArrival.
+	ReadUntil time.Time
 }
 
 // ActionKind is what an agent does with a datagram.
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -53,7 +53,7 @@
 	flowCounts   map[backendIdentity]int           // number of open flows by back end
 	decisions    expiringMap[Key, backendIdentity] // choices as the arbiter, by flow
 	refusals     expiringMap[refusal, struct{}]
-	hints        hints
+	hints        expiringMap[Key, backendIdentity] // received; the back end that has the flow
 	orderCaches  map[catalog.ServiceName]*orderCache
 	staleness    staleness
 	shuttingDown bool
@@ -96,6 +96,7 @@
 	backend    *catalog.Backend // as of the admission
 	openedAt   time.Time
 	lastSeenAt time.Time
+	latestHint *sentHint // nil if no hint was sent
 }
 
 // NewDecider returns a decider for the agent with the data address self.
@@ -115,7 +116,7 @@
 		flowCounts:  map[backendIdentity]int{},
 		decisions:   newExpiringMap[Key, backendIdentity](options.DecisionLifetime),
 		refusals:    newExpiringMap[refusal, struct{}](options.DecisionLifetime),
-		hints:       newHints(),
+		hints:       newExpiringMap[Key, backendIdentity](hintLifetime),
 		orderCaches: map[catalog.ServiceName]*orderCache{},
 	}
 }
@@ -159,7 +160,7 @@
 	}
 	d.decisions.expire(now)
 	d.refusals.expire(now)
-	d.hints.received.expire(now)
+	d.hints.expire(now)
 	return idle
 }
 
@@ -220,7 +221,7 @@
 // Handle decides what the agent does with one datagram.
 func (d *Decider) Handle(now time.Time, packet Packet) Action {
 	d.Tick(now)
-	d.staleness.recordRead(now, packet.EarliestArrival)
+	d.staleness.recordRead(now, packet)
 	if packet.Route.Hops > MaxHops {
 		return Action{Kind: Drop, Reason: DropLoop}
 	}
--- a/flow/decider_test.go
+++ b/flow/decider_test.go
@@ -225,6 +225,16 @@
 	decider.Tick(late)
 	is.Equal(handle(late, stalledAt, 1).Kind, AwaitConfirmation) // the socket may contain more of the backlog
 
+	// A hint was read ahead of the backlog.
+	hint := Packet{
+		Key:             Key{Caller: address("198.51.100.7:3"), Service: service.Address},
+		Route:           Route{Revision: 1, Step: StepHint, Chosen: 1},
+		EarliestArrival: late,
+		ReadUntil:       stalledAt,
+	}
+	is.Equal(decider.Handle(late, hint).Kind, Consume)
+	is.Equal(handle(late, stalledAt, 1).Kind, AwaitConfirmation)
+
 	backlogRead := late.Add(50 * time.Millisecond)
 	is.Equal(handle(backlogRead, late, 2).Kind, Deliver) // arrived after the backlog was read
 	action := handle(backlogRead, stalledAt, 1)
--- a/flow/hint.go
+++ b/flow/hint.go
@@ -1,15 +1,15 @@
 // This file computes, stores and uses hints. A hint names the back end that has a flow. The agent
 // that delivers a datagram after more than directHops hops sends it to the first live agent of the
-// candidate order, which then forwards datagrams directly. The rate, number and lifetime of hints
-// are limited. A wrong or lost hint costs additional hops and does not affect correctness.
+// candidate order, which then forwards datagrams directly. The number and the lifetime of stored
+// hints are limited, and so is the rate of hints of one flow. A wrong or lost hint costs additional
+// hops and does not affect correctness.
 
 package flow
 
 import (
+	"net/netip"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/burlmill/burlmill/catalog"
 )
 
@@ -22,27 +22,21 @@
 	hintLifetime = 30 * time.Second
 	// maxHints is the maximum number of hints that an agent stores.
 	maxHints = 1 << 16
-	// hintsPerSecond limits the rate at which an agent sends hints.
-	hintsPerSecond = 20
-	hintBurst      = 200
+	// hintRetryInterval is the minimum time between two hints of a flow to the same agent. There is
+	// no limit for all flows together: a hint costs one message, and without it every datagram of
+	// the flow costs several.
+	hintRetryInterval = time.Second
 )
 
-// hints stores the hints that an agent has received and limits the rate of those that it sends.
-type hints struct {
-	received expiringMap[Key, backendIdentity]
-	limiter  *rate.Limiter
-}
-
-func newHints() hints {
-	return hints{
-		received: newExpiringMap[Key, backendIdentity](hintLifetime),
-		limiter:  rate.NewLimiter(hintsPerSecond, hintBurst),
-	}
+// sentHint is the latest hint that an agent sent for one of its flows.
+type sentHint struct {
+	to     netip.AddrPort
+	sentAt time.Time
 }
 
 // hintFor returns the hint to send after a delivery. It returns the zero Hop if none is needed, if
-// the service has another revision, if no other agent can use the hint, or if the rate limit is
-// reached.
+// the service has another revision, if no other agent can use the hint, or if that agent was sent
+// one within hintRetryInterval.
 func (d *Decider) hintFor(now time.Time, packet Packet, record *flowRecord) Hop {
 	if packet.Route.Hops <= directHops {
 		return Hop{}
@@ -56,11 +50,13 @@
 	if index == NoBackend || first == NoBackend || service.Backends[first].Agent == d.self {
 		return Hop{}
 	}
-	if !d.hints.limiter.AllowN(now, 1) {
+	to := service.Backends[first].Agent
+	if latest := record.latestHint; latest != nil && latest.to == to && now.Sub(latest.sentAt) < hintRetryInterval {
 		return Hop{}
 	}
+	record.latestHint = &sentHint{to: to, sentAt: now}
 	route := Route{Revision: service.Revision, Step: StepHint, Hops: 1, Chosen: index, ReplyTo: packet.Route.ReplyTo}
-	return Hop{To: service.Backends[first].Agent, Route: route}
+	return Hop{To: to, Route: route}
 }
 
 // storeHint stores a received hint. It ignores hints that refer to another revision of the service,
@@ -70,17 +66,17 @@
 	if packet.Route.Revision != service.Revision || chosen < 0 || chosen >= len(service.Backends) {
 		return
 	}
-	if len(d.hints.received.entries) >= maxHints {
+	if len(d.hints.entries) >= maxHints {
 		return
 	}
-	d.hints.received.put(now, packet.Key, identityOf(service, &service.Backends[chosen]))
+	d.hints.put(now, packet.Key, identityOf(service, &service.Backends[chosen]))
 }
 
 // hintedBackend returns the back end that has the flow according to a hint, and extends the
 // lifetime of the hint. It returns NoBackend if there is no hint, or if the back end has been
 // removed, is served by this agent or has no live agent.
 func (s *search) hintedBackend() int {
-	identity, ok := s.decider.hints.received.get(s.now, s.key)
+	identity, ok := s.decider.hints.get(s.now, s.key)
 	if !ok {
 		return NoBackend
 	}
@@ -88,6 +84,6 @@
 	if index == NoBackend || s.ownBackends.Has(index) || !s.decider.liveness.Alive(s.service.Backends[index].Agent) {
 		return NoBackend
 	}
-	s.decider.hints.received.put(s.now, s.key, identity)
+	s.decider.hints.put(s.now, s.key, identity)
 	return index
 }
--- a/flow/planned_change_test.go
+++ b/flow/planned_change_test.go
@@ -30,6 +30,10 @@
 	service catalog.Service
 	history []*catalog.Snapshot
 	agents  map[string]*Decider
+	// maxLag limits how many revisions old the snapshots of balancers are.
+	maxLag    int
+	loseHints bool
+	hintsSent int
 	// agentCounts are the numbers of agents that handled a datagram, summed over all flows and
 	// changes, for the first and the second datagram of a flow after a change.
 	agentCounts [datagramsPerChange]int
@@ -55,9 +59,9 @@
 	}
 }
 
-// randomSnapshot returns a random snapshot that is at most maxRevisionLag revisions old.
+// randomSnapshot returns a random snapshot that is at most maxLag revisions old.
 func (d *deployment) randomSnapshot() *catalog.Snapshot {
-	oldest := max(0, len(d.history)-1-maxRevisionLag)
+	oldest := max(0, len(d.history)-1-d.maxLag)
 	return d.history[oldest+d.random.IntN(len(d.history)-oldest)]
 }
 
@@ -88,10 +92,14 @@
 	}
 }
 
-// deliverHint passes a hint for the flow to the agent at hint.To. It does nothing if the hint is
-// the zero Hop.
+// deliverHint passes a hint for the flow to the agent at hint.To, unless hints are lost. It does
+// nothing if the hint is the zero Hop.
 func (d *deployment) deliverHint(key Key, now time.Time, hint Hop) {
-	if hint.To.IsValid() {
+	if !hint.To.IsValid() {
+		return
+	}
+	d.hintsSent++
+	if !d.loseHints {
 		d.agents[hint.To.String()].Handle(now, Packet{Key: key, Route: hint.Route})
 	}
 }
@@ -135,7 +143,7 @@
 // and agents are at different revisions. It also counts the flows that stateless hashing moves.
 func TestPlannedChangesBreakNoFlow(t *testing.T) {
 	is := is.New(t)
-	d := &deployment{random: rand.New(rand.NewPCG(1, 2)), agents: map[string]*Decider{}}
+	d := &deployment{random: rand.New(rand.NewPCG(1, 2)), agents: map[string]*Decider{}, maxLag: maxRevisionLag}
 	d.service = testService()
 	d.service.Shares = []catalog.SiteShare{{Site: "new", Percent: 0}, {Site: "old", Percent: 100}}
 	for number := range 7 {
--- a/flow/staleness.go
+++ b/flow/staleness.go
@@ -47,14 +47,18 @@
 	return !earliestArrival.After(s.staleUntil)
 }
 
-// recordRead records that a datagram was read whose Packet.EarliestArrival is earliestArrival: all
-// datagrams that arrived before that time have been read too. Zero means now.
-func (s *staleness) recordRead(now, earliestArrival time.Time) {
-	if earliestArrival.IsZero() {
-		earliestArrival = now
+// recordRead records that a datagram was read, and up to which time of arrival all others have been
+// read too.
+func (s *staleness) recordRead(now time.Time, packet Packet) {
+	readUntil := packet.ReadUntil
+	if readUntil.IsZero() {
+		readUntil = packet.EarliestArrival
+	}
+	if readUntil.IsZero() {
+		readUntil = now
 	}
-	if earliestArrival.After(s.readUntil) {
-		s.readUntil = earliestArrival
+	if readUntil.After(s.readUntil) {
+		s.readUntil = readUntil
 	}
 }
 
--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -1,4 +1,4 @@
-// This file handles received datagrams: it parses each and executes the decider's action, which is
+// This file handles received datagrams: for each, it executes the decider's action, which is
 // to deliver it to a back end, forward it to another agent, queue it (and request a newer
 // configuration if it waits for one), consume it or drop it. It also sends the hints that report to
 // another agent which back end has a flow.
@@ -21,29 +21,15 @@
 // selfAddress is the address of this agent's data socket.
 type selfAddress = netip.AddrPort
 
-// handleDatagram counts a received datagram and dispatches it.
-func (l *eventLoop) handleDatagram(now time.Time, datagram receivedDatagram) {
-	l.metrics.received.Inc()
-	l.dispatch(now, waitingDatagram{datagram, now})
-}
-
 // dispatch executes the decider's action for a datagram. It takes ownership of the buffer.
 func (l *eventLoop) dispatch(now time.Time, entry waitingDatagram) {
-	datagram := entry.Buffer
-	envelope, headerLength, err := l.decoder.Decode(datagram.Bytes)
-	if err == nil && !envelope.HasRoute {
-		err = fault.New(fault.Invalid, "datagram of %v without a route", envelope.Key.Caller)
-	}
-	if err != nil {
-		datagram.Release()
-		l.drop(dropMalformed, err)
-		return
-	}
+	datagram, envelope := entry.Buffer, entry.envelope
 	packet := flow.Packet{
 		Key:             envelope.Key,
 		Route:           envelope.Route,
-		Payload:         datagram.Bytes[headerLength:],
+		Payload:         datagram.Bytes[entry.headerLength:],
 		EarliestArrival: entry.earliestArrival,
+		ReadUntil:       entry.readUntil,
 	}
 	action := l.decider.Handle(now, packet)
 	switch action.Kind {
--- a/internal/agent/event_loop.go
+++ b/internal/agent/event_loop.go
@@ -18,7 +18,6 @@
 	"github.com/burlmill/burlmill/internal/agent/tcpflow"
 	"github.com/burlmill/burlmill/internal/agent/udpflow"
 	"github.com/burlmill/burlmill/internal/logging"
-	"github.com/burlmill/burlmill/internal/wire"
 )
 
 const (
@@ -33,7 +32,6 @@
 type eventLoop struct {
 	self              selfAddress
 	decider           *flow.Decider
-	decoder           *wire.Decoder
 	udp               *udpflow.Flows
 	http              *httpBackends
 	tcp               *tcpflow.Streams
@@ -42,7 +40,7 @@
 	coordination      Coordination
 	metrics           *metrics
 	log               log.Interface
-	dropLog           *logging.Limiter
+	drops             dropRecorder
 	flowLog           *logging.Limiter // of admitted and expired flows
 	inspection        *inspection
 	drainLimit        time.Duration
@@ -51,7 +49,7 @@
 	shuttingDown      bool
 	drainLimitReached bool
 
-	inbox           chan receivedDatagram
+	inbox           *inbox
 	snapshotChanges chan struct{} // receives a value when a newer snapshot is in force
 }
 
@@ -67,8 +65,8 @@
 	var drainDeadline <-chan time.Time
 	for !l.shutdownComplete() {
 		select {
-		case datagram := <-l.inbox:
-			l.handleDatagram(time.Now(), datagram)
+		case <-l.inbox.ready:
+			l.handleInbox()
 		case query := <-l.inspection.queries:
 			query()
 		case <-l.snapshotChanges:
@@ -92,6 +90,19 @@
 	}
 }
 
+// handleInbox handles up to maxInboxBatch received datagrams.
+func (l *eventLoop) handleInbox() {
+	for range maxInboxBatch {
+		datagram, ok := l.inbox.take()
+		if !ok {
+			return
+		}
+		now := time.Now()
+		l.dispatch(now, waitingDatagram{datagram, now})
+	}
+	l.inbox.signal()
+}
+
 // applySnapshot applies the configuration in force and retries the waiting datagrams.
 func (l *eventLoop) applySnapshot(now time.Time) {
 	snapshot := l.coordination.Snapshot()
@@ -146,7 +157,7 @@
 	l.closeFlows(idle)
 	l.closeFlows(l.http.closedFlows(now))
 	l.updateSizeMetrics()
-	l.dropLog.Flush()
+	l.drops.log.Flush()
 	l.flowLog.Flush()
 }
 
@@ -181,12 +192,21 @@
 	l.metrics.waiting.Set(float64(len(l.waiting.entries)))
 }
 
-// drop counts a dropped datagram and logs it at a limited rate.
-func (l *eventLoop) drop(reason dropReason, err error) {
-	l.metrics.dropped.WithLabelValues(string(reason)).Inc()
+// drop counts and logs a dropped datagram.
+func (l *eventLoop) drop(reason dropReason, err error) { l.drops.record(reason, err) }
+
+// dropRecorder counts dropped datagrams and logs them at a limited rate. It is safe for concurrent
+// use.
+type dropRecorder struct {
+	metrics *metrics
+	log     *logging.Limiter
+}
+
+func (d dropRecorder) record(reason dropReason, err error) {
+	d.metrics.dropped.WithLabelValues(string(reason)).Inc()
 	fields := log.Fields{"reason": string(reason)}
 	if err != nil {
 		fields["error"] = err
 	}
-	l.dropLog.Log(log.WarnLevel, "drop", fields)
+	d.log.Log(log.WarnLevel, "drop", fields)
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -1,5 +1,4 @@
-// This file creates an agent's components, connects them, and starts and stops them. It also queues
-// received datagrams for the event loop, and drops them if that queue is full.
+// This file creates an agent's components, connects them, and starts and stops them.
 
 package agent
 
@@ -14,7 +13,6 @@
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/flow"
-	"github.com/burlmill/burlmill/internal/agent/buffer"
 	"github.com/burlmill/burlmill/internal/agent/quicserver"
 	"github.com/burlmill/burlmill/internal/agent/tcpflow"
 	"github.com/burlmill/burlmill/internal/agent/udpflow"
@@ -24,7 +22,6 @@
 )
 
 const (
-	inboxCapacity       = 4096 // received datagrams
 	headerCacheCapacity = 8192 // parsed headers in the decoder's cache
 
 	dropLogRate  = 1 // log entries per second
@@ -57,12 +54,18 @@
 // open starts the components in the order of their dependencies.
 func (p *process) open(options Options) (err error) {
 	metrics := newMetrics()
-	inbox := make(chan receivedDatagram, inboxCapacity)
+	drops := dropRecorder{metrics, newLimiter(p.log, dropLogRate, dropLogBurst)}
+	receiver := &receiver{
+		decoder: wire.NewDecoder(headerCacheCapacity),
+		inbox:   newInbox(time.Now()),
+		metrics: metrics,
+		drops:   drops,
+	}
 	ready := new(atomic.Bool)
 	if p.metricsServer, err = observability.Serve(options.MetricsAddress, metrics.registry, ready.Load); err != nil {
 		return err
 	}
-	if p.socket, err = wire.Listen(options.DataAddress, receiver(inbox, metrics)); err != nil {
+	if p.socket, err = wire.Listen(options.DataAddress, receiver.receive); err != nil {
 		return err
 	}
 	if p.udp, err = udpflow.New(p.socket, metrics); err != nil {
@@ -71,20 +74,18 @@
 	if p.http, err = newHTTPBackends(options, p.socket, metrics); err != nil {
 		return err
 	}
-	drops := newLimiter(p.log, dropLogRate, dropLogBurst)
 	if p.tcp, err = tcpflow.Start(tcpflow.Options{
 		Self:          p.socket.LocalAddress(),
 		Configuration: options.Coordination,
 		Registerer:    metrics.registry,
 		Subsystem:     metricsSubsystem,
-		Drops:         drops,
+		Drops:         drops.log,
 	}); err != nil {
 		return err
 	}
 	p.eventLoop = &eventLoop{
 		self:            p.socket.LocalAddress(),
 		decider:         newDecider(options, p.socket.LocalAddress()),
-		decoder:         wire.NewDecoder(headerCacheCapacity),
 		udp:             p.udp,
 		http:            p.http,
 		tcp:             p.tcp,
@@ -94,10 +95,10 @@
 		drainLimit:      options.DrainLimit,
 		metrics:         metrics,
 		log:             p.log,
-		dropLog:         drops,
+		drops:           drops,
 		flowLog:         newLimiter(p.log, flowLogRate, flowLogBurst),
 		ready:           ready,
-		inbox:           inbox,
+		inbox:           receiver.inbox,
 		snapshotChanges: make(chan struct{}, 1),
 	}
 	p.eventLoop.inspection.eventLoop = p.eventLoop
@@ -126,7 +127,8 @@
 		p.logCloseError(p.metricsServer.Close())
 	}
 	if p.eventLoop != nil {
-		p.eventLoop.dropLog.Flush()
+		p.eventLoop.drops.log.Flush()
+		p.eventLoop.flowLog.Flush()
 	}
 }
 
@@ -136,21 +138,6 @@
 	}
 }
 
-// receiver returns a callback that copies each datagram into the inbox. The datagram is dropped if
-// the inbox is full.
-func receiver(inbox chan<- receivedDatagram, metrics *metrics) wire.Receiver {
-	inboxFull := metrics.dropped.WithLabelValues(string(dropInboxFull))
-	return func(datagram []byte, _ netip.AddrPort, arrived time.Time) {
-		copied := buffer.Join(datagram)
-		select {
-		case inbox <- receivedDatagram{copied, arrived}:
-		default:
-			copied.Release()
-			inboxFull.Inc()
-		}
-	}
-}
-
 func newDecider(options Options, self netip.AddrPort) *flow.Decider {
 	return flow.NewDecider(self, options.Coordination, flow.Options{
 		IdleTimeout:      options.IdleTimeout,
--- a/internal/agent/waiting_queue.go
+++ b/internal/agent/waiting_queue.go
@@ -4,11 +4,7 @@
 
 package agent
 
-import (
-	"time"
-
-	"github.com/burlmill/burlmill/internal/agent/buffer"
-)
+import "time"
 
 // Limits of waitingQueue.
 const (
@@ -17,12 +13,6 @@
 	maxWaitTime         = 2 * time.Second
 )
 
-// receivedDatagram is a datagram as received from the data socket.
-type receivedDatagram struct {
-	*buffer.Buffer
-	earliestArrival time.Time // see flow.Packet.EarliestArrival
-}
-
 // waitingDatagram is a datagram that the decider could not decide yet.
 type waitingDatagram struct {
 	receivedDatagram
