Check the liveness lease again right before a flow's first delivery

What callers saw (TestCombinedFaults, once): a flow that was open at media-4 was admitted at media-1 too, 2 ms after media-1's agent had resumed from 8 s of suspension.

Cause: the agent checks its lease when it decides, then opens a socket and sends. A process that is suspended in between delivers the datagram when it resumes, although others have declared it dead and admitted the flow. Nothing noticed, since the stall shows at the next check only. A second hole: a lease that expired and was renewed before the next check looked uninterrupted.

Evidence: by a test that suspends the agent after each of its lease checks. The logs of the failure are gone, so that it was this window is concluded by exclusion: a datagram decided after the resumption is stale (the gap between checks exceeds 1 s, the lease has expired), and its search starts again.

Change: the socket is opened first; then Decider.ConfirmAdmission checks the lease, and since when it has been valid, with the current time, and the datagram is sent. A flow whose lease was interrupted is closed and its datagram searched for again. The check is repeated after the delivery: a suspension between the last check and the system call still lets this one datagram through, but the flow does not stay open.

--- a/flow/action.go
+++ b/flow/action.go
@@ -68,7 +68,10 @@
 	Service *catalog.Service // set for Deliver
 	Backend *catalog.Backend // set for Deliver
 	NewFlow bool             // Deliver: this datagram opened the flow
-	Hop     Hop              // set for Forward
-	Hint    Hop              // Deliver: if To is valid, also send it an empty datagram with Route
-	Reason  DropReason       // set for Drop
+	// Admitted: Deliver: the flow was opened on the choice of its arbiter, which is valid only while
+	// the agent is confirmed alive (see Decider.ConfirmAdmission).
+	Admitted bool
+	Hop      Hop        // set for Forward
+	Hint     Hop        // Deliver: if To is valid, also send it an empty datagram with Route
+	Reason   DropReason // set for Drop
 }
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -29,6 +29,10 @@
 	// instead, because other agents may have taken over. Nil means that the agent is always
 	// confirmed.
 	ConfirmedAlive func(now time.Time) bool
+	// ConfirmedSince returns the time since which ConfirmedAlive has been true without interruption,
+	// or was until its latest end. Other agents may have taken over before. Nil means that there was
+	// no interruption.
+	ConfirmedSince func() time.Time
 }
 
 // DefaultDecisionLifetime is the default of Options.DecisionLifetime.
@@ -107,6 +111,9 @@
 	if options.ConfirmedAlive == nil {
 		options.ConfirmedAlive = func(time.Time) bool { return true }
 	}
+	if options.ConfirmedSince == nil {
+		options.ConfirmedSince = func() time.Time { return time.Time{} }
+	}
 	return &Decider{
 		self:        self,
 		liveness:    liveness,
@@ -216,7 +223,22 @@
 
 // Tick detects stalls of the process from the time between calls, and times at which the agent is
 // not confirmed alive. It must be called at least ten times a second.
-func (d *Decider) Tick(now time.Time) { d.staleness.observe(now, d.options.ConfirmedAlive(now)) }
+func (d *Decider) Tick(now time.Time) {
+	d.staleness.observe(now, d.options.ConfirmedAlive(now), d.options.ConfirmedSince())
+}
+
+// ConfirmAdmission reports whether a datagram for which Handle opened a flow may be delivered. The
+// process may have been suspended since Handle, while other agents took over, so it must be called
+// with the current time immediately before the delivery, and again after it. If the result is
+// false, the flow is closed, and the datagram must be handled again.
+func (d *Decider) ConfirmAdmission(now time.Time, packet Packet) bool {
+	d.Tick(now)
+	if d.options.ConfirmedAlive(now) && !d.staleness.isStale(now, packet.EarliestArrival) {
+		return true
+	}
+	d.CloseFlow(packet.Key)
+	return false
+}
 
 // Handle decides what the agent does with one datagram.
 func (d *Decider) Handle(now time.Time, packet Packet) Action {
--- a/flow/search.go
+++ b/flow/search.go
@@ -143,7 +143,9 @@
 	if refused || !s.decider.mayAdmit(s.service, chosen) {
 		return s.refuse(chosen, identity)
 	}
-	return s.decider.openFlow(s.now, s.key, s.service, chosen)
+	action := s.decider.openFlow(s.now, s.key, s.service, chosen)
+	action.Admitted = true
+	return action
 }
 
 func (s *search) refuse(chosen int, identity backendIdentity) Action {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -214,12 +214,21 @@
 }
 
 func (s *simulation) handle(t *rapid.T, datagram datagramInTransit) {
+	s.execute(t, datagram, s.decide(datagram))
+}
+
+// decide returns the action of the datagram's agent, which gets the configuration that it needs.
+func (s *simulation) decide(datagram datagramInTransit) Action {
 	agent := s.agents[datagram.to]
 	action := agent.Handle(s.now, datagram.packet)
 	if action.Kind == AwaitRevision {
 		agent.SetSnapshot(s.history[datagram.packet.Route.Revision-1])
 		action = agent.Handle(s.now, datagram.packet)
 	}
+	return action
+}
+
+func (s *simulation) execute(t *rapid.T, datagram datagramInTransit, action Action) {
 	switch action.Kind {
 	case Forward:
 		s.enqueue(action.Hop, datagram.packet.Key)
--- a/flow/staleness.go
+++ b/flow/staleness.go
@@ -27,14 +27,17 @@
 }
 
 // observe records an observation of the process. confirmed states whether the agent is confirmed
-// alive; datagrams that arrive while it is not are stale.
-func (s *staleness) observe(now time.Time, confirmed bool) {
+// alive, and confirmedSince since when; datagrams that arrive while it is not are stale.
+func (s *staleness) observe(now time.Time, confirmed bool, confirmedSince time.Time) {
 	if !s.observedAt.IsZero() && now.Sub(s.observedAt) > stallThreshold {
 		s.staleUntil = now.Add(backlogWindow)
 	}
 	if !confirmed && s.staleUntil.Before(now) {
 		s.staleUntil = now
 	}
+	if confirmedSince.After(s.staleUntil) {
+		s.staleUntil = confirmedSince
+	}
 	s.observedAt = now
 }
 
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -29,6 +29,8 @@
 type stalledAgent struct {
 	stalledAt time.Time
 	inbox     []datagramInTransit
+	admission *datagramInTransit // datagram whose delivery the stall delays; nil if none
+	delivery  Action             // of the admission
 }
 
 // stallSimulation is a simulation in which agents stall at any step for any time and may be
@@ -100,12 +102,46 @@
 	}
 	stalled := s.stalled[agent]
 	delete(s.stalled, agent)
+	s.completeAdmission(t, stalled)
 	for _, datagram := range stalled.inbox {
 		datagram.packet.EarliestArrival = stalled.stalledAt
 		s.handle(t, datagram)
 	}
 }
 
+// stallInAdmission delivers a random datagram to a running agent. If the agent decides to admit its
+// flow, it stalls before the delivery.
+func (s *stallSimulation) stallInAdmission(t *rapid.T) {
+	datagram, found := s.dequeueAny(t)
+	if !found {
+		return
+	}
+	if s.stalled[datagram.to] != nil {
+		s.stalled[datagram.to].inbox = append(s.stalled[datagram.to].inbox, datagram)
+		return
+	}
+	datagram.packet.EarliestArrival = s.now
+	action := s.decide(datagram)
+	if !action.Admitted {
+		s.execute(t, datagram, action)
+		return
+	}
+	s.stalled[datagram.to] = &stalledAgent{stalledAt: s.now, admission: &datagram, delivery: action}
+}
+
+// completeAdmission delivers the datagram whose delivery the stall delayed, or handles it again.
+func (s *stallSimulation) completeAdmission(t *rapid.T, stalled *stalledAgent) {
+	admission := stalled.admission
+	if admission == nil {
+		return
+	}
+	if s.agents[admission.to].ConfirmAdmission(s.now, admission.packet) {
+		s.execute(t, *admission, stalled.delivery)
+		return
+	}
+	s.handle(t, *admission)
+}
+
 // heartbeat delivers a heartbeat of a running agent to its peers and the acknowledgement to the
 // agent.
 func (s *stallSimulation) heartbeat(t *rapid.T) {
@@ -122,8 +158,11 @@
 		return
 	}
 	s.dead[agent] = true
+	admission := s.stalled[agent].admission
 	for key := range s.agents[agent].flows {
-		s.lostFlows[key] = true
+		if admission == nil || admission.packet.Key != key {
+			s.lostFlows[key] = true
+		}
 	}
 }
 
@@ -172,18 +211,19 @@
 		s := newStallSimulation(t)
 		s.mayReopen = func(key Key) bool { return s.lostFlows[key] }
 		t.Repeat(map[string]func(*rapid.T){
-			"send":     s.send,
-			"send2":    s.send,
-			"arrive":   s.deliverAny,
-			"arrive2":  s.deliverAny,
-			"arrive3":  s.deliverAny,
-			"change":   s.change,
-			"pause":    s.stall,
-			"resume":   s.resume,
-			"hear":     s.heartbeat,
-			"declare":  s.declareDead,
-			"declare2": s.declareDead,
-			"pass":     s.advanceClock,
+			"send":               s.send,
+			"send2":              s.send,
+			"arrive":             s.deliverAny,
+			"arrive2":            s.deliverAny,
+			"arrive3":            s.deliverAny,
+			"change":             s.change,
+			"pause":              s.stall,
+			"pause in admission": s.stallInAdmission,
+			"resume":             s.resume,
+			"hear":               s.heartbeat,
+			"declare":            s.declareDead,
+			"declare2":           s.declareDead,
+			"pass":               s.advanceClock,
 			"lose": func(t *rapid.T) {
 				if len(s.network) > 0 {
 					s.network = s.network[1:]
--- a/internal/agent/coordination.go
+++ b/internal/agent/coordination.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/burlmill/burlmill/catalog"
 )
@@ -21,6 +22,9 @@
 	// SelfConfirmed reports whether the liveness lease of this process is valid. While it is, no
 	// other process of the region has declared this one dead, except across a network partition.
 	SelfConfirmed() bool
+	// ConfirmedSince returns the time since which the liveness lease has been valid without
+	// interruption, or was until it expired. It is zero if the lease has never been valid.
+	ConfirmedSince() time.Time
 	// AnnounceShutdown announces to all processes that this one accepts no new flows.
 	AnnounceShutdown()
 	// Shutdown sends the shutdown notice to all processes and closes the node.
--- a/internal/agent/datagram.go
+++ b/internal/agent/datagram.go
@@ -34,11 +34,12 @@
 	action := l.decider.Handle(now, packet)
 	switch action.Kind {
 	case flow.Deliver:
+		if action.Admitted {
+			l.admit(now, action, packet, entry)
+			return
+		}
 		datagram.Bytes = packet.Payload
 		l.deliver(action, packet, datagram)
-		if action.NewFlow {
-			l.logAdmission(now, packet, action)
-		}
 		l.sendHint(action.Hint, packet.Key)
 	case flow.Forward:
 		l.forward(action.Hop, packet)
@@ -55,9 +56,48 @@
 	}
 }
 
-// logAdmission logs that the datagram has opened a flow. decidedAt is the time of the decision.
-func (l *eventLoop) logAdmission(decidedAt time.Time, packet flow.Packet, action flow.Action) {
-	line, allowed := l.flowLog.Allow(log.InfoLevel, "flow-admitted")
+// admit delivers the first datagram of a flow that the decider has opened, unless the liveness lease
+// has been interrupted since the decision: other agents may then have admitted the flow. All steps
+// that can take long precede the last check before the delivery.
+func (l *eventLoop) admit(decidedAt time.Time, action flow.Action, packet flow.Packet, entry waitingDatagram) {
+	if err := l.prepare(action, packet); err != nil {
+		entry.Release()
+		l.drop(dropDeliveryFailed, err)
+		return
+	}
+	if !l.decider.ConfirmAdmission(time.Now(), packet) {
+		l.closeFlows([]flow.Key{packet.Key})
+		l.logAdmission("flow-withdrawn", decidedAt, packet, action)
+		l.enqueue(entry)
+		return
+	}
+	entry.Bytes = entry.Bytes[entry.headerLength:]
+	l.deliver(action, packet, entry.Buffer)
+	event := "flow-admitted"
+	if !l.decider.ConfirmAdmission(time.Now(), packet) {
+		event = "flow-withdrawn-late"
+		l.closeFlows([]flow.Key{packet.Key})
+	}
+	l.logAdmission(event, decidedAt, packet, action)
+}
+
+// prepare opens what the delivery of the flow's datagrams needs.
+func (l *eventLoop) prepare(action flow.Action, packet flow.Packet) error {
+	switch action.Service.Protocol {
+	case catalog.ProtocolUDP:
+		return l.udp.Open(packet.Key, action.Backend.Address, packet.Route.ReplyTo)
+	case catalog.ProtocolHTTP:
+		err := l.http.prepare(action, packet.Key, packet.Payload)
+		l.closeUnservedFlow(packet.Key, err)
+		return err
+	}
+	return nil
+}
+
+// logAdmission logs what became of a datagram that opened a flow. decidedAt is the time of the
+// decision.
+func (l *eventLoop) logAdmission(event string, decidedAt time.Time, packet flow.Packet, action flow.Action) {
+	line, allowed := l.flowLog.Allow(log.InfoLevel, event)
 	if !allowed {
 		return
 	}
@@ -71,7 +111,7 @@
 		"hops":         packet.Route.Hops,
 		"decision_age": time.Since(decidedAt),
 		"arrival_age":  time.Since(packet.EarliestArrival),
-		"confirmed":    l.coordination.SelfConfirmed(),
+		"lease_age":    time.Since(l.coordination.ConfirmedSince()),
 	})
 }
 
--- a/internal/agent/http_backends.go
+++ b/internal/agent/http_backends.go
@@ -84,6 +84,12 @@
 	return server.Deliver(key, from, payload)
 }
 
+// prepare starts the server that a datagram is for if it is not running.
+func (h *httpBackends) prepare(action flow.Action, key flow.Key, payload []byte) error {
+	_, err := h.serverFor(h.backend(action.Service, action.Backend), action, key, payload)
+	return err
+}
+
 // backend returns the entry of the back end and creates it if it does not exist.
 func (h *httpBackends) backend(service *catalog.Service, backend *catalog.Backend) *httpBackend {
 	key := backendKey{service.Name, backend.ServerID()}
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -143,6 +143,7 @@
 		IdleTimeout:      options.IdleTimeout,
 		DrainIdleTimeout: options.DrainIdleTimeout,
 		ConfirmedAlive:   func(time.Time) bool { return options.Coordination.SelfConfirmed() },
+		ConfirmedSince:   options.Coordination.ConfirmedSince,
 	})
 }
 
--- a/internal/agent/udpflow/udpflow.go
+++ b/internal/agent/udpflow/udpflow.go
@@ -51,19 +51,31 @@
 // replies are sent. It opens the flow if necessary. Errors are of kind fault.Unavailable
 // if the back end refuses datagrams or no socket can be opened, or fault.Invalid.
 func (f *Flows) Deliver(key flow.Key, backend netip.AddrPort, returnAddress netip.AddrPort, payload []byte) error {
-	target, err := f.flowFor(key, returnAddress)
+	target, err := f.openFlow(key, backend, returnAddress)
 	if err != nil {
 		return err
 	}
-	if err := target.connect(f.poller, backend); err != nil {
-		return err
-	}
 	if _, err := target.socket.Write(payload); err != nil {
 		return fault.Wrap(fault.Unavailable, err, "send to back end %s", backend)
 	}
 	return nil
 }
 
+// Open opens the flow if necessary, so that the next call of Deliver only sends. Errors are of kind
+// fault.Unavailable if no socket can be opened, or fault.Invalid.
+func (f *Flows) Open(key flow.Key, backend netip.AddrPort, returnAddress netip.AddrPort) error {
+	_, err := f.openFlow(key, backend, returnAddress)
+	return err
+}
+
+func (f *Flows) openFlow(key flow.Key, backend netip.AddrPort, returnAddress netip.AddrPort) (*udpFlow, error) {
+	target, err := f.flowFor(key, returnAddress)
+	if err != nil {
+		return nil, err
+	}
+	return target, target.connect(f.poller, backend)
+}
+
 func (f *Flows) flowFor(key flow.Key, returnAddress netip.AddrPort) (*udpFlow, error) {
 	if existing := f.open[key]; existing != nil {
 		existing.path.SetReturnAddress(returnAddress)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -59,12 +59,11 @@
 	stop         context.CancelFunc
 	workers      sync.WaitGroup
 	view         atomic.Pointer[view]
-	// confirmedUntil is the end of the liveness lease; never nil.
-	confirmedUntil atomic.Pointer[time.Time]
-	leaseHeld      bool // as of the latest call of logLease; used only by run
-	log            *logging.Limiter
-	watchActive    atomic.Bool  // set by storeWatcher
-	lastPullAt     atomic.Int64 // Unix time in nanoseconds of the latest Pull that sent requests
+	lease        atomic.Pointer[lease] // never nil
+	leaseHeld    bool                  // as of the latest call of logLease; used only by run
+	log          *logging.Limiter
+	watchActive  atomic.Bool  // set by storeWatcher
+	lastPullAt   atomic.Int64 // Unix time in nanoseconds of the latest Pull that sent requests
 
 	subscribersMutex sync.Mutex
 	subscribers      []func(*catalog.Snapshot)
@@ -100,7 +99,7 @@
 		context: ctx,
 		stop:    stop,
 	}
-	node.confirmedUntil.Store(new(time.Time))
+	node.lease.Store(&lease{})
 	node.view.Store(node.buildView())
 	node.storeWatcher = newStoreWatcher(node)
 	node.server = newServer(node, listener)
@@ -231,9 +230,13 @@
 // returns false after the node has stopped. It does not block, because the data path calls it for
 // each datagram.
 func (n *Node) SelfConfirmed() bool {
-	return n.context.Err() == nil && time.Now().Before(*n.confirmedUntil.Load())
+	return n.context.Err() == nil && time.Now().Before(n.lease.Load().until)
 }
 
+// ConfirmedSince returns the time since which the liveness lease has been valid without
+// interruption, or was until it expired. It is zero if the lease has never been valid.
+func (n *Node) ConfirmedSince() time.Time { return n.lease.Load().since }
+
 // Pull sends heartbeats to all neighbours to find one with a newer configuration, if the revision
 // is above the current one. Calls within minPullInterval after one that sent requests do nothing.
 func (n *Node) Pull(revision catalog.Revision) {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -42,11 +42,27 @@
 // MembershipVersion returns a number that changes whenever the result of Alive may have changed.
 func (n *Node) MembershipVersion() uint64 { return n.view.Load().version }
 
-// publishLease publishes the end of the liveness lease.
+// lease is the liveness lease of this process.
+type lease struct {
+	since time.Time // start of the latest uninterrupted validity; zero if it has never been valid
+	until time.Time // end of the validity
+}
+
+// renewed returns the lease with a new end, as of now.
+func (l lease) renewed(now, until time.Time) lease {
+	if until.After(now) && !l.until.After(now) {
+		l.since = now
+	}
+	l.until = until
+	return l
+}
+
+// publishLease publishes the liveness lease.
 func (n *Node) publishLease(now time.Time) {
 	until := n.decider.Members().ConfirmedUntil(now)
-	if !until.Equal(*n.confirmedUntil.Load()) {
-		n.confirmedUntil.Store(&until)
+	if current := *n.lease.Load(); !until.Equal(current.until) {
+		next := current.renewed(now, until)
+		n.lease.Store(&next)
 	}
 	n.logLease(now, until)
 }
