Drop datagrams that waited longer than 2 s in a socket or an inbox

What callers saw (TestPlannedChangesOnRealProcesses, race-built, 1 of 8 beside a load of 15 to 28): a short flow that had ended was opened again at another back end 8 s after its first datagram.

Cause: a datagram had waited for 6 s in the socket of a suspended balancer and then in the inboxes of overloaded agents. Its flow had expired meanwhile (idle timeout 6 s), so the datagram opened a new one.

Change: the socket reports how long a datagram waited in its buffer, by the kernel's time of arrival. Balancers drop it after 2 s, agents count the time in their inbox too; the agents' queue of datagrams that wait for a configuration had that limit already. The lower bound of the arrival cannot serve: under load, when the buffer is never empty, it falls behind.

TestLateDatagramOpensNoFlow and the new case of TestForwarderDrops fail on the old code.

--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -102,6 +102,13 @@
 
 // admit passes the agent a datagram of a new flow whose arbiter has chosen the agent's back end.
 func (a *admissionAgent) admit(t *testing.T, port uint16, payload string) {
+	t.Helper()
+	a.receive(t, port, payload, 0)
+	a.process.eventLoop.handleInbox()
+}
+
+// receive puts such a datagram, which has waited in the socket, into the inbox.
+func (a *admissionAgent) receive(t *testing.T, port uint16, payload string, waited time.Duration) {
 	t.Helper()
 	header, err := wire.FormatEnvelope(wire.Envelope{
 		Key:      flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("203.0.113.5"), port), Service: a.service.Address},
@@ -111,8 +118,7 @@
 	is.New(t).NoErr(err)
 	loop := a.process.eventLoop
 	receiver := &receiver{decoder: wire.NewDecoder(1), inbox: loop.inbox, metrics: loop.metrics, drops: loop.drops}
-	receiver.receive(append(header, payload...), netip.AddrPort{}, time.Now())
-	loop.handleInbox()
+	receiver.receive(append(header, payload...), netip.AddrPort{}, wire.Arrival{Earliest: time.Now(), Waited: waited})
 }
 
 func receive(t *testing.T, socket net.PacketConn) []byte {
@@ -164,3 +170,18 @@
 		})
 	}
 }
+
+// TestLateDatagramOpensNoFlow guards against a flow that has ended and is opened again, at any back
+// end, by a datagram that has waited in the socket of a stalled process or in the inbox.
+func TestLateDatagramOpensNoFlow(t *testing.T) {
+	is := is.New(t)
+	agent := startAdmissionAgent(t)
+	agent.coordination.held = true
+	agent.receive(t, 1, "late in the socket", maxWaitTime+time.Second)
+	agent.receive(t, 2, "late in the inbox", maxWaitTime)
+	time.Sleep(time.Millisecond)
+	agent.process.eventLoop.handleInbox()
+	is.Equal(agent.process.eventLoop.decider.FlowCount(), 0)
+	agent.admit(t, 3, "marker")
+	is.Equal(string(receive(t, agent.backend)), "marker")
+}
--- a/internal/agent/event_loop.go
+++ b/internal/agent/event_loop.go
@@ -98,6 +98,11 @@
 			return
 		}
 		now := time.Now()
+		if now.Sub(datagram.arrivedAt) > maxWaitTime {
+			datagram.Release()
+			l.drop(dropWaitTimeout, nil)
+			continue
+		}
 		l.dispatch(now, waitingDatagram{datagram, now})
 	}
 	l.inbox.signal()
--- a/internal/agent/inbox.go
+++ b/internal/agent/inbox.go
@@ -38,6 +38,7 @@
 	envelope        wire.Envelope
 	headerLength    int
 	earliestArrival time.Time // see flow.Packet.EarliestArrival
+	arrivedAt       time.Time // see wire.Arrival.Waited
 	readUntil       time.Time // see flow.Packet.ReadUntil; set by inbox.take
 }
 
@@ -135,8 +136,12 @@
 }
 
 // receive implements wire.Receiver.
-func (r *receiver) receive(datagram []byte, _ netip.AddrPort, arrived time.Time) {
+func (r *receiver) receive(datagram []byte, _ netip.AddrPort, arrival wire.Arrival) {
 	r.metrics.received.Inc()
+	if arrival.Waited > maxWaitTime {
+		r.drops.record(dropWaitTimeout, nil)
+		return
+	}
 	envelope, headerLength, err := r.decoder.Decode(datagram)
 	if err == nil && !envelope.HasRoute {
 		err = fault.New(fault.Invalid, "datagram of %v without a route", envelope.Key.Caller)
@@ -149,7 +154,8 @@
 		Buffer:          buffer.Join(datagram),
 		envelope:        envelope,
 		headerLength:    headerLength,
-		earliestArrival: arrived,
+		earliestArrival: arrival.Earliest,
+		arrivedAt:       time.Now().Add(-arrival.Waited),
 	}
 	if !r.inbox.put(received) {
 		received.Release()
--- a/internal/agent/waiting_queue.go
+++ b/internal/agent/waiting_queue.go
@@ -10,7 +10,9 @@
 const (
 	maxWaitingDatagrams = 1024
 	maxWaitingBytes     = 1 << 20 // total size of the datagrams including their headers
-	maxWaitTime         = 2 * time.Second
+	// maxWaitTime is the time after which a datagram is dropped that waits in the socket, in the
+	// inbox or in the queue. A later one might open a flow again that has ended.
+	maxWaitTime = 2 * time.Second
 )
 
 // waitingDatagram is a datagram that the decider could not decide yet.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -118,10 +118,10 @@
 
 // receive handles one datagram from the data socket. It drops datagrams that arrive before the
 // forwarder is set.
-func (b *balancer) receive(datagram []byte, from netip.AddrPort, _ time.Time) {
+func (b *balancer) receive(datagram []byte, from netip.AddrPort, arrival wire.Arrival) {
 	b.received.Add(1)
 	if forwarder := b.forwarder.Load(); forwarder != nil {
-		forwarder.receive(datagram, from)
+		forwarder.receive(datagram, from, arrival.Waited)
 	}
 }
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -37,7 +37,7 @@
 	is.NoErr(err)
 	defer storeServer.Close()
 	arrived := make(chan wire.Envelope, 100)
-	agent := listenLoopback(t, func(datagram []byte, _ netip.AddrPort, _ time.Time) {
+	agent := listenLoopback(t, func(datagram []byte, _ netip.AddrPort, _ wire.Arrival) {
 		if envelope, _, err := wire.ParseEnvelope(datagram); err == nil {
 			arrived <- envelope
 		}
@@ -66,7 +66,7 @@
 	go func() { stopped <- Run(ctx, options) }()
 	awaitOK(t, "http://"+options.Node.MetricsAddress.String()+"/readyz")
 
-	fabric := listenLoopback(t, func([]byte, netip.AddrPort, time.Time) {})
+	fabric := listenLoopback(t, func([]byte, netip.AddrPort, wire.Arrival) {})
 	key := flow.Key{Caller: callerAt(1), Service: udpAddress}
 	datagram := datagramOf(t, wire.Envelope{Key: key}, []byte("hello"))
 	sendUntil(t, fabric, options.Node.DataAddress, datagram, arrived)
--- a/internal/balancer/drops.go
+++ b/internal/balancer/drops.go
@@ -26,6 +26,7 @@
 	dropNoBackend:      "drop-no-back-end",
 	dropOversize:       "drop-oversize",
 	dropSendError:      "drop-send-error",
+	dropWaitTimeout:    "drop-waited-long",
 }
 
 // dropLog logs dropped datagrams and failed streams at a bounded rate.
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
@@ -79,18 +80,31 @@
 	}
 }
 
-// receive forwards one datagram from a fabric and updates the metrics. It logs drops.
-func (f *forwarder) receive(datagram []byte, from netip.AddrPort) {
+// maxWaitTime is the time after which a datagram is dropped that waits in the socket while the
+// process is stalled. A later one might open a flow again that has ended.
+const maxWaitTime = 2 * time.Second
+
+// receive forwards one datagram from a fabric, which has spent the time waited in the socket, and
+// updates the metrics. It logs drops.
+func (f *forwarder) receive(datagram []byte, from netip.AddrPort, waited time.Duration) {
 	f.metrics.received.Inc()
+	if waited > maxWaitTime {
+		f.drop(dropWaitTimeout, fault.New(fault.Deadline, "datagram waited %v, limit %v", waited, maxWaitTime), from)
+		return
+	}
 	reason, err := f.forward(datagram, from)
 	if err != nil {
-		f.metrics.dropped[reason].Inc()
-		f.drops.log(reason, err, from)
+		f.drop(reason, err, from)
 		return
 	}
 	f.metrics.sent.Inc()
 }
 
+func (f *forwarder) drop(reason dropReason, err error, from netip.AddrPort) {
+	f.metrics.dropped[reason].Inc()
+	f.drops.log(reason, err, from)
+}
+
 // forward sends the datagram to its first hop. The reason is meaningful only if the error is not
 // nil.
 func (f *forwarder) forward(datagram []byte, from netip.AddrPort) (dropReason, error) {
--- a/internal/balancer/forwarder_bench_test.go
+++ b/internal/balancer/forwarder_bench_test.go
@@ -47,9 +47,9 @@
 	datagrams := benchmarkDatagrams(b, &service, size)
 
 	var plain, balancing *measuredSocket
-	plain = listenMeasured(b, func(datagram []byte, _ netip.AddrPort, _ time.Time) { _ = plain.socket.Send(datagram, sink) })
+	plain = listenMeasured(b, func(datagram []byte, _ netip.AddrPort, _ wire.Arrival) { _ = plain.socket.Send(datagram, sink) })
 	var handler *forwarder
-	balancing = listenMeasured(b, func(datagram []byte, from netip.AddrPort, _ time.Time) { handler.receive(datagram, from) })
+	balancing = listenMeasured(b, func(datagram []byte, from netip.AddrPort, _ wire.Arrival) { handler.receive(datagram, from, 0) })
 	handler = newTestForwarder(configuration, balancing.socket, 2*benchmarkSenders*benchmarkFlows)
 
 	plain.measureRound(b, datagrams)
@@ -93,7 +93,7 @@
 
 func listenMeasured(b *testing.B, receive wire.Receiver) *measuredSocket {
 	measured := &measuredSocket{}
-	socket, err := wire.Listen(anyLoopback, func(datagram []byte, from netip.AddrPort, arrived time.Time) {
+	socket, err := wire.Listen(anyLoopback, func(datagram []byte, from netip.AddrPort, arrived wire.Arrival) {
 		receive(datagram, from, arrived)
 		measured.handled.Add(1)
 	})
@@ -143,7 +143,7 @@
 
 // startSink returns the address of a socket that discards all datagrams.
 func startSink(b *testing.B) netip.AddrPort {
-	socket, err := wire.Listen(anyLoopback, func([]byte, netip.AddrPort, time.Time) {})
+	socket, err := wire.Listen(anyLoopback, func([]byte, netip.AddrPort, wire.Arrival) {})
 	is.New(b).NoErr(err)
 	b.Cleanup(func() { _ = socket.Close() })
 	return socket.LocalAddress()
--- a/internal/balancer/forwarder_test.go
+++ b/internal/balancer/forwarder_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/netip"
 	"testing"
+	"time"
 
 	nbio "github.com/lesismal/nbio/logging"
 	"github.com/matryer/is"
@@ -166,7 +167,7 @@
 				header, err := wire.FormatEnvelope(wire.Envelope{Key: key})
 				is.NoErr(err)
 				*sender = fakeSender{}
-				forwarder.receive(append(header, payload...), from)
+				forwarder.receive(append(header, payload...), from, 0)
 				expected, err := flow.FirstHop(configuration.snapshot, configuration, key, payload)
 				if err != nil {
 					is.Equal(sender.datagram, nil)
@@ -191,6 +192,7 @@
 		datagram []byte
 		dead     bool
 		failure  error
+		waited   time.Duration
 		reason   dropReason
 	}{
 		"no header":        {datagram: []byte("hello"), reason: dropInvalidHeader},
@@ -199,6 +201,7 @@
 		"no live back end": {datagram: datagramOf(t, valid, nil), dead: true, reason: dropNoBackend},
 		"too long":         {datagram: datagramOf(t, valid, make([]byte, wire.MaxDatagramBytes-30)), reason: dropOversize},
 		"send fails":       {datagram: datagramOf(t, valid, nil), failure: fault.New(fault.Unavailable, "refused"), reason: dropSendError},
+		"waited too long":  {datagram: datagramOf(t, valid, nil), waited: maxWaitTime + 1, reason: dropWaitTimeout},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -209,7 +212,7 @@
 			}
 			forwarder := newTestForwarder(configuration, &fakeSender{err: test.failure}, 10)
 			for range 3 {
-				forwarder.receive(test.datagram, fabric)
+				forwarder.receive(test.datagram, fabric, test.waited)
 			}
 			is.Equal(testutil.ToFloat64(forwarder.metrics.received), 3.0)
 			is.Equal(testutil.ToFloat64(forwarder.metrics.sent), 0.0)
@@ -234,7 +237,7 @@
 		datagramOf(t, wire.Envelope{Key: flow.Key{Caller: callerAt(1), Service: httpAddress}}, quicPayload(&services[1].Backends[3])),
 	}
 	for _, datagram := range datagrams {
-		is.Equal(testing.AllocsPerRun(1000, func() { forwarder.receive(datagram, fabric) }), 0.0)
+		is.Equal(testing.AllocsPerRun(1000, func() { forwarder.receive(datagram, fabric, 0) }), 0.0)
 	}
 }
 
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -18,6 +18,7 @@
 	dropNoBackend                        // the service has no live back end
 	dropOversize                         // exceeds the size limit once the route is added to its header
 	dropSendError                        // the sender returned an error
+	dropWaitTimeout                      // waited in the socket for more than maxWaitTime
 	dropReasonCount
 )
 
@@ -28,6 +29,7 @@
 	dropNoBackend:      "no-back-end",
 	dropOversize:       "oversize",
 	dropSendError:      "send-error",
+	dropWaitTimeout:    "waited-long",
 }
 
 const subsystem = "balancer"
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -98,7 +98,7 @@
 	if err := a.open(); err != nil {
 		return err
 	}
-	dataSocket, err := wire.Listen(a.settings.Node.DataAddress, func([]byte, netip.AddrPort, time.Time) {})
+	dataSocket, err := wire.Listen(a.settings.Node.DataAddress, func([]byte, netip.AddrPort, wire.Arrival) {})
 	if err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 }
 
 // receiveBackend handles a datagram that the back end has sent. The socket calls it.
-func (a *agent) receiveBackend(bytes []byte, from netip.AddrPort, _ time.Time) {
+func (a *agent) receiveBackend(bytes []byte, from netip.AddrPort, _ wire.Arrival) {
 	if a.outboundSocket.Load() == nil {
 		return
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -139,7 +139,7 @@
 }
 
 // receiveCaller handles a datagram from a caller. The socket calls it.
-func (b *balancer) receiveCaller(bytes []byte, from netip.AddrPort, _ time.Time) {
+func (b *balancer) receiveCaller(bytes []byte, from netip.AddrPort, _ wire.Arrival) {
 	if b.dataSocket.Load() == nil {
 		return
 	}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
+	"github.com/burlmill/burlmill/internal/wire"
 	"github.com/burlmill/burlmill/presence"
 	"github.com/burlmill/burlmill/routing"
 )
@@ -190,7 +191,7 @@
 		// time.AfterFunc under synctest can crash the race detector, so a goroutine sleeps instead.
 		go func() {
 			time.Sleep(peerDelay)
-			receiver.receivePeerDatagram(datagram, s.from.address, time.Time{})
+			receiver.receivePeerDatagram(datagram, s.from.address, wire.Arrival{})
 		}()
 	}
 	return nil
--- a/internal/relay/incarnations_test.go
+++ b/internal/relay/incarnations_test.go
@@ -27,7 +27,7 @@
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Service: "lessons", FlowLifetime: time.Minute, ReportInterval: time.Second})
 	a.decider = a
-	peerConn, err := wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, time.Time) {})
+	peerConn, err := wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, wire.Arrival) {})
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = peerConn.Close() })
 	a.peerConn = peerConn
--- a/internal/relay/peer_messages.go
+++ b/internal/relay/peer_messages.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/internal/wire"
 )
 
 // sendStatuses sends this process's status to all peers for which one is due. The lock is held.
@@ -89,7 +90,7 @@
 }
 
 // receivePeerDatagram handles a datagram from another process. The socket calls it.
-func (n *node) receivePeerDatagram(datagram []byte, from netip.AddrPort, _ time.Time) {
+func (n *node) receivePeerDatagram(datagram []byte, from netip.AddrPort, _ wire.Arrival) {
 	n.metrics.peerDatagrams.Inc()
 	now := time.Now()
 	message, err := Decode(now, datagram)
--- a/internal/relay/skipped_test.go
+++ b/internal/relay/skipped_test.go
@@ -46,7 +46,7 @@
 	a.peers.HandleStatus(time.Now(), netip.MustParseAddrPort("10.0.0.2:1"),
 		handshake.Status{Role: presence.RoleBalancer, Version: 5, Incarnation: 1, Interval: time.Hour})
 	a.decider = a
-	a.peerConn, err = wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, time.Time) {})
+	a.peerConn, err = wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, wire.Arrival) {})
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = a.peerConn.Close() })
 	return a
--- a/internal/wire/datagram_reader_linux.go
+++ b/internal/wire/datagram_reader_linux.go
@@ -1,5 +1,5 @@
-// This file reads batches of datagrams and their senders' addresses from a UDP socket with
-// recvmmsg, without allocating, and reports when the socket buffer is empty.
+// This file reads batches of datagrams, their senders' addresses and arrival times from a UDP socket
+// with recvmmsg, without allocating, and reports when the socket buffer is empty.
 
 package wire
 
@@ -28,8 +28,15 @@
 	buffers    [maxBatch][]byte
 	vectors    [maxBatch]unix.Iovec
 	sources    [maxBatch]unix.RawSockaddrAny
+	controls   [maxBatch][controlBytes]byte
 }
 
+const (
+	timestampBytes = int(unsafe.Sizeof(unix.Timespec{}))
+	// controlBytes is the space for the control message with the arrival time.
+	controlBytes = 64
+)
+
 // mmsghdr is the kernel's mmsghdr.
 type mmsghdr struct {
 	header unix.Msghdr
@@ -43,6 +50,10 @@
 		return err
 	}
 	r.descriptor = descriptor
+	// Best effort: without it, arrival times are unknown.
+	_ = descriptor.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
+	})
 	for i := range r.messages {
 		r.buffers[i] = make([]byte, MaxDatagramBytes+1) // one byte more, to detect longer datagrams
 		r.vectors[i].Base = unsafe.SliceData(r.buffers[i])
@@ -51,20 +62,25 @@
 		header.Iov = &r.vectors[i]
 		header.SetIovlen(1)
 		header.Name = (*byte)(unsafe.Pointer(&r.sources[i]))
+		header.Control = &r.controls[i][0]
 	}
 	return nil
 }
 
+// deliverFunc handles one datagram. arrivedAt is zero if it is unknown. It returns false if no more
+// datagrams are to be read.
+type deliverFunc func(datagram []byte, from netip.AddrPort, arrivedAt time.Time) bool
+
 // run reads until the connection is closed, its deadline passes or deliver returns false. The
 // datagram passed to deliver is valid only during the call. run calls onEmpty with the start time
 // of each system call that shows that the socket buffer is empty.
-func (r *datagramReader) run(deliver func(datagram []byte, from netip.AddrPort) bool, onEmpty func(time.Time)) {
+func (r *datagramReader) run(deliver deliverFunc, onEmpty func(time.Time)) {
 	// An error means that the connection is closed or its deadline has passed.
 	_ = r.descriptor.Read(func(descriptor uintptr) bool { return !r.drain(descriptor, deliver, onEmpty) })
 }
 
 // drain reads until the socket buffer is empty. It returns false if deliver does.
-func (r *datagramReader) drain(descriptor uintptr, deliver func([]byte, netip.AddrPort) bool, onEmpty func(time.Time)) bool {
+func (r *datagramReader) drain(descriptor uintptr, deliver deliverFunc, onEmpty func(time.Time)) bool {
 	for {
 		startedAt := time.Now()
 		count, errno := r.receive(descriptor)
@@ -77,7 +93,7 @@
 			return true
 		}
 		for i := range count {
-			if !deliver(r.buffers[i][:r.messages[i].length], senderAddress(&r.sources[i])) {
+			if !deliver(r.buffers[i][:r.messages[i].length], senderAddress(&r.sources[i]), r.arrivedAt(i)) {
 				return false
 			}
 		}
@@ -92,12 +108,24 @@
 func (r *datagramReader) receive(descriptor uintptr) (count int, errno syscall.Errno) {
 	for i := range r.messages {
 		r.messages[i].header.Namelen = unix.SizeofSockaddrAny
+		r.messages[i].header.SetControllen(controlBytes)
 	}
 	received, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, descriptor,
 		uintptr(unsafe.Pointer(&r.messages[0])), maxBatch, unix.MSG_DONTWAIT, 0, 0)
 	return int(received), errno
 }
 
+// arrivedAt returns the arrival time of a datagram of the latest batch, zero if it is unknown.
+func (r *datagramReader) arrivedAt(index int) time.Time {
+	control := r.controls[index][:r.messages[index].header.Controllen]
+	header, data, _, err := unix.ParseOneSocketControlMessage(control)
+	if err != nil || header.Level != unix.SOL_SOCKET || header.Type != unix.SO_TIMESTAMPNS || len(data) < timestampBytes {
+		return time.Time{}
+	}
+	timestamp := (*unix.Timespec)(unsafe.Pointer(unsafe.SliceData(data)))
+	return time.Unix(timestamp.Unix())
+}
+
 // senderAddress converts a socket address to the sender's address and port.
 func senderAddress(source *unix.RawSockaddrAny) netip.AddrPort {
 	if source.Addr.Family == unix.AF_INET {
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -1,5 +1,5 @@
 // This file contains the UDP socket, which sends datagrams and passes received ones to a receiver
-// with a lower bound of their arrival time. It rejects datagrams that are too long to send.
+// with their arrival. It rejects datagrams that are too long to send.
 
 package wire
 
@@ -19,9 +19,17 @@
 const socketBufferSize = 4 << 20
 
 // Receiver handles one received datagram. The bytes are valid only during the call.
-// arrived is a lower bound of the arrival time: the latest known time at which the
-// socket buffer was empty.
-type Receiver func(datagram []byte, from netip.AddrPort, arrived time.Time)
+type Receiver func(datagram []byte, from netip.AddrPort, arrival Arrival)
+
+// Arrival states when a datagram arrived at the socket.
+type Arrival struct {
+	// Earliest is a lower bound of the arrival time: the latest known time at which the socket
+	// buffer was empty.
+	Earliest time.Time
+	// Waited is the time that the datagram spent in the socket buffer, by the system's clock: a step
+	// of that clock may change it, but not beyond the time since Earliest. 0 if it is unknown.
+	Waited time.Duration
+}
 
 // Socket is a UDP socket. Send may be called from any goroutine.
 //
@@ -123,12 +131,22 @@
 }
 
 // deliver passes one datagram to the receiver. It reports whether the socket is still open.
-func (s *Socket) deliver(datagram []byte, from netip.AddrPort) bool {
+// arrivedAt is the arrival time by the system's clock, zero if unknown.
+func (s *Socket) deliver(datagram []byte, from netip.AddrPort, arrivedAt time.Time) bool {
 	s.receiving.Store(true)
 	defer s.receiving.Store(false)
 	if !s.open.Load() {
 		return false
 	}
-	s.receive(datagram, from, s.lastEmptyAt)
+	s.receive(datagram, from, s.arrival(arrivedAt))
 	return s.open.Load()
 }
+
+func (s *Socket) arrival(arrivedAt time.Time) Arrival {
+	arrival := Arrival{Earliest: s.lastEmptyAt}
+	if !arrivedAt.IsZero() {
+		now := time.Now()
+		arrival.Waited = min(max(now.Sub(arrivedAt), 0), now.Sub(s.lastEmptyAt))
+	}
+	return arrival
+}
--- a/internal/wire/socket_test.go
+++ b/internal/wire/socket_test.go
@@ -32,7 +32,7 @@
 func listen(t testing.TB, address string) (*Socket, chan received) {
 	t.Helper()
 	channel := make(chan received, 1000)
-	socket, err := Listen(netip.MustParseAddrPort(address), func(datagram []byte, from netip.AddrPort, _ time.Time) {
+	socket, err := Listen(netip.MustParseAddrPort(address), func(datagram []byte, from netip.AddrPort, _ Arrival) {
 		channel <- received{bytes.Clone(datagram), from}
 	})
 	is.New(t).NoErr(err)
@@ -98,7 +98,7 @@
 
 func sendToSelf(t *testing.T, sent []byte) {
 	arrived := make(chan received, 10)
-	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(datagram []byte, from netip.AddrPort, _ time.Time) {
+	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(datagram []byte, from netip.AddrPort, _ Arrival) {
 		arrived <- received{bytes.Clone(datagram), from}
 	})
 	if err != nil {
