quicserver: complete handshakes in progress before closing the listener

What callers saw (TestStoreOutage, once): 1 of 770 requests got CONNECTION_REFUSED while agents were restarted one by one.

Cause: http3.Server.Shutdown returns at once if no connection has been accepted, and the server then closed its listener. quic-go refuses the callers whose handshake is in progress; they are not counted as connections.

Change: the server counts the handshakes in progress. At the end of Shutdown it ignores datagrams that start a connection, whose callers repeat them and reach another agent, and waits for the handshakes; their callers then get a refusal that is true. quic-go bounds the duration of a handshake.

--- a/internal/agent/quicserver/caller_paths.go
+++ b/internal/agent/quicserver/caller_paths.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/burlmill/burlmill/flow"
@@ -20,6 +21,7 @@
 	address      *net.UDPAddr // the caller's address in the form that quic-go uses
 	connections  int          // open connections that started from this address
 	lastClosedAt time.Time    // time at which the latest of them closed; zero if none has
+	handshakes   atomic.Int64 // connections from this address whose handshake is in progress
 }
 
 // callerPaths holds the return paths of all callers of one back end. It is safe for
@@ -27,6 +29,8 @@
 type callerPaths struct {
 	mutex    sync.RWMutex
 	byCaller map[netip.AddrPort]*callerPath
+
+	handshakes atomic.Int64 // connections whose handshake is in progress
 }
 
 // recordArrival records that a datagram of the flow was received from the fabric address,
@@ -63,13 +67,16 @@
 	}
 }
 
-// connectionOpened counts a connection that started from the caller's address.
-func (c *callerPaths) connectionOpened(caller netip.AddrPort) {
+// connectionOpened counts a connection that started from the caller's address and returns the
+// caller's path, nil if it has been removed.
+func (c *callerPaths) connectionOpened(caller netip.AddrPort) *callerPath {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if path := c.byCaller[caller]; path != nil {
+	path := c.byCaller[caller]
+	if path != nil {
 		path.connections++
 	}
+	return path
 }
 
 // connectionClosed removes a connection from the count and records when it closed.
--- a/internal/agent/quicserver/packet_conn.go
+++ b/internal/agent/quicserver/packet_conn.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// queued returns the number of datagrams that quic-go has not read yet.
+func (p *packetConn) queued() int { return len(p.queue) }
+
 // ReadFrom waits for the next datagram. It returns os.ErrDeadlineExceeded after the
 // read deadline and net.ErrClosed after Close.
 func (p *packetConn) ReadFrom(into []byte) (int, net.Addr, error) {
--- a/internal/agent/quicserver/server.go
+++ b/internal/agent/quicserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -48,6 +49,7 @@
 
 // Server is the HTTP/3 server of one back end.
 type Server struct {
+	serverID      uint32
 	generation    uint8
 	paths         *callerPaths
 	packets       *packetConn
@@ -57,6 +59,8 @@
 	server        *http3.Server
 	refusalServer *http3.Server // serves connections that are opened during Shutdown
 	acceptDone    chan struct{} // closed when the accept loop has returned
+
+	ignoreNewConnections atomic.Bool // set at the end of Shutdown
 }
 
 // Start creates a server and starts serving. Errors are of kind fault.Internal.
@@ -64,6 +68,7 @@
 	paths := &callerPaths{byCaller: map[netip.AddrPort]*callerPath{}}
 	packets := newPacketConn(options.Service, options.Sender, paths)
 	started := &Server{
+		serverID:   options.ServerID,
 		generation: options.Generation,
 		paths:      paths,
 		packets:    packets,
@@ -96,6 +101,7 @@
 func newHTTPServer(handler http.Handler, idleTimeout time.Duration) *http3.Server {
 	return &http3.Server{
 		Handler:     handler,
+		ConnContext: awaitHandshake,
 		IdleTimeout: idleTimeout,
 		Logger:      slog.New(slog.DiscardHandler),
 	}
@@ -118,15 +124,23 @@
 		return nil, fault.New(fault.Internal, "unsupported caller address %v", client.RemoteAddr)
 	}
 	caller := address.AddrPort()
-	c.connectionOpened(caller)
+	path := c.connectionOpened(caller)
 	context.AfterFunc(ctx, func() { c.connectionClosed(time.Now(), caller) })
-	return ctx, nil
+	if path == nil {
+		return ctx, nil
+	}
+	return c.withHandshake(ctx, path), nil
 }
 
 // Deliver queues one datagram of the flow, received from the fabric address, and
 // takes ownership of its buffer. Errors are of kind fault.Overloaded if the receive
-// queue is full, or fault.Invalid.
+// queue is full, fault.Unavailable if the datagram starts a connection at the end of
+// Shutdown, or fault.Invalid.
 func (s *Server) Deliver(key flow.Key, from netip.AddrPort, payload *buffer.Buffer) error {
+	if s.ignoreNewConnections.Load() && s.startsConnection(key, payload.Bytes) {
+		payload.Release()
+		return fault.New(fault.Unavailable, "server of service %s is shutting down", key.Service)
+	}
 	path, err := s.paths.recordArrival(key, from)
 	if err != nil {
 		payload.Release()
@@ -151,7 +165,8 @@
 }
 
 // Shutdown refuses new requests, sends GOAWAY to the callers, waits for running
-// requests and for callers to close their connections, and then closes the server.
+// requests, for callers to close their connections and for the handshakes in
+// progress, and then closes the server.
 // If the context ends first, running requests are aborted and the error is of kind
 // fault.Deadline.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -165,6 +180,9 @@
 		cancelIdle()
 	}()
 	s.requests.waitIdle(idleContext, goAwayGrace)
+	if s.completeHandshakes(ctx) {
+		s.requests.waitIdle(idleContext, goAwayGrace)
+	}
 	running := s.requests.running()
 	cancelShutdown()
 	<-shutdownDone
