flow: keep only hints that are used, and update stored ones

A search that began at another agent extended the lifetime of a hint that it did not use, and an agent with the maximum number of hints dropped updates of those it had. Both were listed as suspected; TestUnusedHintExpires and TestStoredHintIsUpdatedAtTheLimit fail on the old code.

--- a/flow/hint.go
+++ b/flow/hint.go
@@ -60,13 +60,13 @@
 }
 
 // storeHint stores a received hint. It ignores hints that refer to another revision of the service,
-// and all hints while maxHints are stored.
+// and those of further flows while maxHints are stored.
 func (d *Decider) storeHint(now time.Time, packet Packet, service *catalog.Service) {
 	chosen := packet.Route.Chosen
 	if packet.Route.Revision != service.Revision || chosen < 0 || chosen >= len(service.Backends) {
 		return
 	}
-	if len(d.hints.entries) >= maxHints {
+	if _, stored := d.hints.entries[packet.Key]; !stored && len(d.hints.entries) >= maxHints {
 		return
 	}
 	d.hints.put(now, packet.Key, identityOf(service, &service.Backends[chosen]))
--- a/flow/hint_test.go
+++ b/flow/hint_test.go
@@ -109,3 +109,44 @@
 	}
 	is.True(m.hintsSent <= 1+int(20*datagramInterval/hintRetryInterval))
 }
+
+// TestUnusedHintExpires guards against a hint whose lifetime is extended by searches that have begun
+// at another agent and do not use it.
+func TestUnusedHintExpires(t *testing.T) {
+	is := is.New(t)
+	decider, service, key := newHintedDecider(t)
+	expiry := time.Unix(0, 0).Add(hintLifetime)
+	for now := time.Unix(0, 0); now.Before(expiry); now = now.Add(stallThreshold / 2) {
+		route := Route{Revision: 1, Step: StepSearch, Hops: 2, Visited: BackendSet(0).With(1), Chosen: NoBackend}
+		decider.Handle(now, Packet{Key: key, Route: route})
+	}
+	search := search{decider: decider, now: expiry, service: service, key: key}
+	is.Equal(search.hintedBackend(), NoBackend)
+}
+
+// TestStoredHintIsUpdatedAtTheLimit guards against a hint that keeps an earlier back end because the
+// agent stores the maximum number of hints.
+func TestStoredHintIsUpdatedAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	decider, service, key := newHintedDecider(t)
+	for i := len(decider.hints.entries); i < maxHints; i++ {
+		decider.hints.put(time.Unix(0, 0), Key{Caller: address("198.51.100.%d:%d", i>>16, i&0xffff), Service: key.Service}, backendIdentity{})
+	}
+	decider.Handle(time.Unix(0, 0), Packet{Key: key, Route: Route{Revision: 1, Step: StepHint, Chosen: 2}})
+	search := search{decider: decider, now: time.Unix(0, 0), service: service, key: key}
+	is.Equal(search.hintedBackend(), 2)
+}
+
+// newHintedDecider returns the decider of the first of three agents, which has stored a hint that the
+// second one has the flow.
+func newHintedDecider(t *testing.T) (*Decider, *catalog.Service, Key) {
+	t.Helper()
+	service := testService(testBackend(1, "new"), testBackend(2, "new"), testBackend(3, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.New(t).NoErr(err)
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{IdleTimeout: time.Minute})
+	decider.SetSnapshot(snapshot)
+	key := Key{Caller: address("203.0.113.7:1"), Service: service.Address}
+	decider.Handle(time.Unix(0, 0), Packet{Key: key, Route: Route{Revision: 1, Step: StepHint, Chosen: 1}})
+	return decider, snapshot.ServiceAt(service.Address), key
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -49,8 +49,10 @@
 func (s *search) forwardToNext() Action {
 	isFirstAgent := s.route.Visited == 0
 	s.route.Visited |= s.ownBackends
-	if hinted := s.hintedBackend(); isFirstAgent && hinted != NoBackend {
-		return s.forward(hinted, StepSearch)
+	if isFirstAgent {
+		if hinted := s.hintedBackend(); hinted != NoBackend {
+			return s.forward(hinted, StepSearch)
+		}
 	}
 	next := nextUnvisited(s.service, s.candidateOrder(), s.decider.liveness, s.route.Visited)
 	if next == NoBackend {
