--- a/flow/action.go
+++ b/flow/action.go
@@ -68,8 +68,8 @@
 	Service *catalog.Service // set for Deliver
 	Backend *catalog.Backend // set for Deliver
 	NewFlow bool             // Deliver: this datagram opened the flow
-	// Admitted: Deliver: the flow was opened on the choice of its arbiter, which is valid only while
-	// the agent is confirmed alive (see Decider.ConfirmAdmission).
+	// Admitted is set for Deliver if this datagram opened the flow on the choice of its arbiter,
+	// which is valid only while the agent is confirmed alive (see Decider.ConfirmAdmission).
 	Admitted bool
 	Hop      Hop        // set for Forward
 	Hint     Hop        // Deliver: if To is valid, also send it an empty datagram with Route
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -74,7 +74,10 @@
 		return
 	}
 	n.leaseHeld = held
-	fields := log.Fields{"node": n.options.Node.ID, "remaining": until.Sub(now)}
+	fields := log.Fields{"node": n.options.Node.ID}
+	if !until.IsZero() { // there are enough confirmations, of any age
+		fields["remaining"] = until.Sub(now)
+	}
 	if held {
 		n.log.Log(log.InfoLevel, "lease-acquired", fields)
 		return
