--- a/internal/wire/arrival_test.go
+++ b/internal/wire/arrival_test.go
@@ -90,3 +90,14 @@
 	}
 	is.True(waited >= blockedTime)
 }
+
+// TestArrivalWithoutTimestamp guards against a reader that fails on a system that does not report
+// arrival times: it leaves the control buffer empty or its length unchanged.
+func TestArrivalWithoutTimestamp(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []int{0, 1, controlBytes, 2 * controlBytes} {
+		var reader datagramReader
+		reader.messages[0].header.SetControllen(length)
+		is.True(reader.arrivedAt(0).IsZero())
+	}
+}
--- a/internal/wire/datagram_reader_linux.go
+++ b/internal/wire/datagram_reader_linux.go
@@ -117,8 +117,11 @@
 
 // arrivedAt returns the arrival time of a datagram of the latest batch, zero if it is unknown.
 func (r *datagramReader) arrivedAt(index int) time.Time {
-	control := r.controls[index][:r.messages[index].header.Controllen]
-	header, data, _, err := unix.ParseOneSocketControlMessage(control)
+	length := min(r.messages[index].header.Controllen, controlBytes)
+	if length < unix.SizeofCmsghdr {
+		return time.Time{} // ParseOneSocketControlMessage fails on an empty buffer
+	}
+	header, data, _, err := unix.ParseOneSocketControlMessage(r.controls[index][:length])
 	if err != nil || header.Level != unix.SOL_SOCKET || header.Type != unix.SO_TIMESTAMPNS || len(data) < timestampBytes {
 		return time.Time{}
 	}
