--- a/flow/decider.go
+++ b/flow/decider.go
@@ -35,6 +35,10 @@
 	ConfirmedSince func() time.Time
 }
 
+// MaxWaitTime is the time after which a process drops a datagram that waits in its socket or in one
+// of its queues. A later one might open a flow again that has ended.
+const MaxWaitTime = 2 * time.Second
+
 // DefaultDecisionLifetime is the default of Options.DecisionLifetime.
 const DefaultDecisionLifetime = 10 * time.Second
 
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/burlmill/burlmill/catalog"
 )
 
 // Times of the simulation. heartbeatInterval and suspicionTimeout equal HeartbeatInterval and
@@ -238,3 +241,38 @@
 		s.deliverAll(t)
 	})
 }
+
+// TestReturningAgentLeavesFlowsOfNewBackends guards against an agent that was declared dead, is
+// confirmed alive again and admits, by its configuration of before, a flow that is open at a back end
+// added meanwhile.
+func TestReturningAgentLeavesFlowsOfNewBackends(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"))
+	before, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	service.Backends = append(service.Backends, testBackend(2, "new"))
+	after, err := before.With([]catalog.Object{object(service, 2)}, 2)
+	is.NoErr(err)
+	dead := allAliveExcept{}
+	returning := NewDecider(address("10.0.0.1:7000"), dead, Options{IdleTimeout: time.Minute})
+	added := NewDecider(address("10.0.0.2:7000"), dead, Options{IdleTimeout: time.Minute})
+	returning.SetSnapshot(before)
+	added.SetSnapshot(after)
+	key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+	now := time.Unix(1000, 0)
+	returning.Tick(now)
+
+	dead[address("10.0.0.1:7000")] = true
+	now = now.Add(suspicionTimeout)
+	hop, err := FirstHop(after, dead, key, nil)
+	is.NoErr(err)
+	is.Equal(added.Handle(now, Packet{Key: key, Route: hop.Route}).Kind, Deliver)
+
+	delete(dead, address("10.0.0.1:7000"))
+	returning.Tick(now)
+	now = now.Add(stallThreshold)
+	returning.Tick(now)
+	hop, err = FirstHop(before, dead, key, nil) // of a balancer with the configuration of before
+	is.NoErr(err)
+	is.True(returning.Handle(now, Packet{Key: key, Route: hop.Route}).Kind != Deliver)
+}
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -177,8 +177,8 @@
 	is := is.New(t)
 	agent := startAdmissionAgent(t)
 	agent.coordination.held = true
-	agent.receive(t, 1, "late in the socket", maxWaitTime+time.Second)
-	agent.receive(t, 2, "late in the inbox", maxWaitTime)
+	agent.receive(t, 1, "late in the socket", flow.MaxWaitTime+time.Second)
+	agent.receive(t, 2, "late in the inbox", flow.MaxWaitTime)
 	time.Sleep(time.Millisecond)
 	agent.process.eventLoop.handleInbox()
 	is.Equal(agent.process.eventLoop.decider.FlowCount(), 0)
--- a/internal/agent/event_loop.go
+++ b/internal/agent/event_loop.go
@@ -98,7 +98,7 @@
 			return
 		}
 		now := time.Now()
-		if now.Sub(datagram.arrivedAt) > maxWaitTime {
+		if now.Sub(datagram.arrivedAt) > flow.MaxWaitTime {
 			datagram.Release()
 			l.drop(dropWaitTimeout, nil)
 			continue
--- a/internal/agent/inbox.go
+++ b/internal/agent/inbox.go
@@ -138,7 +138,7 @@
 // receive implements wire.Receiver.
 func (r *receiver) receive(datagram []byte, _ netip.AddrPort, arrival wire.Arrival) {
 	r.metrics.received.Inc()
-	if arrival.Waited > maxWaitTime {
+	if arrival.Waited > flow.MaxWaitTime {
 		r.drops.record(dropWaitTimeout, nil)
 		return
 	}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -28,7 +28,7 @@
 	dropMalformed           dropReason = "malformed"    // header missing or invalid, or no route
 	dropInboxFull           dropReason = "inbox-full"   // the event loop's inbox is full
 	dropWaitingFull         dropReason = "waiting-full" // the queue of waiting datagrams is full
-	dropWaitTimeout         dropReason = "waited-long"  // waited for maxWaitTime
+	dropWaitTimeout         dropReason = "waited-long"  // waited for flow.MaxWaitTime
 	dropDeliveryFailed      dropReason = "backend"      // delivery to the back end failed
 	dropSendFailed          dropReason = "network"      // sending to an agent or a caller failed
 	dropUnsupportedProtocol dropReason = "protocol"     // the service does not use datagrams
--- a/internal/agent/quicserver/handshakes.go
+++ b/internal/agent/quicserver/handshakes.go
@@ -33,9 +33,9 @@
 	return context.WithValue(ctx, handshakeEndedKey{}, ended)
 }
 
-// awaitHandshake records the end of the connection's handshake once it is complete. http3.Server
+// recordHandshakeEnd records the end of the connection's handshake once it is complete. http3.Server
 // calls it for each connection that it accepts.
-func awaitHandshake(ctx context.Context, connection *quic.Conn) context.Context {
+func recordHandshakeEnd(ctx context.Context, connection *quic.Conn) context.Context {
 	if ended, ok := connection.Context().Value(handshakeEndedKey{}).(func()); ok {
 		go func() {
 			select {
--- a/internal/agent/quicserver/server.go
+++ b/internal/agent/quicserver/server.go
@@ -101,7 +101,7 @@
 func newHTTPServer(handler http.Handler, idleTimeout time.Duration) *http3.Server {
 	return &http3.Server{
 		Handler:     handler,
-		ConnContext: awaitHandshake,
+		ConnContext: recordHandshakeEnd,
 		IdleTimeout: idleTimeout,
 		Logger:      slog.New(slog.DiscardHandler),
 	}
--- a/internal/agent/waiting_queue.go
+++ b/internal/agent/waiting_queue.go
@@ -1,18 +1,19 @@
 // This file implements the queue of datagrams that wait for a newer configuration or for the
 // confirmation that this agent is alive. It rejects datagrams above its limits, and returns those
-// that have waited for maxWaitTime, which the event loop drops.
+// that have waited for flow.MaxWaitTime, which the event loop drops.
 
 package agent
 
-import "time"
+import (
+	"time"
+
+	"github.com/burlmill/burlmill/flow"
+)
 
 // Limits of waitingQueue.
 const (
 	maxWaitingDatagrams = 1024
 	maxWaitingBytes     = 1 << 20 // total size of the datagrams including their headers
-	// maxWaitTime is the time after which a datagram is dropped that waits in the socket, in the
-	// inbox or in the queue. A later one might open a flow again that has ended.
-	maxWaitTime = 2 * time.Second
 )
 
 // waitingDatagram is a datagram that the decider could not decide yet.
@@ -47,10 +48,10 @@
 	return removed
 }
 
-// popExpired removes and returns the datagrams that have waited for maxWaitTime.
+// popExpired removes and returns the datagrams that have waited for flow.MaxWaitTime.
 func (w *waitingQueue) popExpired(now time.Time) []waitingDatagram {
 	count := 0
-	for count < len(w.entries) && now.Sub(w.entries[count].queuedAt) >= maxWaitTime {
+	for count < len(w.entries) && now.Sub(w.entries[count].queuedAt) >= flow.MaxWaitTime {
 		w.bytes -= len(w.entries[count].Bytes)
 		count++
 	}
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -80,16 +80,12 @@
 	}
 }
 
-// maxWaitTime is the time after which a datagram is dropped that waits in the socket while the
-// process is stalled. A later one might open a flow again that has ended.
-const maxWaitTime = 2 * time.Second
-
 // receive forwards one datagram from a fabric, which has spent the time waited in the socket, and
 // updates the metrics. It logs drops.
 func (f *forwarder) receive(datagram []byte, from netip.AddrPort, waited time.Duration) {
 	f.metrics.received.Inc()
-	if waited > maxWaitTime {
-		f.drop(dropWaitTimeout, fault.New(fault.Deadline, "datagram waited %v, limit %v", waited, maxWaitTime), from)
+	if waited > flow.MaxWaitTime {
+		f.drop(dropWaitTimeout, fault.New(fault.Deadline, "datagram waited %v, limit %v", waited, flow.MaxWaitTime), from)
 		return
 	}
 	reason, err := f.forward(datagram, from)
--- a/internal/balancer/forwarder_test.go
+++ b/internal/balancer/forwarder_test.go
@@ -201,7 +201,7 @@
 		"no live back end": {datagram: datagramOf(t, valid, nil), dead: true, reason: dropNoBackend},
 		"too long":         {datagram: datagramOf(t, valid, make([]byte, wire.MaxDatagramBytes-30)), reason: dropOversize},
 		"send fails":       {datagram: datagramOf(t, valid, nil), failure: fault.New(fault.Unavailable, "refused"), reason: dropSendError},
-		"waited too long":  {datagram: datagramOf(t, valid, nil), waited: maxWaitTime + 1, reason: dropWaitTimeout},
+		"waited too long":  {datagram: datagramOf(t, valid, nil), waited: flow.MaxWaitTime + 1, reason: dropWaitTimeout},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -18,7 +18,7 @@
 	dropNoBackend                        // the service has no live back end
 	dropOversize                         // exceeds the size limit once the route is added to its header
 	dropSendError                        // the sender returned an error
-	dropWaitTimeout                      // waited in the socket for more than maxWaitTime
+	dropWaitTimeout                      // waited in the socket for more than flow.MaxWaitTime
 	dropReasonCount
 )
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -140,6 +140,7 @@
 	for {
 		select {
 		case <-n.context.Done():
+			n.log.Flush()
 			return
 		case event := <-n.events:
 			event(time.Now())
@@ -173,7 +174,11 @@
 }
 
 func (n *Node) logNotice(notice exchange.Notice) {
-	line, allowed := n.log.Allow(log.WarnLevel, notice.Event)
+	level := log.WarnLevel
+	if notice.Change != nil {
+		level = log.InfoLevel // planned restarts change the status too
+	}
+	line, allowed := n.log.Allow(level, notice.Event)
 	if !allowed {
 		return
 	}
