flow: after an interruption, arbitrate only with the configuration of the peers

What callers would see: a flow that is open at a back end is admitted at another one too. No caller reported it; the simulation of stalls found it.

Cause: that every live agent has reached the revision of an arbiter's choice follows from the search, which passes each of them. An agent that was declared dead was not passed, and its liveness lease was the only condition for its return. With a balancer as old as itself it admitted, by its configuration of before, a flow of a back end that had been added meanwhile. An agent that has just started was in the same place.

Change: after an interruption of the lease, or of the process where there is no lease, an agent arbitrates only once it holds the highest revision that its peers offer. The peers that renew the lease report their revision in the same message, so no time is added: the agent knows it when the lease is valid. Later revisions do not stop it, since searches pass it again. Admission at the choice of another arbiter is as before. lease-acquired logs both revisions.

Tests: TestReturningAgentArbitratesOnceCurrent, TestOfferedRevision, TestReturningNodeKnowsLatestRevision (20 seeds; the returning node cannot pull). They use the new option, so they do not build on the old code. The agents of TestOpenFlowsSurviveStalls learn the offered revision with each heartbeat.

--- a/dissemination/dissemination_test.go
+++ b/dissemination/dissemination_test.go
@@ -218,3 +218,16 @@
 	is.Equal(len(full.Serve(start, 1999).Objects), 1)
 	is.True(!full.Serve(start.Add(time.Hour), 0).Busy)
 }
+
+// TestOfferedRevision guards against an offered revision that lacks the offer of a peer or outlasts it.
+func TestOfferedRevision(t *testing.T) {
+	is := is.New(t)
+	machine := newMachine()
+	is.Equal(machine.OfferedRevision(start), catalog.Revision(0))
+	machine.RecordOffer(start, "first", Offer{Revision: 7})
+	machine.RecordOffer(start.Add(time.Second), "second", Offer{Revision: 5})
+	is.Equal(machine.OfferedRevision(start.Add(offerExpiry)), catalog.Revision(7))
+	is.Equal(machine.OfferedRevision(start.Add(offerExpiry+1)), catalog.Revision(5))
+	machine.RecordOffer(start.Add(2*time.Second), "second", Offer{Revision: 8})
+	is.Equal(machine.OfferedRevision(start.Add(2*time.Second)), catalog.Revision(8))
+}
--- a/dissemination/machine.go
+++ b/dissemination/machine.go
@@ -108,6 +108,18 @@
 	return known != nil && known.Revision < m.snapshot.Revision()
 }
 
+// OfferedRevision returns the highest revision among the unexpired offers of all peers, 0 if there
+// are none.
+func (m *Machine) OfferedRevision(now time.Time) catalog.Revision {
+	var highest catalog.Revision
+	for _, known := range m.offers {
+		if now.Sub(known.receivedAt) <= offerExpiry {
+			highest = max(highest, known.Revision)
+		}
+	}
+	return highest
+}
+
 // NextPull starts a pull from a peer with a higher revision, if there is one. At most one
 // pull is in progress at a time; ApplyPage or PullFailed ends it.
 func (m *Machine) NextPull(now time.Time) (Pull, bool) {
--- a/flow/action.go
+++ b/flow/action.go
@@ -34,7 +34,7 @@
 	Deliver                             // deliver it to Backend
 	Forward                             // send it to Hop.To with Hop.Route
 	AwaitRevision                       // queue it until the service object at Route.Revision is received
-	AwaitConfirmation                   // queue it until the agent is confirmed and its backlog read
+	AwaitConfirmation                   // queue it until the agent is confirmed and current and its backlog read
 	Consume                             // do nothing: it was a hint for this agent
 )
 
--- a/flow/decider.go
+++ b/flow/decider.go
@@ -30,9 +30,13 @@
 	// confirmed.
 	ConfirmedAlive func(now time.Time) bool
 	// ConfirmedSince returns the time since which ConfirmedAlive has been true without interruption,
-	// or was until its latest end. Other agents may have taken over before. Nil means that there was
-	// no interruption.
+	// or was until its latest end. Other agents may have taken over before. Nil means that only
+	// stalls of the process interrupt it.
 	ConfirmedSince func() time.Time
+	// OfferedRevision returns the highest revision of the configuration that the peers which confirm
+	// the agent as alive are known to hold. After an interruption, the agent does not arbitrate
+	// before it holds that revision. Nil means that it is never known.
+	OfferedRevision func() catalog.Revision
 }
 
 // MaxWaitTime is the time after which a process drops a datagram that waits in its socket or in one
@@ -51,7 +55,8 @@
 // before it reaches the arbiter, and an agent never goes back to an older revision. When an arbiter
 // makes its choice, all other live agents have therefore reached the arbiter's revision: they
 // restart the search of a datagram that has an older one instead of arbitrating or admitting its
-// flow.
+// flow. An agent that was not considered alive is not passed meanwhile, so it must receive the
+// revision of its peers before it arbitrates again.
 type Decider struct {
 	self         netip.AddrPort
 	liveness     Liveness
@@ -64,6 +69,7 @@
 	hints        expiringMap[Key, backendIdentity] // received; the back end that has the flow
 	orderCaches  map[catalog.ServiceName]*orderCache
 	staleness    staleness
+	currentSince time.Time // confirmedSince when the agent last held the revision of its peers
 	shuttingDown bool
 }
 
@@ -115,9 +121,6 @@
 	if options.ConfirmedAlive == nil {
 		options.ConfirmedAlive = func(time.Time) bool { return true }
 	}
-	if options.ConfirmedSince == nil {
-		options.ConfirmedSince = func() time.Time { return time.Time{} }
-	}
 	return &Decider{
 		self:        self,
 		liveness:    liveness,
@@ -228,7 +231,31 @@
 // Tick detects stalls of the process from the time between calls, and times at which the agent is
 // not confirmed alive. It must be called at least ten times a second.
 func (d *Decider) Tick(now time.Time) {
-	d.staleness.observe(now, d.options.ConfirmedAlive(now), d.options.ConfirmedSince())
+	d.staleness.observe(now, d.options.ConfirmedAlive(now), d.confirmedSince())
+}
+
+// confirmedSince returns the end of the latest interruption during which peers may have considered
+// this agent dead. It is zero if there was none.
+func (d *Decider) confirmedSince() time.Time {
+	if d.options.ConfirmedSince == nil {
+		return d.staleness.stalledUntil
+	}
+	return d.options.ConfirmedSince()
+}
+
+// isCurrent reports whether the agent has held the revision of its peers since the latest
+// interruption. While peers considered it dead, they may have admitted flows to back ends that its
+// configuration lacks, which its searches would not reach.
+func (d *Decider) isCurrent() bool {
+	since := d.confirmedSince()
+	if since.Equal(d.currentSince) {
+		return true
+	}
+	if d.options.OfferedRevision == nil || d.options.OfferedRevision() > d.snapshot.Revision() {
+		return false
+	}
+	d.currentSince = since
+	return true
 }
 
 // ConfirmAdmission reports whether a datagram for which Handle opened a flow may be delivered. The
--- a/flow/search.go
+++ b/flow/search.go
@@ -11,7 +11,8 @@
 // arbiter, and opens the flow at a back end of this agent, which may refuse it. A QUIC datagram
 // whose connection id encodes a back end's server id goes to that back end without a search,
 // regardless of its state and capacity. The datagram is dropped if no live back end can admit the
-// flow, and queued if the agent would decide while it is not confirmed alive.
+// flow, and queued if the agent would decide while it is not confirmed alive or would arbitrate
+// before it is current.
 type search struct {
 	decider     *Decider
 	now         time.Time
@@ -71,7 +72,7 @@
 	if !s.ownBackends.Has(arbiter) {
 		return s.forward(arbiter, StepArbitrate)
 	}
-	if !s.decider.options.ConfirmedAlive(s.now) {
+	if !s.decider.options.ConfirmedAlive(s.now) || !s.decider.isCurrent() {
 		return Action{Kind: AwaitConfirmation}
 	}
 	chosen := s.chooseBackend()
--- a/flow/staleness.go
+++ b/flow/staleness.go
@@ -21,15 +21,17 @@
 // peers may consider it dead and admit flows without it. The flow of a datagram that waited at the
 // agent meanwhile may therefore be open elsewhere.
 type staleness struct {
-	observedAt time.Time // time of the latest observation
-	staleUntil time.Time // datagrams whose earliest arrival is not after this time are stale
-	readUntil  time.Time // all datagrams that arrived before this time have been read
+	observedAt   time.Time // time of the latest observation
+	stalledUntil time.Time // end of the latest stall; zero if there was none
+	staleUntil   time.Time // datagrams whose earliest arrival is not after this time are stale
+	readUntil    time.Time // all datagrams that arrived before this time have been read
 }
 
 // observe records an observation of the process. confirmed states whether the agent is confirmed
 // alive, and confirmedSince since when; datagrams that arrive while it is not are stale.
 func (s *staleness) observe(now time.Time, confirmed bool, confirmedSince time.Time) {
 	if !s.observedAt.IsZero() && now.Sub(s.observedAt) > stallThreshold {
+		s.stalledUntil = now
 		s.staleUntil = now.Add(backlogWindow)
 	}
 	if !confirmed && s.staleUntil.Before(now) {
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -42,7 +42,8 @@
 type stallSimulation struct {
 	*simulation
 	stalled    map[netip.AddrPort]*stalledAgent
-	lastSeenAt map[netip.AddrPort]time.Time // time of the latest acknowledged heartbeat
+	lastSeenAt map[netip.AddrPort]time.Time        // time of the latest acknowledged heartbeat
+	offered    map[netip.AddrPort]catalog.Revision // highest revision of any agent at that time
 	dead       map[netip.AddrPort]bool
 	lostFlows  map[Key]bool // flows of agents that were declared dead; they may be admitted again
 }
@@ -54,14 +55,16 @@
 	s := &stallSimulation{
 		stalled:    map[netip.AddrPort]*stalledAgent{},
 		lastSeenAt: map[netip.AddrPort]time.Time{},
+		offered:    map[netip.AddrPort]catalog.Revision{},
 		dead:       map[netip.AddrPort]bool{},
 		lostFlows:  map[Key]bool{},
 	}
 	s.simulation = newSimulationWith(t, func(base *simulation, agent netip.AddrPort) *Decider {
 		s.lastSeenAt[agent] = base.now
 		return NewDecider(agent, s, Options{
-			IdleTimeout:    time.Hour,
-			ConfirmedAlive: func(now time.Time) bool { return now.Before(s.lastSeenAt[agent].Add(suspicionTimeout)) },
+			IdleTimeout:     time.Hour,
+			ConfirmedAlive:  func(now time.Time) bool { return now.Before(s.lastSeenAt[agent].Add(suspicionTimeout)) },
+			OfferedRevision: func() catalog.Revision { return s.offered[agent] },
 		})
 	})
 	s.liveness = s
@@ -149,11 +152,20 @@
 // agent.
 func (s *stallSimulation) heartbeat(t *rapid.T) {
 	if agent, found := s.drawAgent(t, false); found {
-		s.lastSeenAt[agent] = s.now
+		s.recordHeartbeat(agent)
 		delete(s.dead, agent)
 	}
 }
 
+// recordHeartbeat records an acknowledged heartbeat of the agent. Its monitors hold the highest
+// revision of any agent.
+func (s *stallSimulation) recordHeartbeat(agent netip.AddrPort) {
+	s.lastSeenAt[agent] = s.now
+	for _, decider := range s.agents {
+		s.offered[agent] = max(s.offered[agent], decider.snapshot.Revision())
+	}
+}
+
 // declareDead declares a stalled agent dead after the suspicion timeout.
 func (s *stallSimulation) declareDead(t *rapid.T) {
 	agent, found := s.drawAgent(t, true)
@@ -179,7 +191,7 @@
 				continue
 			}
 			if !s.dead[agent] {
-				s.lastSeenAt[agent] = s.now
+				s.recordHeartbeat(agent)
 			}
 			decider.Tick(s.now)
 		}
@@ -276,3 +288,48 @@
 	is.NoErr(err)
 	is.True(returning.Handle(now, Packet{Key: key, Route: hop.Route}).Kind != Deliver)
 }
+
+// TestReturningAgentArbitratesOnceCurrent guards against an agent that arbitrates after an interruption
+// before it holds the revision of its peers, that never arbitrates again, or that stops arbitrating
+// whenever a peer has a newer revision.
+func TestReturningAgentArbitratesOnceCurrent(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"))
+	snapshots := []*catalog.Snapshot{catalog.Empty()}
+	for revision := range catalog.Revision(3) {
+		next, err := snapshots[revision].With([]catalog.Object{object(service, revision+1)}, revision+1)
+		is.NoErr(err)
+		snapshots = append(snapshots, next)
+	}
+	var confirmedSince time.Time
+	var offered catalog.Revision
+	decider := NewDecider(address("10.0.0.1:7000"), allAlive{}, Options{
+		IdleTimeout:     time.Minute,
+		ConfirmedSince:  func() time.Time { return confirmedSince },
+		OfferedRevision: func() catalog.Revision { return offered },
+	})
+	now := time.Unix(1000, 0)
+	callers := 0
+	open := func(revision catalog.Revision) ActionKind {
+		callers++
+		now = now.Add(tickInterval)
+		key := Key{Caller: address("198.51.100.7:%d", callers), Service: service.Address}
+		return decider.Handle(now, Packet{Key: key, Route: Route{Revision: revision, Chosen: NoBackend}}).Kind
+	}
+	decider.SetSnapshot(snapshots[1])
+	is.Equal(open(1), Deliver)
+
+	confirmedSince, offered = now, 2
+	now = now.Add(tickInterval)
+	is.Equal(open(1), AwaitConfirmation)
+	decider.SetSnapshot(snapshots[2])
+	is.Equal(open(1), Deliver)
+
+	offered = 3
+	is.Equal(open(2), Deliver)
+	confirmedSince = now
+	now = now.Add(tickInterval)
+	is.Equal(open(2), AwaitConfirmation)
+	decider.SetSnapshot(snapshots[3])
+	is.Equal(open(2), Deliver)
+}
--- a/internal/agent/coordination.go
+++ b/internal/agent/coordination.go
@@ -25,6 +25,9 @@
 	// ConfirmedSince returns the time since which the liveness lease has been valid without
 	// interruption, or was until it expired. It is zero if the lease has never been valid.
 	ConfirmedSince() time.Time
+	// OfferedRevision returns the highest revision of the configuration that peers have recently
+	// reported, as of the latest renewal of the liveness lease or later.
+	OfferedRevision() catalog.Revision
 	// AnnounceShutdown announces to all processes that this one accepts no new flows.
 	AnnounceShutdown()
 	// Shutdown sends the shutdown notice to all processes and closes the node.
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -60,11 +60,12 @@
 	callback(f.snapshot)
 }
 
-func (f *fakeCoordination) Pull(at catalog.Revision)  { f.pulledRevision.Store(uint64(at)) }
-func (f *fakeCoordination) Alive(netip.AddrPort) bool { return true }
-func (f *fakeCoordination) SelfConfirmed() bool       { return true }
-func (f *fakeCoordination) ConfirmedSince() time.Time { return time.Time{} }
-func (f *fakeCoordination) AnnounceShutdown()         { f.announceShutdownCalled.Store(true) }
+func (f *fakeCoordination) Pull(at catalog.Revision)          { f.pulledRevision.Store(uint64(at)) }
+func (f *fakeCoordination) Alive(netip.AddrPort) bool         { return true }
+func (f *fakeCoordination) SelfConfirmed() bool               { return true }
+func (f *fakeCoordination) ConfirmedSince() time.Time         { return time.Time{} }
+func (f *fakeCoordination) OfferedRevision() catalog.Revision { return 0 }
+func (f *fakeCoordination) AnnounceShutdown()                 { f.announceShutdownCalled.Store(true) }
 func (f *fakeCoordination) Shutdown(context.Context) error {
 	f.shutdownCalled.Store(true)
 	return nil
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -144,6 +144,7 @@
 		DrainIdleTimeout: options.DrainIdleTimeout,
 		ConfirmedAlive:   func(time.Time) bool { return options.Coordination.SelfConfirmed() },
 		ConfirmedSince:   options.Coordination.ConfirmedSince,
+		OfferedRevision:  options.Coordination.OfferedRevision,
 	})
 }
 
--- a/internal/coordination/exchange/decider.go
+++ b/internal/coordination/exchange/decider.go
@@ -112,6 +112,11 @@
 // Snapshot returns the current configuration.
 func (d *Decider) Snapshot() *catalog.Snapshot { return d.catalog.Snapshot() }
 
+// OfferedRevision returns the highest revision that peers have reported recently.
+func (d *Decider) OfferedRevision(now time.Time) catalog.Revision {
+	return d.catalog.OfferedRevision(now)
+}
+
 // Tick performs the periodic work. The caller calls it every TickInterval.
 func (d *Decider) Tick(now time.Time) Output {
 	d.members.Tick(now)
--- a/internal/coordination/exchange/fleet_test.go
+++ b/internal/coordination/exchange/fleet_test.go
@@ -52,6 +52,8 @@
 	nodes        []*Node // in order of their start, including stopped nodes
 	running      map[netip.AddrPort]*Node
 	partitions   map[string]bool // partitioned regions and zones
+	isolated     *Node           // separated from all others; nil: none
+	cannotPull   *Node           // its requests for the catalog are lost; nil: none
 	store        SimulatedStore
 	lastPort     int
 }
@@ -225,7 +227,7 @@
 // deliverRequest passes a request to its receiver. The request times out if the receiver has
 // stopped or is separated from the sender.
 func (f *Fleet) deliverRequest(from, to *Node, send exchange.Send) {
-	if !to.Running || f.separated(from, to) {
+	if !to.Running || f.separated(from, to) || from == f.cannotPull && send.Request.GetPull() != nil {
 		f.schedule(exchange.Timeout, func() { f.fail(from, send.ID) })
 		return
 	}
@@ -255,8 +257,11 @@
 	}
 }
 
-// separated reports whether a network partition separates two nodes.
+// separated reports whether a network partition separates two nodes, or one of them is isolated.
 func (f *Fleet) separated(a, b *Node) bool {
+	if a == f.isolated || b == f.isolated {
+		return true
+	}
 	if a.Member.Region != b.Member.Region && (f.partitions[a.Member.Region] || f.partitions[b.Member.Region]) {
 		return true
 	}
--- a/internal/coordination/exchange/scenario_test.go
+++ b/internal/coordination/exchange/scenario_test.go
@@ -300,3 +300,47 @@
 	run.fleet.Run(10 * time.Second)
 	is.Equal(run.divergence(), "")
 }
+
+// TestReturningNodeKnowsLatestRevision guards against a node that was declared dead, whose liveness
+// lease is valid again, and that neither holds nor knows of the revision that the others received
+// meanwhile.
+func TestReturningNodeKnowsLatestRevision(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			options := fleetOptions(12, 1)
+			options.Seed = seed
+			run := &scenario{fleet: New(options)}
+			run.write()
+			run.fleet.Run(10 * time.Second)
+			isolated := run.fleet.Running()[seed%12]
+			run.fleet.isolated = isolated
+			run.fleet.Run(15 * time.Second)
+			is.Equal(run.fleet.Running()[(seed+1)%12].Decider.Members().Table().Get(isolated.Member.ID).Status, membership.Dead)
+			run.fleet.Store().Down = true // for the isolated node
+			revision := run.write()
+			run.deliverToOne(isolated)
+			run.fleet.Run(time.Duration(seed) * 500 * time.Millisecond)
+			run.fleet.isolated, run.fleet.cannotPull = nil, isolated
+			for !isolated.Decider.Members().SelfConfirmed(run.fleet.Now()) {
+				run.fleet.Run(10 * time.Millisecond)
+			}
+			is.True(isolated.Decider.Snapshot().Revision() < revision)
+			is.Equal(isolated.Decider.OfferedRevision(run.fleet.Now()), revision)
+
+			run.fleet.cannotPull = nil
+			run.fleet.Run(20 * time.Second)
+			is.Equal(run.divergence(), "")
+		})
+	}
+}
+
+// deliverToOne delivers the changes of the store to the first running node that is not the given one.
+func (s *scenario) deliverToOne(except *Node) {
+	for _, node := range s.fleet.Running() {
+		if node != except {
+			s.fleet.deliverChangesTo(node)
+			return
+		}
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -242,6 +242,10 @@
 // interruption, or was until it expired. It is zero if the lease has never been valid.
 func (n *Node) ConfirmedSince() time.Time { return n.lease.Load().since }
 
+// OfferedRevision returns the highest revision that peers have reported within the past 10 s, as of
+// the latest renewal of the liveness lease or later.
+func (n *Node) OfferedRevision() catalog.Revision { return n.lease.Load().offered }
+
 // Pull sends heartbeats to all neighbours to find one with a newer configuration, if the revision
 // is above the current one. Calls within minPullInterval after one that sent requests do nothing.
 func (n *Node) Pull(revision catalog.Revision) {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -44,8 +44,9 @@
 
 // lease is the liveness lease of this process.
 type lease struct {
-	since time.Time // start of the latest uninterrupted validity; zero if it has never been valid
-	until time.Time // end of the validity
+	since   time.Time        // start of the latest uninterrupted validity; zero if it has never been valid
+	until   time.Time        // end of the validity
+	offered catalog.Revision // highest revision that peers have reported recently
 }
 
 // renewed returns the lease with a new end, as of now.
@@ -60,21 +61,23 @@
 // publishLease publishes the liveness lease.
 func (n *Node) publishLease(now time.Time) {
 	until := n.decider.Members().ConfirmedUntil(now)
-	if current := *n.lease.Load(); !until.Equal(current.until) {
+	offered := n.decider.OfferedRevision(now)
+	if current := *n.lease.Load(); !until.Equal(current.until) || offered != current.offered {
 		next := current.renewed(now, until)
+		next.offered = offered
 		n.lease.Store(&next)
 	}
-	n.logLease(now, until)
+	n.logLease(now, until, offered)
 }
 
 // logLease logs when the liveness lease expires and when it is valid again.
-func (n *Node) logLease(now, until time.Time) {
+func (n *Node) logLease(now, until time.Time, offered catalog.Revision) {
 	held := now.Before(until)
 	if held == n.leaseHeld {
 		return
 	}
 	n.leaseHeld = held
-	fields := log.Fields{"node": n.options.Node.ID}
+	fields := log.Fields{"node": n.options.Node.ID, "revision": n.decider.Snapshot().Revision(), "offered": offered}
 	if !until.IsZero() { // there are enough confirmations, of any age
 		fields["remaining"] = until.Sub(now)
 	}
