flow: drop the choice of an arbiter if an agent returned while it was on its way

What callers would see: a flow admitted at two back ends.

Cause: while an agent counts as dead, another one arbitrates its flows. A choice that is on its way when the first agent returns was admitted, although the first agent arbitrates again and may have chosen another back end by then.

Change: the route of the datagram tells which agents were searched before the choice. The chosen agent admits the flow only if every agent that is alive now is among them, else the search goes on at the one that is not. The set only grows, so that datagrams cannot circle while agents disagree. Routes without searched agents are admitted as before.

TestChoiceOfEarlierArbiterIsDropped fails on the old code.

Left: a search that passed the chosen back end just before the first datagram was admitted there, and reaches the returned arbiter just after.

--- a/flow/decider_test.go
+++ b/flow/decider_test.go
@@ -349,3 +349,39 @@
 	decider.SetSnapshot(second)
 	is.Equal(admit(2), Deliver)
 }
+
+// TestChoiceOfEarlierArbiterIsDropped guards against a flow that is admitted at two back ends because
+// the choice of an arbiter is on its way while another agent returns and becomes the arbiter.
+func TestChoiceOfEarlierArbiterIsDropped(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"), testBackend(3, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	dead := allAliveExcept{}
+	key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+	returning := service.Backends[arbiterOf(&service, dead, key)].Agent
+	dead[returning] = true
+	now := time.Unix(0, 0)
+	agents := map[netip.AddrPort]*Decider{}
+	for _, backend := range service.Backends {
+		agents[backend.Agent] = NewDecider(backend.Agent, dead, Options{IdleTimeout: time.Minute})
+		agents[backend.Agent].SetSnapshot(snapshot)
+	}
+	// The interim arbiter's own back end has refused, so that it chooses the other one.
+	interim := arbiterOf(&service, dead, key)
+	route := Route{Revision: 1, Step: StepArbitrate, Hops: 2, Refused: BackendSet(0).With(interim), Chosen: NoBackend}
+	for index := range service.Backends {
+		if service.Backends[index].Agent != returning {
+			route.Visited = route.Visited.With(index)
+		}
+	}
+	choice := agents[service.Backends[interim].Agent].Handle(now, Packet{Key: key, Route: route})
+	is.Equal(choice.Hop.Route.Step, StepAdmit)
+
+	delete(dead, returning)
+	action := agents[choice.Hop.To].Handle(now, Packet{Key: key, Route: choice.Hop.Route})
+	is.Equal(action.Kind, Forward)
+	is.Equal(action.Hop.To, returning)
+	is.Equal(action.Hop.Route.Step, StepSearch)
+	is.Equal(agents[returning].Handle(now, Packet{Key: key, Route: action.Hop.Route}).Kind, Deliver)
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -35,14 +35,22 @@
 }
 
 func (s *search) run() Action {
-	switch s.route.Step {
-	case StepAdmit:
-		return s.admit()
-	case StepArbitrate:
-		return s.arbitrate()
-	default:
-		return s.forwardToNext()
+	if s.route.Step == StepAdmit {
+		if !s.agentWasSkipped() {
+			return s.admit()
+		}
+		s.route.Chosen = NoBackend
+	}
+	return s.forwardToNext()
+}
+
+// agentWasSkipped reports whether an agent that is alive was not searched before the arbiter made
+// its choice. It has become alive since, and may be the arbiter now and choose another back end.
+func (s *search) agentWasSkipped() bool {
+	if s.route.Visited == 0 {
+		return false // the route does not tell
 	}
+	return nextUnvisited(s.service, s.candidateOrder(), s.decider.liveness, s.route.Visited|s.ownBackends) != NoBackend
 }
 
 // forwardToNext forwards the datagram to the next back end that may have its flow. If all back ends
