flow: an agent that is not current does not count as searched

Cause: an agent that was declared dead returned with an old configuration and counted as searched in it. An agent that had been removed from the service meanwhile keeps that configuration too, since the searches of the new one pass neither of them. It saw that all agents had been searched and chose a back end for a flow that was open at one that had been added.

Change: an agent that is not current passes a datagram on without counting as searched; the search of a new flow comes back to it and waits. A choice is admitted only if the search behind it counted the admitting agent too. Above as many hops as there are back ends an agent passes datagrams only to later candidates, so that two such agents do not return them to each other.

TestReturningAgentCountsAsSearchedOnceCurrent fails on the old code.

--- a/flow/decider.go
+++ b/flow/decider.go
@@ -56,7 +56,7 @@
 // makes its choice, all other live agents have therefore reached the arbiter's revision: they
 // restart the search of a datagram that has an older one instead of arbitrating or admitting its
 // flow. An agent that was not considered alive is not passed meanwhile, so it must receive the
-// revision of its peers before it arbitrates again.
+// revision of its peers before it arbitrates or counts as passed again.
 type Decider struct {
 	self         netip.AddrPort
 	liveness     Liveness
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -44,18 +45,23 @@
 	return s.forwardToNext()
 }
 
-// agentWasSkipped reports whether an agent that is alive was not searched before the arbiter made
-// its choice. It has become alive since, and may be the arbiter now and choose another back end.
+// agentWasSkipped reports whether this agent, or another one that is alive, was not searched before
+// the arbiter made its choice. It has become alive since, and may be the arbiter now and choose
+// another back end.
 func (s *search) agentWasSkipped() bool {
 	if s.route.Visited == 0 {
 		return false // the route does not tell
 	}
-	return nextUnvisited(s.service, s.candidateOrder(), s.decider.liveness, s.route.Visited|s.ownBackends) != NoBackend
+	return s.route.Visited&s.ownBackends == 0 ||
+		nextUnvisited(s.service, s.candidateOrder(), s.decider.liveness, s.route.Visited) != NoBackend
 }
 
 // forwardToNext forwards the datagram to the next back end that may have its flow. If all back ends
 // with a live agent have been searched, it continues with arbitration.
 func (s *search) forwardToNext() Action {
+	if !s.decider.isCurrent() {
+		return s.passOn()
+	}
 	isFirstAgent := s.route.Visited == 0
 	s.route.Visited |= s.ownBackends
 	if isFirstAgent {
@@ -70,6 +76,22 @@
 	return s.forward(next, StepSearch)
 }
 
+// passOn forwards the datagram to another agent that may have its flow, but does not count this
+// agent as searched, because it is not current: if the flow is new, the search comes back. If no
+// other agent is left, the datagram is queued.
+func (s *search) passOn() Action {
+	order := s.candidateOrder()
+	if int(s.route.Hops) > len(order) {
+		// Agents that are not current must not return the datagram to each other.
+		order = order[slices.IndexFunc(order, s.ownBackends.Has)+1:]
+	}
+	next := nextUnvisited(s.service, order, s.decider.liveness, s.route.Visited|s.ownBackends)
+	if next == NoBackend {
+		return Action{Kind: AwaitConfirmation}
+	}
+	return s.forward(next, StepSearch)
+}
+
 // arbitrate chooses the back end that admits the flow if this agent is the flow's arbiter, and
 // forwards the datagram to the arbiter otherwise.
 func (s *search) arbitrate() Action {
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -43,7 +43,8 @@
 	*simulation
 	stalled    map[netip.AddrPort]*stalledAgent
 	lastSeenAt map[netip.AddrPort]time.Time        // time of the latest acknowledged heartbeat
-	offered    map[netip.AddrPort]catalog.Revision // highest revision of any agent at that time
+	leaseStart map[netip.AddrPort]time.Time        // time since which the agent is confirmed alive
+	offered    map[netip.AddrPort]catalog.Revision // highest revision of any agent at lastSeenAt
 	dead       map[netip.AddrPort]bool
 	lostFlows  map[Key]bool // flows of agents that were declared dead; they may be admitted again
 }
@@ -55,6 +56,7 @@
 	s := &stallSimulation{
 		stalled:    map[netip.AddrPort]*stalledAgent{},
 		lastSeenAt: map[netip.AddrPort]time.Time{},
+		leaseStart: map[netip.AddrPort]time.Time{},
 		offered:    map[netip.AddrPort]catalog.Revision{},
 		dead:       map[netip.AddrPort]bool{},
 		lostFlows:  map[Key]bool{},
@@ -64,6 +66,7 @@
 		return NewDecider(agent, s, Options{
 			IdleTimeout:     time.Hour,
 			ConfirmedAlive:  func(now time.Time) bool { return now.Before(s.lastSeenAt[agent].Add(suspicionTimeout)) },
+			ConfirmedSince:  func() time.Time { return s.leaseStart[agent] },
 			OfferedRevision: func() catalog.Revision { return s.offered[agent] },
 		})
 	})
@@ -160,6 +163,9 @@
 // recordHeartbeat records an acknowledged heartbeat of the agent. Its monitors hold the highest
 // revision of any agent.
 func (s *stallSimulation) recordHeartbeat(agent netip.AddrPort) {
+	if !s.now.Before(s.lastSeenAt[agent].Add(suspicionTimeout)) {
+		s.leaseStart[agent] = s.now
+	}
 	s.lastSeenAt[agent] = s.now
 	for _, decider := range s.agents {
 		s.offered[agent] = max(s.offered[agent], decider.snapshot.Revision())
@@ -333,3 +339,43 @@
 	decider.SetSnapshot(snapshots[3])
 	is.Equal(open(2), Deliver)
 }
+
+// TestReturningAgentCountsAsSearchedOnceCurrent guards against an agent that was declared dead, returns
+// with an old configuration and counts as searched in it: an agent that has been removed from the
+// service meanwhile could then choose a back end for a flow that is open at one that was added.
+func TestReturningAgentCountsAsSearchedOnceCurrent(t *testing.T) {
+	is := is.New(t)
+	returningBackend, removedBackend, addedBackend := testBackend(1, "new"), testBackend(2, "new"), testBackend(3, "new")
+	before, err := catalog.Empty().With([]catalog.Object{object(testService(returningBackend, removedBackend), 1)}, 1)
+	is.NoErr(err)
+	after, err := before.With([]catalog.Object{object(testService(returningBackend, addedBackend), 2)}, 2)
+	is.NoErr(err)
+	now := time.Unix(1000, 0)
+	returning := NewDecider(returningBackend.Agent, allAlive{}, Options{
+		IdleTimeout:     time.Minute,
+		ConfirmedSince:  func() time.Time { return now },
+		OfferedRevision: after.Revision,
+	})
+	removed := NewDecider(removedBackend.Agent, allAlive{}, Options{IdleTimeout: time.Minute})
+	returning.SetSnapshot(before)
+	removed.SetSnapshot(before)
+	service := before.Service("lessons")
+	key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+	handle := func(decider *Decider, route Route) Action {
+		return decider.Handle(now, Packet{Key: key, Route: route, EarliestArrival: now.Add(1)})
+	}
+
+	fromReturning := handle(returning, Route{Revision: 1, Step: StepSearch, Hops: 1, Chosen: NoBackend})
+	is.Equal(fromReturning.Hop.To, removedBackend.Agent)
+	is.Equal(fromReturning.Hop.Route.Visited, BackendSet(0))
+	fromRemoved := handle(removed, fromReturning.Hop.Route)
+	is.Equal(fromRemoved.Hop.To, returningBackend.Agent)
+	is.Equal(handle(returning, fromRemoved.Hop.Route).Kind, AwaitConfirmation)
+
+	// A choice that was made while the agent counted as dead.
+	choice := Route{Revision: 1, Step: StepAdmit, Hops: 3, Visited: BackendSet(0).With(1), Chosen: 0}
+	is.Equal(handle(returning, choice).Kind, AwaitConfirmation)
+
+	returning.SetSnapshot(after)
+	is.Equal(handle(returning, fromRemoved.Hop.Route).Hop.To, addedBackend.Agent)
+}
