quicserver: keep connections until callers close them when a back end drains

Cause: a server that drains sent GOAWAY and closed all connections once it had seen no request for 1 s. A request whose packets are in a suspended balancer for longer is neither run nor rejected, and its caller cannot tell.

Evidence: TestRequestOnItsWayDuringShutdownIsRejected holds back the packets of a caller from a request on, until 1.5 s or 4 s after the shutdown has begun.

Change: a caller closes its connection after GOAWAY when it has no request left (RFC 9114, section 5.2); the server waits for that, and rejects the request when it arrives (H3_REQUEST_REJECTED: not run). Callers that are gone or never close are waited for no longer than flows.drain-idle-timeout, a setting that exists for flows that end in silence. The same for connections that are opened during the shutdown.

Why not a longer grace: what ends the wait is the caller's close.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,8 +68,8 @@
 	DataAddress    netip.AddrPort // data socket; identifies this agent in the catalog
 	MetricsAddress netip.AddrPort // listen address for metrics; the zero value disables them
 	IdleTimeout    time.Duration  // idle time after which a flow expires
-	// DrainIdleTimeout is the idle timeout of udp flows during shutdown, if it is shorter than
-	// IdleTimeout. 0 means IdleTimeout.
+	// DrainIdleTimeout is the idle timeout of udp flows during shutdown, and of connections without
+	// requests while their back end drains, if it is shorter than IdleTimeout. 0 means IdleTimeout.
 	DrainIdleTimeout time.Duration
 	DrainLimit       time.Duration // maximum duration of the drain during shutdown
 	Coordination     Coordination
@@ -83,6 +83,14 @@
 	OnStart func(inspector status.AgentInspector, data netip.AddrPort)
 }
 
+// drainIdleTimeout returns the effective DrainIdleTimeout.
+func (o *Options) drainIdleTimeout() time.Duration {
+	if o.DrainIdleTimeout == 0 {
+		return o.IdleTimeout
+	}
+	return min(o.DrainIdleTimeout, o.IdleTimeout)
+}
+
 // Serve runs an agent on the coordination node in the options and closes the node before it
 // returns. Otherwise it behaves like Run.
 func Serve(ctx context.Context, options Options) error {
--- a/internal/agent/handshake_test.go
+++ b/internal/agent/handshake_test.go
@@ -50,6 +50,19 @@
 	return len(payload), nil
 }
 
+// hold holds back the caller's datagrams from now on.
+func (h *holdingConn) hold() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.released = false
+}
+
+func (h *holdingConn) heldCount() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.held)
+}
+
 func (h *holdingConn) release() error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/agent/http_backends.go
+++ b/internal/agent/http_backends.go
@@ -30,6 +30,7 @@
 	sender       returnpath.Sender
 	tls          *tls.Config
 	idleTimeout  time.Duration
+	drainTimeout time.Duration // see quicserver.Options.DrainIdleTimeout
 	metrics      *metrics
 	self         selfAddress
 	handover     *handover.Service // nil if all requests run locally
@@ -170,6 +171,8 @@
 		RefusalHandler: http.HandlerFunc(entry.gateway.Refuse),
 		TLS:            h.tls,
 		IdleTimeout:    h.idleTimeout,
+
+		DrainIdleTimeout: h.drainTimeout,
 	})
 }
 
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -141,7 +141,7 @@
 func newDecider(options Options, self netip.AddrPort) *flow.Decider {
 	return flow.NewDecider(self, options.Coordination, flow.Options{
 		IdleTimeout:      options.IdleTimeout,
-		DrainIdleTimeout: options.DrainIdleTimeout,
+		DrainIdleTimeout: options.drainIdleTimeout(),
 		ConfirmedAlive:   func(time.Time) bool { return options.Coordination.SelfConfirmed() },
 		ConfirmedSince:   options.Coordination.ConfirmedSince,
 		OfferedRevision:  options.Coordination.OfferedRevision,
@@ -163,6 +163,7 @@
 		sender:          socket,
 		tls:             tlsConfig,
 		idleTimeout:     options.IdleTimeout,
+		drainTimeout:    options.drainIdleTimeout(),
 		metrics:         metrics,
 		self:            socket.LocalAddress(),
 		handover:        options.Handover,
--- a/internal/agent/quicserver/server.go
+++ b/internal/agent/quicserver/server.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	// goAwayGrace is the time that callers have to close their connections
-	// after GOAWAY and the last request.
-	goAwayGrace = time.Second
 	// closedFlowLinger is how long a flow is kept after its last connection
 	// closed, so that late datagrams do not open a new flow.
 	closedFlowLinger = time.Second
@@ -45,6 +42,9 @@
 	RefusalHandler http.Handler // answers requests of new connections during Shutdown
 	TLS            *tls.Config
 	IdleTimeout    time.Duration // of a connection without datagrams or requests
+	// DrainIdleTimeout is how long Shutdown keeps a connection without requests that its
+	// caller does not close. A request may still be on its way.
+	DrainIdleTimeout time.Duration
 }
 
 // Server is the HTTP/3 server of one back end.
@@ -60,6 +60,8 @@
 	refusalServer *http3.Server // serves connections that are opened during Shutdown
 	acceptDone    chan struct{} // closed when the accept loop has returned
 
+	drainIdleTimeout time.Duration
+
 	ignoreNewConnections atomic.Bool // set at the end of Shutdown
 }
 
@@ -79,6 +81,8 @@
 		},
 		requests:   &requestCounter{next: options.Handler},
 		acceptDone: make(chan struct{}),
+
+		drainIdleTimeout: options.DrainIdleTimeout,
 	}
 	// 0-RTT data can be replayed, and requests must not run twice.
 	quicConfig := &quic.Config{
@@ -166,7 +170,9 @@
 
 // Shutdown refuses new requests, sends GOAWAY to the callers, waits for running
 // requests, for callers to close their connections and for the handshakes in
-// progress, and then closes the server.
+// progress, and then closes the server. A caller with a request on its way keeps its
+// connection open until the request is refused; one that is gone, or that never
+// closes, is waited for no longer than DrainIdleTimeout.
 // If the context ends first, running requests are aborted and the error is of kind
 // fault.Deadline.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -179,9 +185,9 @@
 		_ = s.server.Shutdown(shutdownContext)
 		cancelIdle()
 	}()
-	s.requests.waitIdle(idleContext, goAwayGrace)
+	s.requests.waitIdle(idleContext, s.drainIdleTimeout)
 	if s.completeHandshakes(ctx) {
-		s.requests.waitIdle(idleContext, goAwayGrace)
+		s.requests.waitIdle(idleContext, s.drainIdleTimeout)
 	}
 	running := s.requests.running()
 	cancelShutdown()
@@ -195,9 +201,9 @@
 }
 
 // shutdownRefusalServer sends GOAWAY on the connections that were opened during
-// Shutdown and gives their callers time to read the refusals.
+// Shutdown and waits for their callers to close them.
 func (s *Server) shutdownRefusalServer(ctx context.Context) {
-	graceContext, cancel := context.WithTimeout(ctx, goAwayGrace)
+	graceContext, cancel := context.WithTimeout(ctx, s.drainIdleTimeout)
 	defer cancel()
 	_ = s.refusalServer.Shutdown(graceContext)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,7 +52,7 @@
 	Transport        Transport     `koanf:"transport" validate:"oneof=envelope handshake" help:"How datagrams come: envelope is PROXY protocol version 2 from fabrics; handshake is the platform's own datagrams, whose flows open with a handshake."`
 	MaxLifetime      time.Duration `koanf:"lifetime" validate:"min=1s,max=24h" help:"Longest life of a flow. For the transport handshake only."`
 	IdleTimeout      time.Duration `koanf:"idle-timeout" validate:"min=1s,max=24h" help:"A flow without a datagram for this long is over."`
-	DrainIdleTimeout time.Duration `koanf:"drain-idle-timeout" validate:"min=1s,max=24h" help:"The same once the process is stopping, so that flows that have ended in silence do not hold it up."`
+	DrainIdleTimeout time.Duration `koanf:"drain-idle-timeout" validate:"min=1s,max=24h" help:"The same once the process is stopping, so that flows that have ended in silence do not hold it up; also how long a connection without requests that its caller does not close is kept while its back end drains."`
 	DrainLimit       time.Duration `koanf:"drain-limit" validate:"min=1s,max=24h" help:"A stopping process waits this long for its requests and flows; then it cuts off what is left."`
 	ColdOvershoot    float64       `koanf:"cold-overshoot" validate:"min=1,max=100" help:"A back end that is cold after its start gets this many times the rate that the configuration gives for it, in any span of one second. For the transport handshake only."`
 	ColdSlack        float64       `koanf:"cold-slack" validate:"min=0,max=10000" help:"The same, flows more in that span. For the transport handshake only."`
