flow: agents that have stalled together do not return datagrams to each other

What callers saw: after a stall of a whole machine, datagrams of open flows whose place had moved were dropped (loop) for half a second, and those of new flows too; each cost up to 136 messages between agents.

Cause: an agent that has stalled starts the search of a datagram again, since its progress may be out of date. So does the next agent, which has stalled as well, and the datagram goes back to the first.

Evidence: TestStalledAgentsForwardDatagramsOnce, five agents that stall for 2 s. On the old code flows at the third to fifth candidate are dropped, unknown flows at all; now each open flow is found within five agents, and unknown ones are queued and admitted after the window.

Change: the search starts again with the candidate after the agent itself, and a datagram that has passed as many agents as there are back ends is queued until the window of 0.5 s has passed.

--- a/flow/decider.go
+++ b/flow/decider.go
@@ -314,10 +314,11 @@
 		return search.followConnectionID(index)
 	}
 	if d.staleness.isStale(now, packet.EarliestArrival) {
-		if d.staleness.mayHaveUnreadBacklog(now) && search.route.Step != StepSearch {
+		if d.staleness.mayHaveUnreadBacklog(now) && !search.mayRestartWhileStale() {
 			return Action{Kind: AwaitConfirmation}
 		}
 		search.restart()
+		search.stale = true
 	}
 	return search.run()
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -21,6 +21,7 @@
 	ownBackends BackendSet // back ends behind this agent
 	key         Key
 	route       Route
+	stale       bool // the datagram is stale, and its search starts again at this agent
 }
 
 // restart resets the route to the start of a search at the current revision. It keeps the hop count
@@ -35,6 +36,13 @@
 	}
 }
 
+// mayRestartWhileStale reports whether the search of a stale datagram starts again at once to find a
+// flow that is open at another agent. One that has passed as many agents as there are back ends has
+// not found it: agents that are all stalled would restart it in turn.
+func (s *search) mayRestartWhileStale() bool {
+	return s.route.Step == StepSearch && int(s.route.Hops) <= len(s.service.Backends)
+}
+
 func (s *search) run() Action {
 	if s.route.Step == StepAdmit {
 		if !s.agentWasSkipped() {
@@ -69,13 +77,26 @@
 			return s.forward(hinted, StepSearch)
 		}
 	}
-	next := nextUnvisited(s.service, s.candidateOrder(), s.decider.liveness, s.route.Visited)
+	order := s.candidateOrder()
+	if s.stale {
+		order = s.orderFromSelf()
+	}
+	next := nextUnvisited(s.service, order, s.decider.liveness, s.route.Visited)
 	if next == NoBackend {
 		return s.arbitrate()
 	}
 	return s.forward(next, StepSearch)
 }
 
+// orderFromSelf returns the candidate order, rotated to begin after the first back end of this
+// agent. Agents that are all stalled pass a datagram to each other in it, although none of them knows
+// which others the datagram has passed.
+func (s *search) orderFromSelf() []int {
+	order := s.candidateOrder()
+	own := slices.IndexFunc(order, s.ownBackends.Has)
+	return slices.Concat(order[own+1:], order[:own+1])
+}
+
 // passOn forwards the datagram to another agent that may have its flow, but does not count this
 // agent as searched, because it is not current: if the flow is new, the search comes back. If no
 // other agent is left, the datagram is queued.
