coordination: agents count members as alive until they are declared dead

What callers could see: a flow that is open at one back end admitted at another one, and the first broken, when the link between two agents fails or one of them does not answer the other for 4 s.

Cause: a member that this process alone suspects counted as not alive here, so that an agent left it out of searches and of the choice of the arbiter. Its liveness lease may be valid by its other monitors: it needs two confirmations, and a member has three monitors on average.

Evidence: TestFailedLinkLeavesLeaseHoldersLive, 12 nodes in virtual time: with a failed link a monitor does not count a node as reachable whose lease is valid.

Change: agents decide by Machine.Live, which leaves out members that are dead, left or in an unreachable region. Balancers still avoid those that they suspect. A second monitor that suspects a member declares it dead, within a heartbeat of the first.

--- a/internal/coordination/exchange/fleet_test.go
+++ b/internal/coordination/exchange/fleet_test.go
@@ -53,6 +53,7 @@
 	running      map[netip.AddrPort]*Node
 	partitions   map[string]bool // partitioned regions and zones
 	isolated     *Node           // separated from all others; nil: none
+	failedLink   [2]*Node        // separated from each other; nil: none
 	cannotPull   *Node           // its requests for the catalog are lost; nil: none
 	store        SimulatedStore
 	lastPort     int
@@ -259,7 +260,7 @@
 
 // separated reports whether a network partition separates two nodes, or one of them is isolated.
 func (f *Fleet) separated(a, b *Node) bool {
-	if a == f.isolated || b == f.isolated {
+	if a == f.isolated || b == f.isolated || [2]*Node{a, b} == f.failedLink || [2]*Node{b, a} == f.failedLink {
 		return true
 	}
 	if a.Member.Region != b.Member.Region && (f.partitions[a.Member.Region] || f.partitions[b.Member.Region]) {
--- a/internal/coordination/exchange/scenario_test.go
+++ b/internal/coordination/exchange/scenario_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -344,3 +345,41 @@
 		}
 	}
 }
+
+// TestFailedLinkLeavesLeaseHoldersLive guards against a node that counts another one as dead because
+// the link between them has failed, although other monitors keep the liveness lease of that node
+// valid: its flows would be admitted elsewhere.
+func TestFailedLinkLeavesLeaseHoldersLive(t *testing.T) {
+	is := is.New(t)
+	run := &scenario{fleet: New(fleetOptions(12, 1))}
+	run.fleet.Run(10 * time.Second)
+	monitors := map[string][]*Node{}
+	for _, node := range run.fleet.Running() {
+		for _, monitored := range node.Decider.Members().Targets(run.fleet.Now()).Monitored {
+			monitors[monitored.ID] = append(monitors[monitored.ID], node)
+		}
+	}
+	suspected := 0
+	for _, node := range run.fleet.Running() {
+		if len(monitors[node.Member.ID]) < membership.MonitorCount {
+			continue // the lease ends when one monitor is missing
+		}
+		monitor := monitors[node.Member.ID][0]
+		run.fleet.failedLink = [2]*Node{node, monitor}
+		for range 200 {
+			run.fleet.Run(100 * time.Millisecond)
+			if !node.Decider.Members().SelfConfirmed(run.fleet.Now()) {
+				continue
+			}
+			is.True(slices.ContainsFunc(monitor.Decider.Members().Live(), node.isMember))
+			if !slices.ContainsFunc(monitor.Decider.Members().Reachable(), node.isMember) {
+				suspected++
+			}
+		}
+		run.fleet.failedLink = [2]*Node{}
+		run.fleet.Run(20 * time.Second)
+	}
+	is.True(suspected > 0) // the links were of monitors that suspect the other node
+}
+
+func (n *Node) isMember(member *membership.Member) bool { return member.ID == n.Member.ID }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -18,7 +18,7 @@
 	snapshot    *catalog.Snapshot
 	version     uint64                      // of membership.Machine
 	members     []*membership.Member        // reachable members
-	unreachable map[netip.AddrPort]struct{} // data addresses of unreachable members
+	unreachable map[netip.AddrPort]struct{} // data addresses of members for which Alive is false
 }
 
 // buildView returns a view of the current state of the decider.
@@ -33,12 +33,22 @@
 	for _, member := range n.decider.Members().Table().All() {
 		next.unreachable[member.Data] = struct{}{}
 	}
-	for _, member := range members {
+	for _, member := range n.aliveMembers() {
 		delete(next.unreachable, member.Data)
 	}
 	return next
 }
 
+// aliveMembers returns the members for which Alive returns true. An agent decides by it which agents
+// a search passes and who arbitrates, so it counts each one that may hold a liveness lease. A balancer
+// avoids those that it suspects.
+func (n *Node) aliveMembers() []*membership.Member {
+	if n.options.Role == membership.Agent {
+		return n.decider.Members().Live()
+	}
+	return n.decider.Members().Reachable()
+}
+
 // MembershipVersion returns a number that changes whenever the result of Alive may have changed.
 func (n *Node) MembershipVersion() uint64 { return n.view.Load().version }
 
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -207,16 +208,20 @@
 	return false
 }
 
-// Reachable returns the members that are neither dead nor left, are not suspected locally and
-// are in a reachable region.
+// Reachable returns the live members that are not suspected locally.
 func (m *Machine) Reachable() []*Member {
-	reachable := make([]*Member, 0, m.table.LiveCount())
+	return slices.DeleteFunc(m.Live(), func(member *Member) bool { return m.suspectedLocally(member.ID) })
+}
+
+// Live returns the members that are neither dead nor left and are in a reachable region. It includes
+// those that only the local member suspects: the confirmations of their other monitors may keep their
+// liveness leases valid.
+func (m *Machine) Live() []*Member {
+	live := make([]*Member, 0, m.table.LiveCount())
 	for _, candidate := range m.table.members {
-		member := candidate.member
-		if member.Status.Terminal() || m.suspectedLocally(member.ID) || !m.regionReachable(member.Region) {
-			continue
+		if member := candidate.member; !member.Status.Terminal() && m.regionReachable(member.Region) {
+			live = append(live, member)
 		}
-		reachable = append(reachable, member)
 	}
-	return reachable
+	return live
 }
