relay: a starting balancer does not serve by an agent's old configuration

Cause: a process without a configuration took the first one that a peer announced. Agents fetch changes at intervals of some seconds, and they are the peers that a starting balancer hears first.

Evidence: log of a failed run on the old code: source=peer version=12 41 ms after the start, the flow offered under it, source=store version=17 2 ms later; 17 had been in force elsewhere for 6 s.

Change: a balancer without a configuration uses that of another balancer or of the store, that of an agent only 1 s after its start.

--- a/handshake/peers.go
+++ b/handshake/peers.go
@@ -306,13 +306,15 @@
 }
 
 // NewestConfiguration returns the recently seen peer with the newest configuration, preferably one
-// in this process's zone, and its version. The version is 0 if no such peer has a configuration.
+// in this process's zone, and its version. It considers agents only if includeAgents is set: they
+// fetch changes late. The version is 0 if no such peer has a configuration.
 func (p *Peers) NewestConfiguration(
-	now time.Time,
+	now time.Time, includeAgents bool,
 ) (address netip.AddrPort, version routing.Version) {
 	inZone := false
 	for from, peer := range p.peers {
-		if peer.status.Version < version || peer.status.Version == 0 || !peer.seenRecently(now) {
+		if peer.status.Version < version || peer.status.Version == 0 || !peer.seenRecently(now) ||
+			peer.status.Role == presence.RoleAgent && !includeAgents {
 			continue
 		}
 		if peer.status.Version > version || !inZone {
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -36,6 +36,10 @@
 	// agent needs the document only for health checks and to serve it to balancers that start while
 	// the store is down.
 	agentFetchInterval = 4 * time.Second
+	// agentConfigurationDelay is the time after the start of a balancer before it uses the
+	// configuration of an agent as its first. Until then other balancers and the store may provide
+	// one; an agent may be several changes behind.
+	agentConfigurationDelay = time.Second
 	maxDocumentBytes   = 8 << 20
 	// fetchRetryInterval is the mean time between a failed fetch and the next, which is most likely
 	// from another peer.
@@ -110,11 +114,16 @@
 // fetchNewest fetches the configuration from the peer that announces the newest one, if that is
 // newer than the one in force, and applies it.
 func (n *node) fetchNewest() {
+	now := time.Now()
 	n.mutex.Lock()
 	current := n.table.Version()
-	peer, version := n.peers.NewestConfiguration(time.Now())
+	includeAgents := n.usesConfigurationOfAgents(now)
+	peer, version := n.peers.NewestConfiguration(now, includeAgents)
 	n.mutex.Unlock()
 	if version <= current {
+		if !includeAgents && n.sleep(jitter(fetchRetryInterval)) {
+			n.requestFetch()
+		}
 		return
 	}
 	document, err := fetchFrom(n.context, n.peerClient, peer, uint64(current))
@@ -128,6 +137,12 @@
 	}
 }
 
+// usesConfigurationOfAgents reports whether this process fetches configurations from agents too. The
+// caller holds n.mutex.
+func (n *node) usesConfigurationOfAgents(now time.Time) bool {
+	return n.role == presence.RoleAgent || n.table != nil || now.Sub(n.startedAt) >= agentConfigurationDelay
+}
+
 // retryFetch records that the fetch of a version failed, so that a balancer may read the store
 // instead, waits for fetchRetryInterval with jitter, and requests another fetch.
 func (n *node) retryFetch(version routing.Version) {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -35,10 +36,12 @@
 	outgoingBlocked map[netip.AddrPort]bool // balancers whose outgoing traffic is dropped
 }
 
-// member is one balancer, which may be restarted.
+// member is one balancer or agent, which may be restarted.
 type member struct {
 	fleet       *fleet
 	address     netip.AddrPort
+	role        presence.Role    // empty: a balancer
+	seeds       []netip.AddrPort // nil: the first two balancers
 	link        *storeLink
 	node        *node // nil: not running
 	handler     http.Handler
@@ -64,8 +67,12 @@
 		m.link = newStoreLink(m.fleet.store)
 	}
 	s := settings.Settings{Node: settings.Node{ID: m.address.String(), PeerAddress: m.address}}
-	s.Peers.Seeds = []netip.AddrPort{m.fleet.members[0].address, m.fleet.members[1].address}
-	n := newNode(s, m.link, presence.RoleBalancer, logging.New(io.Discard, "error"))
+	s.Peers.Seeds = m.seeds
+	if m.seeds == nil {
+		s.Peers.Seeds = []netip.AddrPort{m.fleet.members[0].address, m.fleet.members[1].address}
+	}
+	role := cmp.Or(m.role, presence.RoleBalancer)
+	n := newNode(s, m.link, role, logging.New(io.Discard, "error"))
 	n.peerConn = memorySocket{m}
 	n.peerClient = &http.Client{Timeout: fetchTimeout, Transport: memoryTransport{m}}
 	m.evacuations = &evacuationRecorder{}
@@ -74,8 +81,10 @@
 	m.node = n
 	m.fleet.mutex.Unlock()
 	n.start(m.evacuations)
-	n.spawn(n.watchLoop)
-	n.spawn(n.evacuationLoop)
+	if role == presence.RoleBalancer {
+		n.spawn(n.watchLoop)
+		n.spawn(n.evacuationLoop)
+	}
 }
 
 // kill stops the balancer's node, if it runs, and waits for its goroutines.
--- a/internal/relay/skipped.go
+++ b/internal/relay/skipped.go
@@ -123,7 +123,7 @@
 	case latest.Sequence == 0 && latest.ID == report.ID:
 		return true
 	}
-	_, newest := a.peers.NewestConfiguration(now)
+	_, newest := a.peers.NewestConfiguration(now, true)
 	return a.table == nil || a.peers.CountReachable(now) == 0 || newest > a.table.Version()
 }
 
