relay: format the constants of fetches

Cause: gofmt differs after the last change; found by the formatter. No code changes. Conclusion: formatting only, the tests of the package passed before.

--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -40,7 +40,7 @@
 	// configuration of an agent as its first. Until then other balancers and the store may provide
 	// one; an agent may be several changes behind.
 	agentConfigurationDelay = time.Second
-	maxDocumentBytes   = 8 << 20
+	maxDocumentBytes        = 8 << 20
 	// fetchRetryInterval is the mean time between a failed fetch and the next, which is most likely
 	// from another peer.
 	fetchRetryInterval = 200 * time.Millisecond
