flow: stalled agents queue no datagrams of open flows

Cause: queued a datagram of a stalled agent that had passed as many agents as there are back ends until the backlog was read.

Change: no such datagram is queued.

--- a/flow/decider.go
+++ b/flow/decider.go
@@ -314,7 +314,7 @@
 		return search.followConnectionID(index)
 	}
 	if d.staleness.isStale(now, packet.EarliestArrival) {
-		if d.staleness.mayHaveUnreadBacklog(now) && !search.mayRestartWhileStale() {
+		if d.staleness.mayHaveUnreadBacklog(now) && search.route.Step != StepSearch {
 			return Action{Kind: AwaitConfirmation}
 		}
 		search.restart()
--- a/flow/search.go
+++ b/flow/search.go
@@ -21,7 +21,7 @@
 	ownBackends BackendSet // back ends behind this agent
 	key         Key
 	route       Route
-	stale       bool // the datagram is stale, and its search starts again at this agent
+	stale       bool // the datagram is stale: its search starts again at this agent
 }
 
 // restart resets the route to the start of a search at the current revision. It keeps the hop count
@@ -36,13 +36,6 @@
 	}
 }
 
-// mayRestartWhileStale reports whether the search of a stale datagram starts again at once to find a
-// flow that is open at another agent. One that has passed as many agents as there are back ends has
-// not found it: agents that are all stalled would restart it in turn.
-func (s *search) mayRestartWhileStale() bool {
-	return s.route.Step == StepSearch && int(s.route.Hops) <= len(s.service.Backends)
-}
-
 func (s *search) run() Action {
 	if s.route.Step == StepAdmit {
 		if !s.agentWasSkipped() {
