flow: arbitrate a datagram whose route does not tell which agents were searched

Cause: since a datagram that is due to be arbitrated continued its search where its route names no searched agent, so that TestArbiterChoosesAgainWhenChosenAgentFails passed without reaching the arbiter's choice. Found in the read-through; routes of real senders name them.

Change: choices and arbitration have the same check (agentWasSkipped), which accepts such a route.

--- a/flow/search.go
+++ b/flow/search.go
@@ -37,18 +37,18 @@
 }
 
 func (s *search) run() Action {
-	if s.route.Step == StepAdmit {
-		if !s.agentWasSkipped() {
-			return s.admit()
-		}
+	if s.route.Step == StepSearch || s.agentWasSkipped() {
 		s.route.Chosen = NoBackend
+		return s.forwardToNext()
 	}
-	return s.forwardToNext()
+	if s.route.Step == StepAdmit {
+		return s.admit()
+	}
+	return s.arbitrate()
 }
 
 // agentWasSkipped reports whether this agent, or another one that is alive, was not searched before
-// the arbiter made its choice. It has become alive since, and may be the arbiter now and choose
-// another back end.
+// arbitration. It has become alive since, and may be the arbiter now and choose another back end.
 func (s *search) agentWasSkipped() bool {
 	if s.route.Visited == 0 {
 		return false // the route does not tell
