--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -379,3 +379,31 @@
 	returning.SetSnapshot(after)
 	is.Equal(handle(returning, fromRemoved.Hop.Route).Hop.To, addedBackend.Agent)
 }
+
+// TestReturningAgentUsesHints guards against an agent that is not current and searches for flows whose
+// back end a hint names.
+func TestReturningAgentUsesHints(t *testing.T) {
+	is := is.New(t)
+	var backends []catalog.Backend
+	for number := range 5 {
+		backends = append(backends, testBackend(number+1, "new"))
+	}
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(testService(backends...), 1)}, 1)
+	is.NoErr(err)
+	now := time.Unix(1000, 0)
+	offered := func() catalog.Revision { return 2 }
+	key := Key{Caller: address("198.51.100.7:1"), Service: address("192.0.2.1:443")}
+	order := CandidateOrder(snapshot.Service("lessons"), key.Bucket())
+	holder := order[len(order)-1]
+	returning := NewDecider(backends[order[0]].Agent, allAlive{}, Options{
+		IdleTimeout: time.Minute, ConfirmedSince: func() time.Time { return now }, OfferedRevision: offered,
+	})
+	returning.SetSnapshot(snapshot)
+	handle := func(route Route) Action {
+		return returning.Handle(now, Packet{Key: key, Route: route, EarliestArrival: now.Add(1)})
+	}
+	is.Equal(handle(Route{Revision: 1, Step: StepHint, Hops: 1, Chosen: holder}).Kind, Consume)
+	action := handle(Route{Revision: 1, Step: StepSearch, Hops: 1, Chosen: NoBackend})
+	is.Equal(action.Hop.To, backends[holder].Agent)
+	is.Equal(action.Hop.Route.Visited, BackendSet(0))
+}
