relay: balancers that restart together use agents' configuration at once

Cause: the wait is meant for a balancer beside others that have the current configuration; where all restart there is none.

Change: a balancer that sees another one without a configuration does not wait. TestBalancersThatRestartTogetherUseConfigurationOfAgents fails with the wait.

Ruled out: a shorter wait.

--- a/handshake/peers.go
+++ b/handshake/peers.go
@@ -272,6 +272,17 @@
 	return false
 }
 
+// SeesUnconfiguredBalancer reports whether another balancer was seen recently that has no
+// configuration, as when all balancers have restarted at about the same time.
+func (p *Peers) SeesUnconfiguredBalancer(now time.Time) bool {
+	for _, peer := range p.peers {
+		if peer.seenRecently(now) && peer.status.Role == presence.RoleBalancer && peer.status.Version == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // seenRecently reports whether the latest status of the peer is newer than its timeout.
 func (p *peerState) seenRecently(now time.Time) bool {
 	return !p.lastSeenAt.IsZero() &&
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -38,7 +38,7 @@
 	agentFetchInterval = 4 * time.Second
 	// agentConfigurationDelay is the time after the start of a balancer before it uses the
 	// configuration of an agent as its first. Until then other balancers and the store may provide
-	// one; an agent may be several changes behind.
+	// one; an agent may be several changes behind. Balancers that restart together do not wait.
 	agentConfigurationDelay = time.Second
 	maxDocumentBytes        = 8 << 20
 	// fetchRetryInterval is the mean time between a failed fetch and the next, which is most likely
@@ -140,7 +140,8 @@
 // usesConfigurationOfAgents reports whether this process fetches configurations from agents too. The
 // caller holds n.mutex.
 func (n *node) usesConfigurationOfAgents(now time.Time) bool {
-	return n.role == presence.RoleAgent || n.table != nil || now.Sub(n.startedAt) >= agentConfigurationDelay
+	return n.role == presence.RoleAgent || n.table != nil || now.Sub(n.startedAt) >= agentConfigurationDelay ||
+		n.peers.SeesUnconfiguredBalancer(now)
 }
 
 // retryFetch records that the fetch of a version failed, so that a balancer may read the store
--- a/internal/relay/first_configuration_test.go
+++ b/internal/relay/first_configuration_test.go
@@ -78,3 +78,24 @@
 		is.New(t).Equal(f.members[0].awaitConfiguration(), agent.configurationVersion())
 	})
 }
+
+// TestBalancersThatRestartTogetherUseConfigurationOfAgents guards against balancers that all restart
+// while the store does not answer, and serve nobody before agentConfigurationDelay.
+func TestBalancersThatRestartTogetherUseConfigurationOfAgents(t *testing.T) {
+	runInFleet(t, 3, func(f *fleet) {
+		agent := f.addAgent()
+		balancers := f.members[:3]
+		for _, m := range balancers {
+			m.kill()
+			m.link.fail()
+		}
+		for _, m := range balancers {
+			m.seeds = []netip.AddrPort{agent.address}
+			m.start()
+		}
+		time.Sleep(agentConfigurationDelay / 2)
+		for _, m := range balancers {
+			is.New(t).Equal(m.configurationVersion(), agent.configurationVersion())
+		}
+	})
+}
