process: children start with SIGHUP ignored

What callers saw: a process that was restarted and got SIGHUP in its first milliseconds ended, and nothing served in its place (TestSoak: "waited 20s for all balancers to be ready", "for every host to get flows"; the log of the process is empty).

Cause: until a process receives SIGHUP, the signal's default action ends it. So whoever starts the process has to close it.

Change: internal/lab/process starts children with SIGHUP ignored. They inherit that until internal/hangup receives the signal; the settings are read after that, so no reload is lost.

The soak sends its signals as before.

--- a/internal/lab/process/group.go
+++ b/internal/lab/process/group.go
@@ -119,7 +119,7 @@
 	}
 	child := newProcess(command)
 	started := make(chan error)
-	g.startRequests <- func() { started <- child.command.Start() }
+	g.startRequests <- func() { started <- startIgnoringHangup(child.command) }
 	if err := <-started; err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "start %s", command.Name)
 	}
@@ -128,6 +128,22 @@
 	return child, nil
 }
 
+// hangupDisposition guards this process's disposition of SIGHUP, which children inherit.
+var hangupDisposition sync.Mutex
+
+// startIgnoringHangup starts a child that ignores SIGHUP until it installs a handler. The signal
+// would otherwise end a child that has just started. This process ignores the signal meanwhile, and
+// its earlier calls of signal.Notify for it no longer apply.
+func startIgnoringHangup(command *exec.Cmd) error {
+	hangupDisposition.Lock()
+	defer hangupDisposition.Unlock()
+	if !signal.Ignored(syscall.SIGHUP) {
+		signal.Ignore(syscall.SIGHUP)
+		defer signal.Reset(syscall.SIGHUP)
+	}
+	return command.Start()
+}
+
 // StopAll stops every running child of the group with the function StopAll.
 func (g *Group) StopAll(timeout time.Duration) error { return StopAll(g.listChildren(), timeout) }
 
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -76,6 +76,15 @@
 	return p.command.ProcessState.ExitCode()
 }
 
+// ExitStatus describes for error messages and logs how the child ended, for example "exit status 1"
+// or "signal: killed", or returns "running".
+func (p *Process) ExitStatus() string {
+	if !p.hasExited() {
+		return "running"
+	}
+	return p.command.ProcessState.String()
+}
+
 // AwaitLine waits until a complete line of the log contains the text and returns the first such
 // line. Errors: fault.Deadline after the timeout, fault.Unavailable if the child exits first; both
 // contain the end of the log.
@@ -95,7 +104,7 @@
 			if line, found := p.log.findLine(text); found {
 				return line, nil
 			}
-			return "", fault.New(fault.Unavailable, "%s exited with code %d before it logged a line with %q; log: %s", p.name, p.ExitCode(), text, p.log.tail())
+			return "", fault.New(fault.Unavailable, "%s ended (%s) before it logged a line with %q; log: %s", p.name, p.ExitStatus(), text, p.log.tail())
 		}
 	}
 }
@@ -118,8 +127,8 @@
 		p.Kill()
 		return fault.New(fault.Deadline, "%s did not stop within %s; log: %s", p.name, timeout, p.log.tail())
 	}
-	if code := p.ExitCode(); code != 0 {
-		return fault.New(fault.Internal, "%s exited with code %d; log: %s", p.name, code, p.log.tail())
+	if p.ExitCode() != 0 {
+		return fault.New(fault.Internal, "%s ended (%s); log: %s", p.name, p.ExitStatus(), p.log.tail())
 	}
 	return nil
 }
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -123,6 +123,38 @@
 	is.Equal(fault.KindOf(err), fault.Unavailable)
 }
 
+// TestHangupAtStartEndsNoChild guards against a child that SIGHUP ends before the child has
+// installed a handler, and against a child that ignores the signal from then on.
+func TestHangupAtStartEndsNoChild(t *testing.T) {
+	is := is.New(t)
+	group, path := newGroup(t)
+	for range 20 {
+		child, err := group.Start(process.Command{Name: "child", Path: path})
+		is.NoErr(err)
+		is.NoErr(syscall.Kill(child.ID(), syscall.SIGHUP))
+		is.NoErr(child.AwaitReady(waitTimeout))
+		is.NoErr(syscall.Kill(child.ID(), syscall.SIGHUP))
+		_, err = child.AwaitLine("event=hangup", waitTimeout)
+		is.NoErr(err)
+		is.NoErr(child.Stop(waitTimeout))
+	}
+}
+
+// TestExitStatusTellsSignals guards against an error that does not tell whether a child exited or
+// was ended by a signal.
+func TestExitStatusTellsSignals(t *testing.T) {
+	is := is.New(t)
+	group, path := newGroup(t)
+	failed, err := group.Start(process.Command{Name: "child", Path: path, Arguments: []string{"fail"}})
+	is.NoErr(err)
+	is.True(strings.Contains(failed.AwaitReady(waitTimeout).Error(), "(exit status 3)"))
+	killed, err := group.Start(process.Command{Name: "child", Path: path})
+	is.NoErr(err)
+	is.Equal(killed.ExitStatus(), "running")
+	killed.Kill()
+	is.Equal(killed.ExitStatus(), "signal: killed")
+}
+
 // TestNoChildOutlivesItsParent guards against children left running when the program that started
 // them is killed or interrupted.
 func TestNoChildOutlivesItsParent(t *testing.T) {
--- a/internal/lab/process/testdata/child/main.go
+++ b/internal/lab/process/testdata/child/main.go
@@ -1,6 +1,6 @@
 // Command child is the child process of the tests of package process. It logs that it is ready,
 // then writes a line at each tick until SIGTERM. With the argument "fail" it exits with code 3 at
-// once.
+// once. It logs SIGHUP.
 package main
 
 import (
@@ -16,6 +16,8 @@
 
 func main() {
 	stop := make(chan os.Signal, 1)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Notify(stop, syscall.SIGTERM)
 	if len(os.Args) > 1 && os.Args[1] == "fail" {
 		fmt.Println("event=failed")
@@ -27,6 +29,8 @@
 		case <-stop:
 			fmt.Println("event=stopped")
 			return
+		case <-hangups:
+			fmt.Println("event=hangup")
 		case <-tick.C:
 			fmt.Fprintln(os.Stderr, "event=tick")
 		}
