process: Suspend returns when the child no longer runs

What was seen: TestCallerOfAFrozenAgentIsReset, the caller of a suspended agent was not reset, and no agent-away line was written.

Cause: Suspend returned once SIGSTOP was sent. One thread of the process has to receive the signal before the others are stopped; on a busy machine that thread waits for a processor while the others go on. The agent answered the request that the test sent to a process that it believed to be suspended, so the caller had its answer and there was nothing to reset.

Change: Suspend returns when all threads are stopped, the child has exited or Resume is called. The test is unchanged, and so are the others that suspend processes.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -5,9 +5,13 @@
 package process
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,12 +21,16 @@
 // ReadyText is the part of a log line by which a child reports that it is ready to serve.
 const ReadyText = "event=ready"
 
+// suspendPollInterval is the interval at which Suspend checks whether the child has stopped.
+const suspendPollInterval = time.Millisecond
+
 // Process is a child process. Its methods are safe for concurrent use.
 type Process struct {
-	name    string
-	command *exec.Cmd
-	log     *logBuffer    // standard output and standard error
-	exited  chan struct{} // closed when the child has exited
+	name      string
+	command   *exec.Cmd
+	log       *logBuffer    // standard output and standard error
+	exited    chan struct{} // closed when the child has exited
+	suspended atomic.Bool   // by the latest call of Suspend or Resume
 }
 
 func newProcess(command Command) *Process {
@@ -139,11 +147,40 @@
 	<-p.exited
 }
 
-// Suspend suspends the child's process group (SIGSTOP) until Resume.
-func (p *Process) Suspend() { p.signal(syscall.SIGSTOP) }
+// Suspend suspends the child's process group (SIGSTOP) until Resume. It returns when the child no
+// longer runs: until one of its threads has received the signal, the others continue.
+func (p *Process) Suspend() {
+	p.suspended.Store(true)
+	p.signal(syscall.SIGSTOP)
+	for p.suspended.Load() && !p.hasExited() && !allThreadsStopped(p.ID()) {
+		time.Sleep(suspendPollInterval)
+	}
+}
 
 // Resume continues the child's process group after Suspend (SIGCONT).
-func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+func (p *Process) Resume() {
+	p.suspended.Store(false)
+	p.signal(syscall.SIGCONT)
+}
+
+// allThreadsStopped reports whether no thread of the process runs or can run: each is stopped, or
+// has exited.
+func allThreadsStopped(id int) bool {
+	states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", id))
+	if err != nil {
+		panic(err) // malformed pattern
+	}
+	return !slices.ContainsFunc(states, func(path string) bool {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false // the thread has exited
+		}
+		// The state follows the name, which is in parentheses and may contain any character.
+		text := string(stat)
+		state := text[strings.LastIndex(text, ")")+1:]
+		return !strings.HasPrefix(state, " T") && !strings.HasPrefix(state, " Z")
+	})
+}
 
 // signal sends the signal to the child's process group, unless the child has exited: the id of a
 // process that has exited may belong to another one.
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -104,6 +105,28 @@
 	is.True(strings.HasSuffix(child.Log(), "event=stopped\n"))
 }
 
+// TestSuspendedChildHasStopped guards against a suspension that returns while threads of the child
+// still run, so that a test finds a process at work that it believes to be suspended.
+func TestSuspendedChildHasStopped(t *testing.T) {
+	is := is.New(t)
+	group, path := newGroup(t)
+	child, err := group.Start(process.Command{Name: "child", Path: path})
+	is.NoErr(err)
+	is.NoErr(child.AwaitReady(waitTimeout))
+	for range 50 {
+		child.Suspend()
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", child.ID()))
+		is.NoErr(err)
+		is.True(len(threads) > 0)
+		for _, thread := range threads {
+			status, err := os.ReadFile(thread)
+			is.NoErr(err)
+			is.True(strings.Contains(string(status), ") T "))
+		}
+		child.Resume()
+	}
+}
+
 // TestEarlyExitAndKill guards against a wait that misses the exit of the child, a suspended child
 // that survives Close of its group, and a start in a closed group.
 func TestEarlyExitAndKill(t *testing.T) {
