handshake: a balancer that stalls still resets callers of unreachable agents

What callers saw: the machine of an agent fails, and its balancer stalls for more than 180 ms before it has noticed. The balancer then resets nobody until it hears from the agent again: callers retransmit until their deadline, although their requests may be retried elsewhere.

Cause: an agent that shuts down must not be taken for one that has failed, so a balancer that may have missed its notice resets nobody, and each stall counted as a possible loss of messages. What arrives during a stall waits in the socket, though, and is lost only if the receive buffer overflows.

Change: the balancer asks the kernel how many datagrams its peer socket has dropped (SO_MEMINFO). After a stall without drops the probes of agents start anew, so that answers and notices that wait in the socket are handled first. Drops count as a loss also without a stall. Where the system does not count drops, a stall counts as before, and drops-unknown is logged once. agent-unprobed logs why an agent that a caller waits for is not probed.

Tests: TestStalledBalancerResetsCallersOfAnUnreachableAgent, stalls of 200, 400 and 700 ms from any moment of the 0.8 s that detection takes: 51 of 51 fail with the old rule, 51 of 51 pass. Three cases of TestFlowsThatAreNotReset (notice waiting, notice dropped, drops without a stall) and wire.TestDroppedDatagramsAreCounted. TestInvariantsUnderAnyOrderOfEvents has two balancers that count drops: 10,000 checks pass.

Found while TestCallerOfAFrozenAgentIsReset was traced, which failed for another reason.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -101,6 +101,7 @@
 	EventLost             Event = "flow-lost"       // no agent holds the flow, or its lookup failed
 	EventAgentUnreachable Event = "agent-away"      // an agent answers no probes, while witnesses do
 	EventAgentReachable   Event = "agent-back"      // the agent no longer counts as unreachable
+	EventAgentNotProbed   Event = "agent-unprobed"  // a shutdown notice of the agent may be lost
 	EventFlowReset        Event = "flow-broken-off" // the caller was reset; the flow may still be open
 	EventAdmitted         Event = "flow-admitted"   // an opening was delivered to a back end
 	EventNotHeld          Event = "flow-not-held"   // an agent does not confirm holding the flow
--- a/handshake/agent_probe.go
+++ b/handshake/agent_probe.go
@@ -1,6 +1,6 @@
 // This file detects unreachable agents: it probes an agent and another one of its zone, the
 // witness, and resets callers whose requests may be retried if only the witness answers. It resets
-// none if the balancer may have missed the agent's shutdown notice.
+// none if the balancer may have missed the agent's shutdown notice, and logs the reason.
 
 package handshake
 
@@ -36,9 +36,6 @@
 	// longer probed.
 	probeIdleTimeout = 5 * time.Second
 	maxProbedAgents  = 24 // agents that are probed at once
-	// disturbanceTimeout is the time without a message from any agent after which shutdown notices
-	// may have been lost.
-	disturbanceTimeout = 500 * time.Millisecond
 	// forwardIdleTimeout is the time without a forwarded datagram after which an agent may no
 	// longer send shutdown notices to this balancer. It is shorter than ForwarderTTL.
 	forwardIdleTimeout = 30 * time.Second
@@ -70,8 +67,11 @@
 // of the agent has arrived recently.
 func (b *Balancer) startAgentProbe(now time.Time, entry *flowEntry) {
 	agent := b.agentTable.agents[entry.agent]
-	if agent == nil || now.Sub(agent.lastMessageAt) < agentProbeInterval ||
-		!b.shutdownNoticeExpected(now, agent) {
+	if agent == nil || now.Sub(agent.lastMessageAt) < agentProbeInterval {
+		return
+	}
+	if !b.shutdownNoticeExpected(agent) {
+		b.emitNotProbed(now, entry, agent)
 		return
 	}
 	if probe := b.agentProbeOf(entry.agent); probe != nil {
@@ -164,7 +164,7 @@
 // checkAgentProbes ends the probes of agents that no longer have to be probed, and continues the
 // others.
 func (b *Balancer) checkAgentProbes(now time.Time) {
-	b.recordDisturbance(now)
+	b.updateDisturbance(now)
 	b.probedAgents = slices.DeleteFunc(b.probedAgents, func(probe *agentProbe) bool {
 		done := !b.needsAgentProbe(now, probe)
 		if done {
@@ -182,7 +182,7 @@
 func (b *Balancer) needsAgentProbe(now time.Time, probe *agentProbe) bool {
 	agent := b.agentTable.agents[probe.address]
 	switch {
-	case agent == nil || !b.shutdownNoticeExpected(now, agent) ||
+	case agent == nil || !b.shutdownNoticeExpected(agent) ||
 		now.Sub(probe.lastWantedAt) > probeIdleTimeout:
 		return false
 	default:
@@ -194,10 +194,19 @@
 // and no shutdown notice (Peers.BeginShutdown) has arrived. The balancer would know because it had
 // forwarded datagrams to the agent before the agent's last message, so that the agent sends it
 // notices, and because nothing has kept it from receiving one since.
-func (b *Balancer) shutdownNoticeExpected(now time.Time, agent *agentState) bool {
+func (b *Balancer) shutdownNoticeExpected(agent *agentState) bool {
 	used := !agent.firstForwardAt.IsZero() && agent.lastMessageAt.After(agent.firstForwardAt)
-	disturbed := agent.lastMessageAt.Before(b.disturbedAt) || now.Sub(b.lastTickAt) > RetransmitTime
-	return used && !agent.status.ShuttingDown && !disturbed
+	return used && !agent.status.ShuttingDown && !b.disturbance.since(agent.lastMessageAt)
+}
+
+// emitNotProbed emits EventAgentNotProbed, once for each disturbance since the agent's last message.
+func (b *Balancer) emitNotProbed(now time.Time, entry *flowEntry, agent *agentState) {
+	if !b.disturbance.since(agent.lastMessageAt) || !agent.notProbedAt.Before(b.disturbance.latestAt) {
+		return
+	}
+	agent.notProbedAt = b.disturbance.latestAt
+	b.emit(Decision{Event: EventAgentNotProbed, Key: entry.key, Service: agent.status.Service,
+		Peer: agent.address, Reason: b.disturbance.reason, Age: now.Sub(b.disturbance.latestAt)})
 }
 
 // recordForwarded records that a caller's datagram is sent to the agent.
@@ -212,7 +221,7 @@
 func (b *Balancer) recordAgentMessage(now time.Time, from netip.AddrPort) {
 	if agent := b.agentTable.agents[from]; agent != nil {
 		agent.lastMessageAt = now
-		b.agentSeenAt = now
+		b.disturbance.agentSeenAt = now
 	}
 }
 
@@ -287,8 +296,9 @@
 		return false
 	}
 	probe := b.agentProbeOf(entry.agent)
+	stalled := now.Sub(b.lastTickAt) > RetransmitTime // the next Tick updates the disturbance
 	switch {
-	case probe != nil && probe.unreachable && b.needsAgentProbe(now, probe):
+	case probe != nil && probe.unreachable && !stalled && b.needsAgentProbe(now, probe):
 		probe.lastWantedAt = now
 		b.resetFlow(now, entry, probe)
 		return true
@@ -311,11 +321,3 @@
 		Attempts: probe.missedProbes, Age: now.Sub(agent.lastMessageAt)})
 	b.emit(ResetCaller{Key: entry.key, Confirms: entry.lastConfirms, AgentUnreachable: true})
 }
-
-// recordDisturbance records that this balancer has stalled, or has received no message from any
-// agent for disturbanceTimeout: messages to it may have been lost, including shutdown notices.
-func (b *Balancer) recordDisturbance(now time.Time) {
-	if now.Sub(b.agentSeenAt) > disturbanceTimeout || b.stallEndedAt.After(b.disturbedAt) {
-		b.disturbedAt = now
-	}
-}
--- a/handshake/agent_probe_test.go
+++ b/handshake/agent_probe_test.go
@@ -80,6 +80,36 @@
 	}
 }
 
+// TestStalledBalancerResetsCallersOfAnUnreachableAgent guards against callers that wait for an
+// unreachable agent because their balancer has stalled meanwhile, although its socket has kept all
+// messages. The stall begins at any moment of the time that detecting the agent takes.
+func TestStalledBalancerResetsCallersOfAnUnreachableAgent(t *testing.T) {
+	for _, stall := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond} {
+		for begin := time.Duration(0); begin <= UnreachableTimeout; begin += 50 * time.Millisecond {
+			t.Run(fmt.Sprintf("%v after %v", stall, begin), func(t *testing.T) {
+				is := is.New(t)
+				w, caller, agent := startWorldWithFlow(t, routing.Idempotent, 4)
+				balancer := w.balancers[0]
+				balancer.knowsDrops = true
+				w.advance(worldTickInterval)
+				agent.up = false
+				failedAt := w.now
+				w.schedule(func() {
+					w.queue = append(w.queue,
+						worldEvent{failedAt.Add(begin), func() { balancer.suspended = true }},
+						worldEvent{failedAt.Add(begin + stall), func() { w.resumeBalancer(balancer) }})
+				})
+				w.sendUntilAnswered(caller)
+				for !caller.reset && w.now.Sub(failedAt) < begin+stall+1200*time.Millisecond {
+					w.advance(worldTickInterval)
+				}
+				is.True(caller.reset)
+				is.Equal(w.violation, "")
+			})
+		}
+	}
+}
+
 // TestFurtherCallersOfAnUnreachableAgentAreResetAtOnce checks that further callers of an
 // unreachable agent are reset without another probe, and that a lost reset is repeated.
 func TestFurtherCallersOfAnUnreachableAgentAreResetAtOnce(t *testing.T) {
@@ -196,6 +226,34 @@
 			w.balancers[0].inbox = nil // messages received during the stall are lost
 			w.resumeBalancer(w.balancers[0])
 		}},
+		"balancer stalled during shutdown of the agent, messages waiting": {routing.Idempotent, func(w *world, agent *worldAgent) {
+			w.balancers[0].knowsDrops = true
+			w.advance(worldTickInterval)
+			w.balancers[0].suspended = true
+			w.beginShutdown(agent)
+			w.advance(MinAgentShutdownTime)
+			agent.up = false
+			w.advance(UnreachableTimeout)
+			w.resumeBalancer(w.balancers[0])
+		}},
+		"balancer stalled during shutdown of the agent, messages dropped": {routing.Idempotent, func(w *world, agent *worldAgent) {
+			w.balancers[0].knowsDrops = true
+			w.advance(worldTickInterval)
+			w.balancers[0].suspended = true
+			w.beginShutdown(agent)
+			w.advance(MinAgentShutdownTime)
+			agent.up = false
+			w.dropInbox(w.balancers[0])
+			w.advance(worldTickInterval)
+			w.resumeBalancer(w.balancers[0])
+		}},
+		"messages dropped without a stall during shutdown of the agent": {routing.Idempotent, func(w *world, agent *worldAgent) {
+			w.balancers[0].knowsDrops = true
+			w.advance(worldTickInterval)
+			agent.up, agent.shutDown = false, true // no notice arrives
+			w.advance(worldTickInterval)
+			w.balancers[0].inboxDrops++
+		}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -75,8 +75,7 @@
 	stallEndedAt           time.Time // end of the last stall that was longer than RetransmitTime
 	nextSweepAt            time.Time
 	probedAgents           []*agentProbe // probes for reachability, at most maxProbedAgents
-	agentSeenAt            time.Time     // of the last message from any agent
-	disturbedAt            time.Time     // last time that shutdown notices may have been missed
+	disturbance            disturbance   // whether shutdown notices may have been missed
 	actions                []Action
 }
 
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -192,6 +192,9 @@
 			start = startObservedWorld
 		}
 		w := start(t, rapid.Uint64().Draw(t, "seed"), 3, agents)
+		for _, balancer := range w.balancers[1:] {
+			balancer.knowsDrops = true
+		}
 		port := uint16(1000)
 		w.setRequestKind(rapid.SampledFrom([]routing.RequestKind{
 			routing.Idempotent, routing.NonIdempotent,
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -76,8 +76,11 @@
 	startedAt time.Time // time of the latest start
 	suspended bool
 	view      evacuation.View
-	inbox     []func()  // events received while it was suspended
-	busyUntil time.Time // its processor is busy until then, if world.processingTime is set
+	inbox     []func() // events received while it was suspended
+	// knowsDrops states that it counts the messages that its socket drops: inboxDrops.
+	knowsDrops bool
+	inboxDrops uint64
+	busyUntil  time.Time // its processor is busy until then, if world.processingTime is set
 }
 
 // world is a simulated fleet with its callers.
@@ -225,6 +228,9 @@
 func (w *world) tick() {
 	for i, balancer := range w.balancers {
 		if balancer.up && !balancer.suspended {
+			if balancer.knowsDrops {
+				balancer.logic.RecordDroppedMessages(balancer.inboxDrops)
+			}
 			w.executeBalancerActions(balancer, balancer.logic.Tick(w.now))
 			w.pollEvacuations(i, balancer)
 			w.broadcastStatus(balancer)
@@ -336,6 +342,12 @@
 	balancer.inbox = nil
 }
 
+// dropInbox drops what a suspended balancer has received so far.
+func (w *world) dropInbox(balancer *worldBalancer) {
+	balancer.inboxDrops += uint64(len(balancer.inbox))
+	balancer.inbox = nil
+}
+
 func (w *world) executeBalancerActions(from *worldBalancer, actions []Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -38,6 +38,7 @@
 	lastCallerAt time.Time                   // when the latest datagram of a caller was received
 	shutdown     *handshake.BalancerShutdown // nil before the shutdown
 	recordsDue   chan struct{}               // signals that the records of agents are needed
+	dropsUnknown bool                        // the system does not count dropped datagrams
 }
 
 // RunBalancer serves until the context ends and then shuts down gracefully. It returns an
@@ -230,6 +231,7 @@
 
 // tick performs the actions that are due. The lock is held.
 func (b *balancer) tick(now time.Time) {
+	b.recordDroppedMessages()
 	b.perform(b.flows.Tick(now))
 	b.logReadiness(now)
 	if b.flows.RecordsDue(now) {
@@ -237,6 +239,21 @@
 	}
 }
 
+// recordDroppedMessages passes the number of messages that the peer socket has dropped to the
+// decider. The lock is held.
+func (b *balancer) recordDroppedMessages() {
+	if b.dropsUnknown {
+		return
+	}
+	dropped, err := b.peerConn.DroppedDatagrams()
+	if err != nil {
+		b.dropsUnknown = true
+		b.log.WithError(err).Warn("drops-unknown")
+		return
+	}
+	b.flows.RecordDroppedMessages(dropped)
+}
+
 // logReadiness logs when the balancer becomes ready or unready. The lock is held.
 func (b *balancer) logReadiness(now time.Time) {
 	ready := b.acceptsCallers(now)
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -206,6 +206,9 @@
 	return nil
 }
 
+// DroppedDatagrams returns 0: a memorySocket has no receive buffer that could be full.
+func (s memorySocket) DroppedDatagrams() (uint64, error) { return 0, nil }
+
 func (s memorySocket) Close() error { return nil }
 
 // memoryTransport is an http.RoundTripper that serves fetches from the other nodes in memory.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -112,9 +112,10 @@
 	fetchDue   chan struct{} // signals that a peer has a newer configuration
 }
 
-// peerSocket sends datagrams to other processes.
+// peerSocket sends datagrams to other processes and counts those from them that were dropped.
 type peerSocket interface {
 	Send(datagram []byte, to netip.AddrPort) error
+	DroppedDatagrams() (uint64, error)
 	Close() error
 }
 
--- a/internal/wire/socket_test.go
+++ b/internal/wire/socket_test.go
@@ -119,3 +119,34 @@
 		t.Error("received no datagram before the timeout")
 	}
 }
+
+// TestDroppedDatagramsAreCounted guards against drops at a full receive buffer that are not counted.
+func TestDroppedDatagramsAreCounted(t *testing.T) {
+	is := is.New(t)
+	resume := make(chan struct{})
+	receiver, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, Arrival) { <-resume })
+	is.NoErr(err)
+	defer func() { is.NoErr(receiver.Close()) }()
+	defer close(resume)
+	sender, _ := listen(t, "127.0.0.1:0")
+	dropped, err := receiver.DroppedDatagrams()
+	is.NoErr(err)
+	is.Equal(dropped, uint64(0))
+	sent := uint64(0)
+	for ; dropped == 0 && sent < 100_000; sent++ {
+		is.NoErr(sender.Send(make([]byte, MaxDatagramBytes), receiver.LocalAddress()))
+		dropped, err = receiver.DroppedDatagrams()
+		is.NoErr(err)
+	}
+	is.True(dropped > 0)
+	is.True(dropped < sent)
+}
+
+// TestDropsOfAClosedSocketAreUnknown guards against a count of a closed socket that passes for none.
+func TestDropsOfAClosedSocketAreUnknown(t *testing.T) {
+	is := is.New(t)
+	socket, _ := listen(t, "127.0.0.1:0")
+	is.NoErr(socket.Close())
+	_, err := socket.DroppedDatagrams()
+	is.Equal(fault.KindOf(err), fault.Unavailable)
+}
