test: unanswered flows are logged with the back ends that received them

The check of TestPlannedChangesOnRealProcesses says how many flows got no answer, but not which, so that its logs could not tell an opening that was never admitted from replies that were lost.

--- a/internal/lab/caller/flow.go
+++ b/internal/lab/caller/flow.go
@@ -128,6 +128,7 @@
 	f.ended = true
 	if f.backend == "" {
 		result.FlowsUnanswered++
+		result.UnansweredFlows = append(result.UnansweredFlows, UnansweredFlow{Flow: f.name, StartTime: f.startTime, EndTime: now})
 		return
 	}
 	f.markBroken(result)
--- a/internal/lab/caller/flows_test.go
+++ b/internal/lab/caller/flows_test.go
@@ -71,6 +71,9 @@
 			for range test.want.FlowsBroken {
 				test.want.BrokenFlows = append(test.want.BrokenFlows, BrokenFlow{Flow: state.name, Backend: "a"})
 			}
+			for range test.want.FlowsUnanswered {
+				test.want.UnansweredFlows = append(test.want.UnansweredFlows, UnansweredFlow{Flow: state.name, StartTime: start, EndTime: start.Add(test.silence)})
+			}
 			test.want.Flows, test.want.DatagramsSent, result.Latency = 1, 2, nil
 			is.Equal(result, test.want)
 		})
--- a/internal/lab/caller/result.go
+++ b/internal/lab/caller/result.go
@@ -44,7 +44,8 @@
 
 	MaxSendGap time.Duration // longest time between two consecutive datagrams sent by a UDP flow
 
-	BrokenFlows []BrokenFlow
+	BrokenFlows     []BrokenFlow
+	UnansweredFlows []UnansweredFlow
 
 	Streams          uint64  // TCP streams started; each ends as complete, refused, aborted, wrong or misrouted
 	StreamsAnswered  uint64  // streams accepted by a back end of the service
@@ -67,6 +68,13 @@
 	Backend catalog.BackendID // back end of the flow before it broke
 }
 
+// UnansweredFlow is a flow counted in Result.FlowsUnanswered.
+type UnansweredFlow struct {
+	Flow      string // its name in the journal
+	StartTime time.Time
+	EndTime   time.Time // when the reply timeout ended it
+}
+
 // FailedRequest is a request that is neither complete nor refused.
 type FailedRequest struct {
 	EndTime   time.Time
@@ -100,6 +108,7 @@
 	r.Replies += other.Replies
 	r.MaxSendGap = max(r.MaxSendGap, other.MaxSendGap)
 	r.BrokenFlows = append(r.BrokenFlows, other.BrokenFlows...)
+	r.UnansweredFlows = append(r.UnansweredFlows, other.UnansweredFlows...)
 	r.Streams += other.Streams
 	r.StreamsAnswered += other.StreamsAnswered
 	r.StreamsComplete += other.StreamsComplete
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -50,6 +50,9 @@
 	maxReplyDelay = 3 * time.Second
 )
 
+// timeOfDay is the layout of times in failure messages, as in the processes' logs.
+const timeOfDay = "15:04:05.000"
+
 // Zones of the test clusters. Nodes are assigned to them in turn.
 var zones = []catalog.ZoneName{"zone-1", "zone-2", "zone-3"}
 
@@ -258,9 +261,24 @@
 	if result.FlowsBroken+result.FlowsUnanswered+result.Misrouted+result.Wrong > 0 {
 		d.t.Errorf("flows broken, unanswered, misrouted or answered wrongly; broken: %v", result.BrokenFlows)
 	}
+	d.logUnanswered(result.UnansweredFlows)
 	d.checkJournal(result)
 }
 
+// logUnanswered logs when each unanswered flow ran, and which back ends have received a datagram of
+// it, and when first.
+func (d *deployment) logUnanswered(unanswered []caller.UnansweredFlow) {
+	d.t.Helper()
+	received := map[string][]backend.FlowRecord{}
+	for _, record := range d.journal.Flows() {
+		received[record.Flow] = append(received[record.Flow], record)
+	}
+	for _, flow := range unanswered {
+		d.t.Logf("unanswered flow %s from %s to %s; received by %v", flow.Flow, flow.StartTime.Format(timeOfDay),
+			flow.EndTime.Format(timeOfDay), received[flow.Flow])
+	}
+}
+
 func (d *deployment) logFlows(result caller.Result) {
 	d.t.Helper()
 	d.t.Logf("flows: %d started, %d answered, %d broken (%d of them moved), %d unanswered, %d misrouted, %d wrong; %d datagrams at most %v apart, %d replies, p99 %.1f ms",
