handshake: long simulations run in parallel

They run in parallel now; no check, size or seed is changed. The datagrams of a simulated world, which were in one map for all tests, are kept per world.

--- a/handshake/cold_limiter_test.go
+++ b/handshake/cold_limiter_test.go
@@ -53,6 +53,7 @@
 // TestNewFlowsOfColdBackEndsAreBounded checks that a cold back end receives no more new flows in
 // any second than its bound, and most of the bound while openings are queued at several balancers.
 func TestNewFlowsOfColdBackEndsAreBounded(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(coldTestSeeds()) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
--- a/handshake/evacuation_test.go
+++ b/handshake/evacuation_test.go
@@ -140,6 +140,7 @@
 // that its agent and a balancer that knows of the evacuation have run since, and that all zones
 // accept flows again after their evacuations have ended.
 func TestEvacuationsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
 		w.assignZones("b", "c")
--- a/handshake/fleet_search_test.go
+++ b/handshake/fleet_search_test.go
@@ -34,6 +34,7 @@
 // TestFlowsAreFoundAmongCandidates checks that restarted balancers find flows by querying only
 // their candidates, whatever the size of the fleet.
 func TestFlowsAreFoundAmongCandidates(t *testing.T) {
+	t.Parallel()
 	const flows = 20
 	for _, agents := range []int{30, 200, 1000} {
 		t.Run(fmt.Sprint(agents), func(t *testing.T) {
@@ -61,6 +62,7 @@
 // agents does not grow with the number of callers that send at once after a restart of all
 // processes and back ends.
 func TestCallersOfClosedFlowsAreResetByFewSummaryRounds(t *testing.T) {
+	t.Parallel()
 	for _, agents := range []int{30, 90} {
 		summaryRequests := map[int]int{}
 		for _, flows := range []int{20, 200} {
--- a/handshake/flow_probe_test.go
+++ b/handshake/flow_probe_test.go
@@ -22,6 +22,7 @@
 // back ends within strayWindow, over all balancers together, whatever the order of restarts, stalls
 // and failures of agents and balancers.
 func TestProbesPerFlowAreBounded(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		const balancers, agents, flows = 4, 12, 5
 		w := startWorld(t, rapid.Uint64().Draw(t, "seed"), balancers, agents)
--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -185,6 +185,7 @@
 //   - at most maxFlowProbes datagrams of an open flow reach other back ends within strayWindow, and
 //   - every open flow of a running back end is found after the faults have ended.
 func TestInvariantsUnderAnyOrderOfEvents(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		agents := rapid.SampledFrom([]int{4, 4, 24}).Draw(t, "agents")
 		start := startWorld
--- a/handshake/load_generator_test.go
+++ b/handshake/load_generator_test.go
@@ -97,7 +97,6 @@
 
 // generateLoad configures a route for each kind and returns the generator of the requests.
 func (w *world) generateLoad(kinds []loadKind) *loadGenerator {
-	clear(worldDatagrams)
 	g := &loadGenerator{world: w, kinds: kinds, rateFactor: 1, routes: map[netip.AddrPort]*loadKind{}, backends: map[*worldBackend]*loadBackend{},
 		slowdown: map[*worldAgent]float64{}, received: map[flow.Key]bool{}, results: map[string]*loadResult{}, countFrom: w.now, countUntil: w.now.Add(time.Hour)}
 	var routes []routing.Route
--- a/handshake/load_test.go
+++ b/handshake/load_test.go
@@ -55,6 +55,7 @@
 // TestLoadAfterAnOutage checks that requests that start after an outage of all processes and back
 // ends are not delayed by earlier requests that have already missed their latency targets.
 func TestLoadAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var sum loadResult
 	for seed := range uint64(outageSeeds) {
--- a/handshake/world_callers_test.go
+++ b/handshake/world_callers_test.go
@@ -25,7 +25,7 @@
 
 // sendFromCaller sends a caller's datagram to w.ingress, or to a random balancer if that is nil.
 func (w *world) sendFromCaller(datagram Datagram) {
-	datagram.Bytes = encodeDatagram(datagram)
+	datagram.Bytes = w.encodeDatagram(datagram)
 	balancer := w.ingress
 	if balancer == nil {
 		balancer = w.balancers[w.random.IntN(len(w.balancers))]
@@ -210,20 +210,17 @@
 	return false
 }
 
-// worldDatagrams maps the bytes that represent a datagram in the test world, which are its
-// formatted fields, to the datagram.
-var worldDatagrams = map[string]Datagram{}
-
-// encodeDatagram returns the bytes that represent the datagram and adds them to worldDatagrams.
-func encodeDatagram(datagram Datagram) []byte {
+// encodeDatagram returns bytes that represent the datagram, which are its formatted fields, and
+// stores the datagram under them.
+func (w *world) encodeDatagram(datagram Datagram) []byte {
 	datagram.Bytes = nil
 	bytes := fmt.Appendf(nil, "%+v", datagram)
-	worldDatagrams[string(bytes)] = datagram
+	w.datagrams[string(bytes)] = datagram
 	return bytes
 }
 
-func decodeDatagram(bytes []byte) Datagram {
-	datagram := worldDatagrams[string(bytes)]
+func (w *world) decodeDatagram(bytes []byte) Datagram {
+	datagram := w.datagrams[string(bytes)]
 	datagram.Bytes = bytes
 	return datagram
 }
--- a/handshake/world_test.go
+++ b/handshake/world_test.go
@@ -107,6 +107,7 @@
 	beforeReports     func()                   // called by losePower before the reports, if set
 	strays            map[flow.Key][]time.Time // times at which datagrams reached other back ends
 	processingTime    time.Duration            // of a balancer, per datagram or message
+	datagrams         map[string]Datagram      // by the bytes that represent them
 }
 
 // worldEvent is an event that is due at a point in time.
@@ -119,7 +120,7 @@
 // not reported yet, and a record that all balancers have read.
 func newWorld(seed uint64, balancers, agents int) *world {
 	w := &world{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, seed)),
-		callers: map[flow.Key]*worldCaller{}, sequenceStep: reportSequenceStep, strays: map[flow.Key][]time.Time{}}
+		callers: map[flow.Key]*worldCaller{}, sequenceStep: reportSequenceStep, strays: map[flow.Key][]time.Time{}, datagrams: map[string]Datagram{}}
 	table, err := routing.New(routing.Content{Version: 1, Routes: []routing.Route{{Name: "r",
 		Address: worldAddress, Targets: []routing.Target{{Service: worldService, Weight: 1}}}}})
 	if err != nil {
@@ -395,10 +396,10 @@
 func (w *world) handleAtAgent(agent *worldAgent, from netip.AddrPort, message Message) []Action {
 	switch message := message.(type) {
 	case Offer:
-		datagram := decodeDatagram(message.Bytes)
+		datagram := w.decodeDatagram(message.Bytes)
 		return agent.logic.HandleOffer(w.now, from, message, &datagram)
 	case Forward:
-		datagram := decodeDatagram(message.Bytes)
+		datagram := w.decodeDatagram(message.Bytes)
 		return agent.logic.HandleForward(w.now, from, &datagram)
 	case FlowQuery:
 		return agent.logic.HandleQuery(w.now, from, message)
@@ -411,7 +412,7 @@
 	case FlowQueryAnswer:
 		return agent.logic.HandleQueryAnswer(from, message)
 	case NotHeld:
-		return agent.logic.HandleReturnedProbe(from, decodeDatagram(message.Bytes).Key)
+		return agent.logic.HandleReturnedProbe(from, w.decodeDatagram(message.Bytes).Key)
 	case ReservationRequest:
 		return agent.logic.HandleReservationRequest(w.now, from, message)
 	case ReservationReleased:
@@ -428,9 +429,9 @@
 			w.sendToBalancer(agent.address, action)
 			w.sendToAgent(agent.address, action)
 		case Deliver:
-			w.deliverToBackend(agent, decodeDatagram(action.Bytes))
+			w.deliverToBackend(agent, w.decodeDatagram(action.Bytes))
 		case Reply:
-			w.deliverToCaller(agent.backend, decodeDatagram(action.Bytes))
+			w.deliverToCaller(agent.backend, w.decodeDatagram(action.Bytes))
 		}
 	}
 }
@@ -448,7 +449,7 @@
 
 func (w *world) handleAtBalancer(balancer *worldBalancer, from netip.AddrPort, message Message) {
 	if notHeld, ok := message.(NotHeld); ok {
-		datagram := decodeDatagram(notHeld.Bytes)
+		datagram := w.decodeDatagram(notHeld.Bytes)
 		w.executeBalancerActions(balancer, balancer.logic.HandleReturned(w.now, from, &datagram, notHeld))
 		return
 	}
@@ -491,7 +492,7 @@
 		backend.open[datagram.Key] {
 		w.violation = "a back end returned a datagram of a flow that it holds"
 	}
-	answer.Bytes = encodeDatagram(answer)
+	answer.Bytes = w.encodeDatagram(answer)
 	if w.load != nil && answer.Kind == Data && !answer.Returned {
 		w.load.serve(agent, answer)
 		return
