flow: a flow stays open while its datagrams may be on their way

Cause: an agent closed a flow when it had handled no datagram of it for the idle timeout. A datagram may wait for 2 s at the balancer and again for 2 s at the agent (MaxWaitTime), so that the second of two may be handled 4 s later after the first than it was sent after it. Likewise an agent that resumed from a stall might close flows before it had read what had arrived meanwhile.

Seven flows expired at three agents within 1.1 s, with an idle timeout of 6 s; callers' datagrams were at most 2.6 s apart; a balancer had been suspended for 6.4 s and two balancers dropped datagrams older than 2 s; each flow was admitted again 0.4 to 2.1 s after it had expired, by datagrams that were on their way then.

Change: a flow is closed after its idle timeout and twice MaxWaitTime, the time that a datagram may wait at the balancer and at the agent. Idle flows are kept 4 s longer, also by an agent that shuts down.

--- a/flow/decider.go
+++ b/flow/decider.go
@@ -14,7 +14,8 @@
 
 // Options configure a Decider.
 type Options struct {
-	// IdleTimeout is the time without a datagram after which a flow is closed.
+	// IdleTimeout is the time without a datagram after which a flow is over. It is closed
+	// maxQueueingTime later, as datagrams may still be on their way.
 	IdleTimeout time.Duration
 	// DrainIdleTimeout is the idle timeout while the agent is shutting down, if it is shorter than
 	// IdleTimeout; 0 means IdleTimeout. It does not apply to flows of HTTP services, whose
@@ -162,29 +163,6 @@
 	}
 }
 
-// Expire removes the flows whose idle timeout has passed and returns their keys. It also removes
-// expired decisions, refusals and hints.
-func (d *Decider) Expire(now time.Time) []Key {
-	var idle []Key
-	for key, record := range d.flows {
-		if now.Sub(record.lastSeenAt) >= d.idleTimeout(record) {
-			idle = append(idle, key)
-			d.CloseFlow(key)
-		}
-	}
-	d.decisions.expire(now)
-	d.refusals.expire(now)
-	d.hints.expire(now)
-	return idle
-}
-
-func (d *Decider) idleTimeout(record *flowRecord) time.Duration {
-	if !d.shuttingDown || d.options.DrainIdleTimeout == 0 || record.service.Protocol == catalog.ProtocolHTTP {
-		return d.options.IdleTimeout
-	}
-	return min(d.options.IdleTimeout, d.options.DrainIdleTimeout)
-}
-
 // SetSnapshot applies a configuration unless it is older than the current one. A flow is closed if
 // the address of its service now belongs to another service, or the address of its back end to
 // another back end behind this agent, so that no datagram reaches the wrong one. SetSnapshot
