flow: agents that are not current do not return a datagram by hints

What callers saw: nothing yet; found by reading the change again. A datagram that reaches two agents that have just returned, each of which has a hint that names the other, is passed between them until it exceeds MaxHops and is dropped, in place of being queued for the moment in which one of them is current.

Cause: passOn bounds the candidate order once a datagram has made as many hops as the service has back ends, so that agents that are not current do not return it to each other, but followed a hint before that.

Change: beyond that number of hops hints are not followed either.

--- a/flow/returning_agent_test.go
+++ b/flow/returning_agent_test.go
@@ -4,6 +4,7 @@
 package flow
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -159,3 +160,37 @@
 	is.Equal(action.Hop.To, backends[holder].Agent)
 	is.Equal(action.Hop.Route.Visited, BackendSet(0))
 }
+
+// TestReturningAgentsDoNotFollowHintsInCircles guards against two agents that are not current, each
+// of which has a hint that names the other, and that return a datagram to each other until it is
+// dropped.
+func TestReturningAgentsDoNotFollowHintsInCircles(t *testing.T) {
+	is := is.New(t)
+	service := testService(testBackend(1, "new"), testBackend(2, "new"), testBackend(3, "new"))
+	snapshot, err := catalog.Empty().With([]catalog.Object{object(service, 1)}, 1)
+	is.NoErr(err)
+	now := time.Unix(1000, 0)
+	key := Key{Caller: address("198.51.100.7:1"), Service: service.Address}
+	agents := map[netip.AddrPort]*Decider{}
+	for index, backend := range service.Backends {
+		agent := NewDecider(backend.Agent, allAlive{}, Options{
+			IdleTimeout: time.Minute, ConfirmedSince: func() time.Time { return now },
+			OfferedRevision: func() catalog.Revision { return 2 },
+		})
+		agent.SetSnapshot(snapshot)
+		other := 1 - min(index, 1)
+		hint := Route{Revision: 1, Step: StepHint, Hops: 1, Chosen: other}
+		is.Equal(agent.Handle(now, Packet{Key: key, Route: hint, EarliestArrival: now.Add(1)}).Kind, Consume)
+		agents[backend.Agent] = agent
+	}
+	at, route := service.Backends[0].Agent, Route{Revision: 1, Step: StepSearch, Hops: 1, Chosen: NoBackend}
+	for {
+		action := agents[at].Handle(now, Packet{Key: key, Route: route, EarliestArrival: now.Add(1)})
+		if action.Kind != Forward {
+			is.Equal(action.Kind, AwaitConfirmation)
+			break
+		}
+		at, route = action.Hop.To, action.Hop.Route
+	}
+	is.True(int(route.Hops) <= 2*len(service.Backends))
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -94,13 +94,12 @@
 // agent as searched, because it is not current: if the flow is new, the search comes back. If no
 // other agent is left, the datagram is queued.
 func (s *search) passOn() Action {
-	if hinted := s.hintedBackend(); hinted != NoBackend && !s.route.Visited.Has(hinted) {
-		return s.forward(hinted, StepSearch)
-	}
 	order := s.candidateOrder()
 	if int(s.route.Hops) > len(order) {
 		// Agents that are not current must not return the datagram to each other.
 		order = order[slices.IndexFunc(order, s.ownBackends.Has)+1:]
+	} else if hinted := s.hintedBackend(); hinted != NoBackend && !s.route.Visited.Has(hinted) {
+		return s.forward(hinted, StepSearch)
 	}
 	next := nextUnvisited(s.service, order, s.decider.liveness, s.route.Visited|s.ownBackends)
 	if next == NoBackend {
