handshake: a continuing disturbance is reported once

What operators saw: while a balancer heard no agent, agent-unprobed for each retransmission of each caller, bounded only by the log's limit, and counted each time in decisions_total.

Cause: the event was to come once for each disturbance, but a silence renewed the time of the latest one at each tick, so that it passed for another.

Change: a disturbance of the same reason that goes on keeps its start, and the event is emitted once for each agent and start; its age is the time since then.

--- a/handshake/agent_probe.go
+++ b/handshake/agent_probe.go
@@ -199,14 +199,15 @@
 	return used && !agent.status.ShuttingDown && !b.disturbance.since(agent.lastMessageAt)
 }
 
-// emitNotProbed emits EventAgentNotProbed, once for each disturbance since the agent's last message.
+// emitNotProbed emits EventAgentNotProbed, once for each agent and disturbance.
 func (b *Balancer) emitNotProbed(now time.Time, entry *flowEntry, agent *agentState) {
-	if !b.disturbance.since(agent.lastMessageAt) || !agent.notProbedAt.Before(b.disturbance.latestAt) {
+	d := &b.disturbance
+	if !d.since(agent.lastMessageAt) || agent.notProbedSince.Equal(d.startedAt) {
 		return
 	}
-	agent.notProbedAt = b.disturbance.latestAt
+	agent.notProbedSince = d.startedAt
 	b.emit(Decision{Event: EventAgentNotProbed, Key: entry.key, Service: agent.status.Service,
-		Peer: agent.address, Reason: b.disturbance.reason, Age: now.Sub(b.disturbance.latestAt)})
+		Peer: agent.address, Reason: d.reason, Age: now.Sub(d.startedAt)})
 }
 
 // recordForwarded records that a caller's datagram is sent to the agent.
--- a/handshake/agent_probe_test.go
+++ b/handshake/agent_probe_test.go
@@ -227,22 +227,12 @@
 			w.resumeBalancer(w.balancers[0])
 		}},
 		"balancer stalled during shutdown of the agent, messages waiting": {routing.Idempotent, func(w *world, agent *worldAgent) {
-			w.balancers[0].knowsDrops = true
-			w.advance(worldTickInterval)
-			w.balancers[0].suspended = true
-			w.beginShutdown(agent)
-			w.advance(MinAgentShutdownTime)
-			agent.up = false
+			w.shutDownDuringStall(agent)
 			w.advance(UnreachableTimeout)
 			w.resumeBalancer(w.balancers[0])
 		}},
 		"balancer stalled during shutdown of the agent, messages dropped": {routing.Idempotent, func(w *world, agent *worldAgent) {
-			w.balancers[0].knowsDrops = true
-			w.advance(worldTickInterval)
-			w.balancers[0].suspended = true
-			w.beginShutdown(agent)
-			w.advance(MinAgentShutdownTime)
-			agent.up = false
+			w.shutDownDuringStall(agent)
 			w.dropInbox(w.balancers[0])
 			w.advance(worldTickInterval)
 			w.resumeBalancer(w.balancers[0])
@@ -268,6 +258,41 @@
 	}
 }
 
+// shutDownDuringStall suspends the first balancer, which counts dropped messages, and shuts down the
+// agent.
+func (w *world) shutDownDuringStall(agent *worldAgent) {
+	w.balancers[0].knowsDrops = true
+	w.advance(worldTickInterval)
+	w.balancers[0].suspended = true
+	w.beginShutdown(agent)
+	w.advance(MinAgentShutdownTime)
+	agent.up = false
+}
+
+// TestContinuedSilenceIsReportedOnce guards against a log line for each datagram of the callers while
+// a balancer receives no message from any agent.
+func TestContinuedSilenceIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	w, caller, _ := startWorldWithFlow(t, routing.Idempotent, 4)
+	for _, agent := range w.agents {
+		agent.up = false
+	}
+	w.advance(2 * disturbanceTimeout)
+	reported := 0
+	for range 10 {
+		datagram := Datagram{Key: caller.key, Kind: Data, Confirms: caller.backendNumber, PayloadLength: 1}
+		datagram.Bytes = w.encodeDatagram(datagram)
+		for _, action := range w.balancers[0].logic.HandleCallerDatagram(w.now, &datagram) {
+			if decision, ok := action.(Decision); ok && decision.Event == EventAgentNotProbed {
+				is.Equal(decision.Reason, reasonNoMessages)
+				reported++
+			}
+		}
+		w.advance(100 * time.Millisecond)
+	}
+	is.Equal(reported, 1)
+}
+
 // TestShortStallResetsNoFlow checks that a stall of an agent shorter than UnreachableTimeout resets
 // no flow, however often the caller resends.
 func TestShortStallResetsNoFlow(t *testing.T) {
--- a/handshake/agent_table.go
+++ b/handshake/agent_table.go
@@ -76,7 +76,7 @@
 	// firstForwardAt and lastForwardAt are the times of the first and the last datagram sent to the
 	// agent, without a gap of forwardIdleTimeout in between.
 	firstForwardAt, lastForwardAt time.Time
-	notProbedAt                   time.Time // disturbance that EventAgentNotProbed last reported
+	notProbedSince                time.Time // start of the disturbance that was last reported for it
 	// responseTime is the estimated response time to offers. It follows increases at once and
 	// decreases gradually.
 	responseTime time.Duration
--- a/handshake/disturbance.go
+++ b/handshake/disturbance.go
@@ -1,6 +1,6 @@
-// This file records disturbances of a balancer: moments at which it may have missed messages of
-// other processes, among them shutdown notices. A stall is none if the balancer knows that its
-// socket has dropped nothing meanwhile: the messages then wait in the socket.
+// This file records disturbances of a balancer: times at which it may have missed messages of other
+// processes, among them shutdown notices. A stall does not count as one if the socket has dropped
+// nothing meanwhile, as the messages then wait in the socket.
 
 package handshake
 
@@ -19,8 +19,9 @@
 
 // disturbance is the latest disturbance of a balancer, and what is needed to detect the next one.
 type disturbance struct {
-	latestAt    time.Time // zero: none yet
-	reason      string    // of the latest one
+	startedAt   time.Time // zero: none yet
+	latestAt    time.Time // of the latest update that found it to continue
+	reason      string
 	updatedAt   time.Time // of the last call of Balancer.updateDisturbance
 	agentSeenAt time.Time // of the last message from any agent, or the end of a later stall
 
@@ -64,4 +65,10 @@
 	d.updatedAt, d.droppedKnown, d.dropsAdded = now, false, false
 }
 
-func (d *disturbance) record(now time.Time, reason string) { d.latestAt, d.reason = now, reason }
+// record records a disturbance. One with the same reason as at the previous update continues.
+func (d *disturbance) record(now time.Time, reason string) {
+	if d.latestAt.Before(d.updatedAt) || d.reason != reason {
+		d.startedAt = now
+	}
+	d.latestAt, d.reason = now, reason
+}
