--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -217,8 +217,8 @@
 func (n *Node) Snapshot() *catalog.Snapshot { return n.view.Load().snapshot }
 
 // Alive reports whether the agent with the data address is assumed to be reachable; in an agent,
-// whether it may hold a liveness lease. It returns true for an unknown address, such as that of a member that was declared dead or left more than
-// membership.RetentionPeriod ago.
+// whether it may hold a liveness lease. It returns true for an unknown address, such as that of a
+// member that was declared dead or left more than membership.RetentionPeriod ago.
 func (n *Node) Alive(agent netip.AddrPort) bool {
 	_, lost := n.view.Load().unreachable[agent]
 	return !lost
