store stand-in: a closed connection does not close a new one

What was seen: TestDrainWithinTwoSeconds, 1 of 20 copies (race-built, 4 at once beside 4 busy loops, load 17): a request to the stand-in of the store ended in EOF while the cluster started. A copy of TestPlannedChangesOnRealProcesses had shown the same before.

Cause: nbhttp closes a connection that is not to be used again in the goroutine of the request. nbio's poller may then hold an event of that connection, which it looks up by descriptor: a connection that was accepted meanwhile has the same one and is closed.

Change: the stand-in lets the client close such a connection, so that its side is closed by the poller itself. Product code is not changed; the same form is suspected in internal/agent/udpflow and listed.

--- a/internal/lab/store/server.go
+++ b/internal/lab/store/server.go
@@ -36,13 +36,19 @@
 // startServer starts a server on the TCP address and waits until its poller runs. Errors have no
 // fault kind.
 func startServer(address string, handler http.Handler) (*server, error) {
+	return startServerWithHook(address, handler, func([]byte) {})
+}
+
+// startServerWithHook is like startServer. The poller calls onData with the data that it has read
+// before it handles them.
+func startServerWithHook(address string, handler http.Handler, onData func([]byte)) (*server, error) {
 	server := &server{}
 	server.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:              "store",
 		Network:           "tcp",
 		Addrs:             []string{address},
 		NPoller:           1,
-		Handler:           handler,
+		Handler:           leaveClosingToClient(handler),
 		MaxHTTPBodySize:   maxRequestBytes,
 		SupportServerOnly: true,
 		ServerExecutor:    func(f func()) { go f() }, // watches block and would exhaust a fixed pool
@@ -57,6 +63,7 @@
 	server.engine.OnOpen(func(net.Conn) { server.opened.Add(1) })
 	server.engine.OnData(func(connection *nbio.Conn, data []byte) {
 		server.opened.Load()
+		onData(data)
 		connection.DataHandler()(connection, data)
 	})
 	running := make(chan struct{})
@@ -68,6 +75,19 @@
 	return server, server.awaitPoller(running)
 }
 
+// leaveClosingToClient lets the client close a connection that it does not want to use again. If the
+// server closed it in the goroutine of the request, the poller could take an event of the closed
+// connection for one of a new connection with the same descriptor, and close that one.
+func leaveClosingToClient(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if request.Close {
+			request.Close = false
+			response.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(response, request)
+	})
+}
+
 // awaitPoller waits until the engine's poller runs: it opens and closes a connection, and waits
 // for its close event, which closes running. An nbio engine that is stopped before its poller runs
 // never stops, since the poller clears the stop flag when it starts.
