handshake: the location of a flow is replicated to two other agents

Callers saw: an open flow got no answer after its agent and a balancer had restarted, in either order. Cause: only the agent and the balancers that had forwarded it knew where the flow was. A restarted agent answers "may hold" for a minute, as most agents of a young fleet do, so the back ends must be probed: not before 3.25 s after the start of the balancer, of the coordinator or a stall of it, and two of them in 2.25 s. That is longer than callers wait.

A balancer now sends the location of each flow that is older than 250 ms and has not ended to the two agents, other than the holder, that rank highest for its key. Lookups by any balancer ask these first. A search that is told a location names the located agent as holder if that agent may hold the flow, and queries it if the balancer did not name it. That is what the balancer that opened the flow would do with its datagrams, so no probe, coordinator or settling time is needed, and no datagram goes to a wrong back end. If the back end has lost the flow, its caller is reset at once.

Tests that change: FlowQueryAnswer literals are keyed, as it has a new field. TestFlowsOutsideTheirCandidatesAreFound drops the stored locations first, since flows are found without a summary round otherwise; its checks are the same.

--- a/handshake/action.go
+++ b/handshake/action.go
@@ -86,28 +86,29 @@
 // Events of balancers and agents. The values are labels of metrics and must not change; some use
 // other terms than the names of their constants.
 const (
-	EventOffered          Event = "flow-offered"    // an opening was offered to an agent
-	EventAccepted         Event = "flow-accepted"   // a back end accepted an opening
-	EventRefused          Event = "flow-refused"    // an agent refused an opening
-	EventQueued           Event = "flow-held"       // an opening was queued
-	EventUnanswered       Event = "flow-unanswered" // an offer timed out
-	EventRejected         Event = "flow-rejected"   // no agent for opening; no reset if Reason set
-	EventNoRoute          Event = "flow-no-route"   // no route for opening; no reset if Reason set
-	EventOpened           Event = "flow-opened"     // the caller acknowledged a back end's number
-	EventLookup           Event = "flow-locating"   // agents are queried for the flow's holder
-	EventHolderFound      Event = "flow-located"    // the flow's holder was found
-	EventSummaryRound     Event = "flow-census"     // agents are queried for a summary of their flows
-	EventProbed           Event = "flow-tried"      // back ends that may hold the flow are probed
-	EventLost             Event = "flow-lost"       // no agent holds the flow, or its lookup failed
-	EventAgentUnreachable Event = "agent-away"      // an agent answers no probes, while witnesses do
-	EventAgentReachable   Event = "agent-back"      // the agent no longer counts as unreachable
-	EventAgentNotProbed   Event = "agent-unprobed"  // a shutdown notice of the agent may be lost
-	EventFlowReset        Event = "flow-broken-off" // the caller was reset; the flow may still be open
-	EventAdmitted         Event = "flow-admitted"   // an opening was delivered to a back end
-	EventNotHeld          Event = "flow-not-held"   // an agent does not confirm holding the flow
-	EventSuspected        Event = "flow-failed"     // a back end that failed the flow is suspected
-	EventEnded            Event = "flow-ended"      // the flow has ended
-	EventRouteRemoved     Event = "flow-route-gone" // the configuration no longer has the flow's route
+	EventOffered          Event = "flow-offered"       // an opening was offered to an agent
+	EventAccepted         Event = "flow-accepted"      // a back end accepted an opening
+	EventRefused          Event = "flow-refused"       // an agent refused an opening
+	EventQueued           Event = "flow-held"          // an opening was queued
+	EventUnanswered       Event = "flow-unanswered"    // an offer timed out
+	EventRejected         Event = "flow-rejected"      // no agent for opening; no reset if Reason set
+	EventNoRoute          Event = "flow-no-route"      // no route for opening; no reset if Reason set
+	EventOpened           Event = "flow-opened"        // the caller acknowledged a back end's number
+	EventLookup           Event = "flow-locating"      // agents are queried for the flow's holder
+	EventHolderFound      Event = "flow-located"       // the flow's holder was found
+	EventLocationUsed     Event = "flow-location-used" // a stored location names the flow's holder
+	EventSummaryRound     Event = "flow-census"        // agents are queried for a summary of their flows
+	EventProbed           Event = "flow-tried"         // back ends that may hold the flow are probed
+	EventLost             Event = "flow-lost"          // no agent holds the flow, or its lookup failed
+	EventAgentUnreachable Event = "agent-away"         // an agent answers no probes, while witnesses do
+	EventAgentReachable   Event = "agent-back"         // the agent no longer counts as unreachable
+	EventAgentNotProbed   Event = "agent-unprobed"     // a shutdown notice of the agent may be lost
+	EventFlowReset        Event = "flow-broken-off"    // the caller was reset; the flow may still be open
+	EventAdmitted         Event = "flow-admitted"      // an opening was delivered to a back end
+	EventNotHeld          Event = "flow-not-held"      // an agent does not confirm holding the flow
+	EventSuspected        Event = "flow-failed"        // a back end that failed the flow is suspected
+	EventEnded            Event = "flow-ended"         // the flow has ended
+	EventRouteRemoved     Event = "flow-route-gone"    // the configuration no longer has the flow's route
 )
 
 func (Send) action()        {}
--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -64,6 +64,7 @@
 	searches        []*search                  // run for balancers, in the order of their start
 	summaryRound    uint32                     // number of the latest summary round
 	nextSummaryAt   time.Time                  // earliest start of the next summary round
+	locations       locationStore              // of flows that other agents hold
 	probeHistories  map[flow.Key]*probeHistory // flows for which this agent is the coordinator
 	probesAllowedAt time.Time                  // before this time the agent permits no probes
 	lastTickAt      time.Time                  // zero: none yet
@@ -129,6 +130,7 @@
 		reservations:    newReservations(),
 		startedAt:       now,
 		summaryRound:    uint32(now.UnixNano()), // differs from the rounds of earlier incarnations
+		locations:       newLocationStore(now, options.FlowLifetime),
 		probeHistories:  map[flow.Key]*probeHistory{},
 		probesAllowedAt: now.Add(flowProbeSettleTime),
 	}
--- a/handshake/agent_flows.go
+++ b/handshake/agent_flows.go
@@ -109,7 +109,8 @@
 
 // HandleQuery answers a query for whether this agent's back end holds a flow.
 func (a *Agent) HandleQuery(now time.Time, from netip.AddrPort, query FlowQuery) []Action {
-	answer := FlowQueryAnswer{Key: query.Key, Holding: a.holding(now, query)}
+	answer := FlowQueryAnswer{Key: query.Key, Holding: a.holding(now, query),
+		Location: a.locations.find(query.Key, query.Confirms)}
 	a.emit(Send{To: from, Message: answer})
 	return a.drain()
 }
@@ -318,6 +319,7 @@
 	}
 	a.nextSweepAt = now.Add(sweepInterval)
 	a.expireProbeHistories(now)
+	a.locations.expire(now)
 	for _, tracked := range a.flows {
 		if now.Sub(tracked.lastSeenAt) > a.idleTimeout(tracked.state) {
 			a.untrack(tracked)
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -74,6 +74,8 @@
 	lastTickAt             time.Time
 	stallEndedAt           time.Time // end of the last stall that was longer than RetransmitTime
 	nextSweepAt            time.Time
+	unreplicated           []unreplicatedFlow // in the order of their dueAt
+	nextReplicationAt      time.Time
 	probedAgents           []*agentProbe // probes for reachability, at most maxProbedAgents
 	disturbance            disturbance   // whether shutdown notices may have been missed
 	actions                []Action
@@ -320,7 +322,7 @@
 }
 
 // Tick places queued openings, handles passed deadlines, retries waiting lookups, starts queued
-// ones, checks the agent probes and removes expired state. The process must call it at intervals of
+// ones, checks the agent probes, replicates locations and removes expired state. The process must call it at intervals of
 // at most RetransmitTime; a longer interval counts as a stall.
 func (b *Balancer) Tick(now time.Time) []Action {
 	b.detectStall(now)
@@ -337,6 +339,7 @@
 	b.retryWaitingLookups(now)
 	b.startLookups(now)
 	b.checkAgentProbes(now)
+	b.replicateLocations(now)
 	b.sweep(now)
 	return b.drain()
 }
--- a/handshake/fleet_search_test.go
+++ b/handshake/fleet_search_test.go
@@ -116,7 +116,7 @@
 }
 
 // TestFlowsOutsideTheirCandidatesAreFound checks that flows are found at agents that are not among
-// their candidates.
+// their candidates, without stored locations that name them.
 func TestFlowsOutsideTheirCandidatesAreFound(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t, 10, 2, 60)
@@ -126,6 +126,7 @@
 	}
 	w.advance(time.Second)
 	callers := w.openFlows(is, 30) // the draining candidates accept none of them
+	w.dropLocations()
 	for _, balancer := range w.balancers {
 		w.startBalancer(balancer)
 	}
--- a/handshake/flow_probe_test.go
+++ b/handshake/flow_probe_test.go
@@ -240,8 +240,10 @@
 	later := unknownFlowData(1)
 	later.Confirms += 2 * maxConfirmsDistance
 	for name, before := range map[string]func(*Balancer, time.Time){
-		"held by the agent": func(b *Balancer, now time.Time) { b.HandleMessage(now, agent, FlowQueryAnswer{testKey(1), Holds}) },
-		"closed":            func(b *Balancer, now time.Time) { b.closeFlow(now, b.flows[testKey(1)], reasonNoHolder) },
+		"held by the agent": func(b *Balancer, now time.Time) {
+			b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: Holds})
+		},
+		"closed": func(b *Balancer, now time.Time) { b.closeFlow(now, b.flows[testKey(1)], reasonNoHolder) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, now := newSettledBalancer(t, agent, testAddress(presence.RoleAgent, 2))
--- a/handshake/forwarding.go
+++ b/handshake/forwarding.go
@@ -56,6 +56,7 @@
 	entry.lookupBackoff = 0
 	entry.accepts = nil
 	entry.offeredTo = nil
+	b.scheduleReplication(now, entry)
 	b.emit(Decision{Event: event, Key: entry.key, Service: entry.service, Peer: agent,
 		Version: b.table.Version(), Age: now.Sub(entry.sentAt)})
 	for _, datagram := range datagrams {
--- a/handshake/message.go
+++ b/handshake/message.go
@@ -208,6 +208,9 @@
 type FlowQueryAnswer struct {
 	Key     flow.Key
 	Holding Holding
+	// Location is the agent that holds the flow according to a location that the sender stores;
+	// zero: it stores none.
+	Location netip.AddrPort
 }
 
 // Search requests that an agent determine which of Agents holds a flow. The agent queries them or,
@@ -263,3 +266,4 @@
 func (SearchAnswer) message()        {}
 func (SummaryRequest) message()      {}
 func (FlowSummary) message()         {}
+func (StoreLocations) message()      {}
--- a/handshake/search.go
+++ b/handshake/search.go
@@ -33,11 +33,14 @@
 	confirms        uint32
 	requestNumber   uint32 // the balancer's request number
 	requester       netip.AddrPort
-	pending         []netip.AddrPort // agents whose answer is outstanding
+	agents          []netip.AddrPort // named by the balancer
+	pending         []netip.AddrPort // those of them whose answer is outstanding
 	possibleHolders []netip.AddrPort // agents that may hold the flow
 	summarized      bool             // the agents are queried in a summary round
 	summaryRound    uint32           // number of the summary round that it has joined; 0: none yet
 	queried         []netip.AddrPort // pending agents whose flow filter may contain the key
+	located         netip.AddrPort   // holds the flow according to a stored location; zero: none
+	locatedPending  bool             // located is not in agents, and its answer is outstanding
 	deadline        time.Time
 }
 
@@ -50,7 +53,7 @@
 		return a.drain()
 	}
 	started := &search{key: request.Key, hash: flowKeyHash(request.Key), confirms: request.Confirms,
-		requestNumber: request.RequestNumber, requester: from,
+		requestNumber: request.RequestNumber, requester: from, agents: request.Agents,
 		pending: slices.Clone(request.Agents), deadline: now.Add(FlowQueryTimeout)}
 	if request.Datagram != nil {
 		started.pending, started.possibleHolders = a.selectProbes(now, request)
@@ -91,6 +94,8 @@
 			running.possibleHolders = append(running.possibleHolders, from)
 		}
 		a.recordAnswer(running, from)
+		a.useLocation(running, answer.Location)
+		a.endIfComplete(running)
 	}
 	return a.drain()
 }
@@ -100,6 +105,7 @@
 	for _, running := range a.searchesAwaiting(key, from) {
 		a.recordDenial(key, from)
 		a.recordAnswer(running, from)
+		a.endIfComplete(running)
 	}
 	return a.drain()
 }
@@ -115,13 +121,23 @@
 	return searches
 }
 
-// recordAnswer records that the agent has answered without reporting that it holds the flow. The
-// search ends with the last outstanding answer.
+// recordAnswer records that the agent has answered without reporting that it holds the flow.
 func (a *Agent) recordAnswer(answered *search, agent netip.AddrPort) {
 	answered.pending = slices.DeleteFunc(answered.pending, func(other netip.AddrPort) bool {
 		return other == agent
 	})
-	if len(answered.pending) == 0 {
+	if agent == answered.located {
+		answered.locatedPending = false
+	}
+}
+
+// endIfComplete ends the search if the located agent may hold the flow, or if no answer is
+// outstanding.
+func (a *Agent) endIfComplete(answered *search) {
+	switch {
+	case answered.located.IsValid() && slices.Contains(answered.possibleHolders, answered.located):
+		a.endLocated(answered)
+	case len(answered.pending) == 0 && !answered.locatedPending:
 		a.endSearch(answered, netip.AddrPort{})
 	}
 }
--- a/handshake/search_test.go
+++ b/handshake/search_test.go
@@ -24,10 +24,10 @@
 		answers []FlowQueryAnswer
 		found   SearchAnswer
 	}{
-		"held by second": {[]FlowQueryAnswer{{testKey(1), HoldsNot}, {testKey(1), Holds}}, SearchAnswer{Key: testKey(1), Agent: second}},
-		"held by first":  {[]FlowQueryAnswer{{testKey(1), Holds}}, SearchAnswer{Key: testKey(1), Agent: first}},
-		"possibly held":  {[]FlowQueryAnswer{{testKey(1), HoldsPossibly}, {testKey(1), HoldsNot}}, SearchAnswer{Key: testKey(1), PossibleHolders: []netip.AddrPort{first}}},
-		"unanswered":     {[]FlowQueryAnswer{{testKey(1), HoldsNot}}, SearchAnswer{Key: testKey(1), Unanswered: 1}},
+		"held by second": {[]FlowQueryAnswer{{Key: testKey(1), Holding: HoldsNot}, {Key: testKey(1), Holding: Holds}}, SearchAnswer{Key: testKey(1), Agent: second}},
+		"held by first":  {[]FlowQueryAnswer{{Key: testKey(1), Holding: Holds}}, SearchAnswer{Key: testKey(1), Agent: first}},
+		"possibly held":  {[]FlowQueryAnswer{{Key: testKey(1), Holding: HoldsPossibly}, {Key: testKey(1), Holding: HoldsNot}}, SearchAnswer{Key: testKey(1), PossibleHolders: []netip.AddrPort{first}}},
+		"unanswered":     {[]FlowQueryAnswer{{Key: testKey(1), Holding: HoldsNot}}, SearchAnswer{Key: testKey(1), Unanswered: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -56,7 +56,7 @@
 	actions := agent.HandleSearch(now, requester, Search{Key: testKey(1), Confirms: 50, Agents: []netip.AddrPort{first, second}, Datagram: []byte{9}})
 	is.Equal(sentTo(actions, first), []Message{Forward{Bytes: []byte{9}}})
 	is.Equal(len(sentTo(agent.HandleReturnedProbe(first, testKey(1)), requester)), 0)
-	is.Equal(sentTo(agent.HandleQueryAnswer(second, FlowQueryAnswer{testKey(1), Holds}), requester), []Message{SearchAnswer{Key: testKey(1), Agent: second}})
+	is.Equal(sentTo(agent.HandleQueryAnswer(second, FlowQueryAnswer{Key: testKey(1), Holding: Holds}), requester), []Message{SearchAnswer{Key: testKey(1), Agent: second}})
 }
 
 // TestSearchesAreBounded checks that an agent that runs maxSearches searches answers a further one
--- a/handshake/summary_round.go
+++ b/handshake/summary_round.go
@@ -83,6 +83,7 @@
 			joined.possibleHolders = append(joined.possibleHolders, from)
 		}
 		a.recordAnswer(joined, from)
+		a.endIfComplete(joined)
 	}
 	return a.drain()
 }
@@ -96,6 +97,9 @@
 // awaitsAnswer reports whether the agent's answer to a query or probe for the single flow is
 // outstanding.
 func (s *search) awaitsAnswer(agent netip.AddrPort) bool {
+	if s.locatedPending && agent == s.located {
+		return true
+	}
 	if s.summarized {
 		return slices.Contains(s.queried, agent)
 	}
--- a/handshake/summary_round_test.go
+++ b/handshake/summary_round_test.go
@@ -98,8 +98,8 @@
 		}
 	}
 	// agents[4] was not queried about this flow.
-	is.Equal(len(agent.HandleQueryAnswer(agents[4], FlowQueryAnswer{testKey(7), HoldsNot})), 0)
-	is.Equal(sentTo(agent.HandleQueryAnswer(agents[3], FlowQueryAnswer{testKey(7), Holds}), secondRequester),
+	is.Equal(len(agent.HandleQueryAnswer(agents[4], FlowQueryAnswer{Key: testKey(7), Holding: HoldsNot})), 0)
+	is.Equal(sentTo(agent.HandleQueryAnswer(agents[3], FlowQueryAnswer{Key: testKey(7), Holding: Holds}), secondRequester),
 		[]Message{SearchAnswer{Key: testKey(7), Agent: agents[3], PossibleHolders: []netip.AddrPort{agents[5]}}})
 	is.Equal(len(agent.searches), queries-1)
 }
--- a/handshake/world_messages_test.go
+++ b/handshake/world_messages_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 func (w *world) executeBalancerActions(from *worldBalancer, actions []Action) {
@@ -21,6 +22,13 @@
 	}
 }
 
+// dropLocations drops the locations that the agents store.
+func (w *world) dropLocations() {
+	for _, agent := range w.agents {
+		agent.logic.locations = newLocationStore(w.now, time.Minute)
+	}
+}
+
 func (w *world) observeMessage(message Message) {
 	if w.onMessage != nil {
 		w.onMessage(message)
@@ -70,6 +78,8 @@
 		return agent.logic.HandleFlowSummary(from, message)
 	case FlowQueryAnswer:
 		return agent.logic.HandleQueryAnswer(from, message)
+	case StoreLocations:
+		return agent.logic.HandleStoreLocations(w.now, message)
 	case NotHeld:
 		return agent.logic.HandleReturnedProbe(from, w.decodeDatagram(message.Bytes).Key)
 	case ReservationRequest:
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -128,6 +128,9 @@
 	a.metrics.addGauge("flows", "Flows known.", a.withLock(func(time.Time) float64 {
 		return float64(a.flows.Flows())
 	}))
+	a.metrics.addGauge("flow_locations", "Stored locations of flows that other agents hold.", a.withLock(func(time.Time) float64 {
+		return float64(a.flows.StoredLocations())
+	}))
 	a.metrics.addGauge("backend_busy", "Requests that the back end works on, and reservations.", a.withLock(func(now time.Time) float64 {
 		return float64(a.flows.Load(now).InFlight)
 	}))
@@ -380,6 +383,8 @@
 		a.perform(a.flows.HandleFlowSummary(from, message))
 	case handshake.FlowQueryAnswer:
 		a.perform(a.flows.HandleQueryAnswer(from, message))
+	case handshake.StoreLocations:
+		a.perform(a.flows.HandleStoreLocations(now, message))
 	case handshake.NotHeld:
 		a.handleCallerDatagram(message.Bytes, from, func(datagram *handshake.Datagram) []handshake.Action {
 			return a.flows.HandleReturnedProbe(from, datagram.Key)
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -64,9 +64,13 @@
 			Key: encodeKey(m.Key), Confirms: m.Confirms}}}
 	case handshake.FlowQueryAnswer:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Located{Located: &burlmillv1.HandshakeLocated{
-			Key: encodeKey(m.Key), Holding: uint32(m.Holding)}}}
+			Key: encodeKey(m.Key), Holding: uint32(m.Holding), Location: encodeOptionalAddress(m.Location)}}}
+	case handshake.StoreLocations:
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_StoreLocations{
+			StoreLocations: encodeStoreLocations(m)}}
 	case handshake.Hint:
-		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: encodeHint(m)}}
+		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Hint{Hint: &burlmillv1.HandshakeHint{
+			Key: encodeKey(m.Key), Agent: encodeOptionalAddress(m.Agent)}}}
 	case handshake.Search:
 		return &burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Search{Search: &burlmillv1.HandshakeSearch{
 			Key: encodeKey(m.Key), Confirms: m.Confirms, Agents: encodeAddresses(m.Agents),
@@ -139,6 +143,8 @@
 		return decodeRecords(now, body.Records)
 	case *burlmillv1.HandshakeMessage_Compare:
 		return decodeCompareRequest(body.Compare)
+	case *burlmillv1.HandshakeMessage_StoreLocations:
+		return decodeStoreLocations(body.StoreLocations)
 	default:
 		return nil, fault.New(fault.Invalid, "message of %d bytes has no known body", len(encoded))
 	}
@@ -189,7 +195,41 @@
 		return nil, fault.InvalidField("holding", holding, fmt.Sprintf("must be 1 to %d", handshake.HoldsNoLonger))
 	}
 	key, err := decodeKey(encoded.GetKey())
-	return handshake.FlowQueryAnswer{Key: key, Holding: handshake.Holding(holding)}, err
+	if err != nil {
+		return nil, err
+	}
+	location, err := decodeOptionalAddress(encoded.GetLocation())
+	return handshake.FlowQueryAnswer{Key: key, Holding: handshake.Holding(holding), Location: location}, err
+}
+
+func encodeStoreLocations(message handshake.StoreLocations) *burlmillv1.HandshakeStoreLocations {
+	encoded := &burlmillv1.HandshakeStoreLocations{}
+	for _, location := range message.Locations {
+		encoded.Locations = append(encoded.Locations, &burlmillv1.HandshakeLocation{
+			Key: encodeKey(location.Key), Confirms: location.Confirms, Agent: encodeAddress(location.Agent)})
+	}
+	return encoded
+}
+
+func decodeStoreLocations(encoded *burlmillv1.HandshakeStoreLocations) (handshake.Message, error) {
+	if count := len(encoded.GetLocations()); count > handshake.MaxLocationsPerMessage {
+		return nil, fault.InvalidField("locations", count,
+			fmt.Sprintf("must be at most %d", handshake.MaxLocationsPerMessage))
+	}
+	var message handshake.StoreLocations
+	for _, location := range encoded.GetLocations() {
+		key, err := decodeKey(location.GetKey())
+		if err != nil {
+			return nil, err
+		}
+		agent, err := decodeAddress(location.GetAgent())
+		if err != nil {
+			return nil, err
+		}
+		message.Locations = append(message.Locations,
+			handshake.FlowLocation{Key: key, Confirms: location.GetConfirms(), Agent: agent})
+	}
+	return message, nil
 }
 
 func decodeStatus(encoded *burlmillv1.HandshakeStatus) (handshake.Message, error) {
@@ -282,20 +322,12 @@
 	return flow.Key{Caller: caller, Service: service}, err
 }
 
-func encodeHint(hint handshake.Hint) *burlmillv1.HandshakeHint {
-	encoded := &burlmillv1.HandshakeHint{Key: encodeKey(hint.Key)}
-	if hint.Agent.IsValid() {
-		encoded.Agent = encodeAddress(hint.Agent)
-	}
-	return encoded
-}
-
 func decodeHint(encoded *burlmillv1.HandshakeHint) (handshake.Message, error) {
 	key, err := decodeKey(encoded.GetKey())
-	if err != nil || len(encoded.GetAgent()) == 0 {
-		return handshake.Hint{Key: key}, err
+	if err != nil {
+		return nil, err
 	}
-	agent, err := decodeAddress(encoded.GetAgent())
+	agent, err := decodeOptionalAddress(encoded.GetAgent())
 	return handshake.Hint{Key: key, Agent: agent}, err
 }
 
@@ -310,12 +342,8 @@
 }
 
 func encodeSearchAnswer(answer handshake.SearchAnswer) *burlmillv1.HandshakeFound {
-	encoded := &burlmillv1.HandshakeFound{Key: encodeKey(answer.Key), Perhaps: encodeAddresses(answer.PossibleHolders),
-		Unanswered: answer.Unanswered, Question: answer.RequestNumber}
-	if answer.Agent.IsValid() {
-		encoded.Agent = encodeAddress(answer.Agent)
-	}
-	return encoded
+	return &burlmillv1.HandshakeFound{Key: encodeKey(answer.Key), Agent: encodeOptionalAddress(answer.Agent),
+		Perhaps: encodeAddresses(answer.PossibleHolders), Unanswered: answer.Unanswered, Question: answer.RequestNumber}
 }
 
 func decodeSearchAnswer(encoded *burlmillv1.HandshakeFound) (handshake.Message, error) {
@@ -359,6 +387,21 @@
 	return addresses, nil
 }
 
+// encodeOptionalAddress returns nil for the zero address, which then takes no bytes on the wire.
+func encodeOptionalAddress(address netip.AddrPort) []byte {
+	if !address.IsValid() {
+		return nil
+	}
+	return encodeAddress(address)
+}
+
+func decodeOptionalAddress(encoded []byte) (netip.AddrPort, error) {
+	if len(encoded) == 0 {
+		return netip.AddrPort{}, nil
+	}
+	return decodeAddress(encoded)
+}
+
 func encodeAddress(address netip.AddrPort) []byte {
 	encoded, _ := address.MarshalBinary() // never returns an error
 	return encoded
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -108,9 +108,18 @@
 	return records
 }
 
+func drawStoreLocations(t *rapid.T) handshake.StoreLocations {
+	message := handshake.StoreLocations{}
+	for range rapid.IntRange(1, handshake.MaxLocationsPerMessage).Draw(t, "locations") {
+		message.Locations = append(message.Locations, handshake.FlowLocation{Key: drawKey(t),
+			Confirms: rapid.Uint32().Draw(t, "confirms"), Agent: addressGenerator.Draw(t, "agent")})
+	}
+	return message
+}
+
 func drawMessage(t *rapid.T) handshake.Message {
 	datagram := rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "datagram")
-	switch rapid.IntRange(0, 18).Draw(t, "kind") {
+	switch rapid.IntRange(0, 20).Draw(t, "kind") {
 	case 0:
 		return drawStatus(t)
 	case 1:
@@ -150,6 +159,10 @@
 		return drawRecords(t)
 	case 17:
 		return handshake.CompareRequest{First: drawPart(t), Digests: rapid.SliceOfN(rapid.Uint32(), 1, 9).Draw(t, "digests")}
+	case 18:
+		return handshake.FlowQueryAnswer{Key: drawKey(t), Holding: handshake.HoldsPossibly, Location: addressGenerator.Draw(t, "location")}
+	case 19:
+		return drawStoreLocations(t)
 	default:
 		return handshake.FlowQueryAnswer{Key: drawKey(t), Holding: handshake.Holds}
 	}
@@ -225,6 +238,7 @@
 		handshake.FlowQuery{Key: testKey}, handshake.FlowQueryAnswer{Key: testKey, Holding: handshake.HoldsPossibly},
 		handshake.Hint{Key: testKey, Agent: peer}, handshake.Search{Key: testKey, Agents: []netip.AddrPort{peer}},
 		handshake.SearchAnswer{Key: testKey, PossibleHolders: []netip.AddrPort{peer}},
+		handshake.StoreLocations{Locations: []handshake.FlowLocation{{Key: testKey, Confirms: 5, Agent: peer}}},
 		handshake.SummaryRequest{Round: 7}, handshake.FlowSummary{Round: 7, Filter: []byte{1, 2, 3}, MayHold: true},
 	} {
 		encoded, err := Encode(codecNow, message)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -165,6 +165,8 @@
 		return "locate"
 	case handshake.Search, handshake.SearchAnswer:
 		return "search"
+	case handshake.StoreLocations:
+		return "location"
 	case handshake.Records, handshake.CompareRequest:
 		return "records"
 	case handshake.SummaryRequest, handshake.FlowSummary:
