handshake: a waiting lookup is repeated when a datagram arrives

Callers saw: after a restart of its agent and of a balancer a flow stayed unanswered for up to 4 s at that balancer, although the agent had learned of it meanwhile through another balancer.

A datagram now repeats a waiting lookup, at intervals that double from 50 ms to 1 s. Agents that have denied the flow for certain are not asked again; those that may hold it, that did not answer, and the other balancers are. The end of the wait asks again too, before it probes. A datagram that finds the buffer full is dropped as before, but counts as an occasion.

--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -67,6 +67,9 @@
 	inconclusive     bool             // some agents could not be queried or have not answered
 	searchTimeouts   int              // searches that timed out
 	balancersQueried bool             // other balancers were queried
+	waiting          bool             // waits for agents, records or the start of probes
+	nextRepeatAt     time.Time        // earliest time at which a datagram repeats the waiting lookup
+	repeatInterval   time.Duration    // between two repetitions; 0: not repeated yet
 }
 
 // lookUpFlow buffers a datagram of a flow whose agent is not known, and starts a lookup of the
@@ -84,12 +87,14 @@
 	if datagram.Kind == Reset && entry.lookup == nil {
 		return // the caller has reset the flow; the back end detects this by itself
 	}
-	if now.Before(entry.nextLookupAt) && !b.agentsChangedAt.After(entry.lookupFailedAt) ||
-		len(entry.buffered) >= MaxBuffered {
+	if now.Before(entry.nextLookupAt) && !b.agentsChangedAt.After(entry.lookupFailedAt) {
 		return
 	}
-	entry.buffered = append(entry.buffered, bytes.Clone(datagram.Bytes))
+	if len(entry.buffered) < MaxBuffered {
+		entry.buffered = append(entry.buffered, bytes.Clone(datagram.Bytes))
+	}
 	if entry.lookup != nil {
+		b.repeatWaitingLookup(now, entry)
 		return
 	}
 	entry.bufferedConfirms = datagram.Confirms
@@ -98,6 +103,40 @@
 	b.startLookups(now)
 }
 
+// repeatWaitingLookup queues a waiting lookup again when a datagram arrives, at increasing
+// intervals: an agent may have learned of the flow since it was queried.
+func (b *Balancer) repeatWaitingLookup(now time.Time, entry *flowEntry) {
+	lookup := entry.lookup
+	if !lookup.waiting || now.Before(lookup.nextRepeatAt) {
+		return
+	}
+	lookup.repeatInterval = min(max(2*lookup.repeatInterval, minLookupBackoff), maxLookupBackoff)
+	lookup.nextRepeatAt = now.Add(lookup.repeatInterval)
+	lookup.discardUncertain()
+	b.requeueLookup(now, entry)
+	b.startLookups(now)
+}
+
+// requeueLookup queues a lookup that waits for its deadline.
+func (b *Balancer) requeueLookup(now time.Time, entry *flowEntry) {
+	entry.lookup.waiting = false
+	b.clearDeadline(entry)
+	b.queueLookup(now, entry)
+}
+
+// discardUncertain discards the answers that later ones may contradict, so that the agents that
+// gave them, those that have not answered, and the other balancers are queried again.
+func (l *flowLookup) discardUncertain() {
+	if l.inconclusive {
+		l.queriedAgents = nil
+	}
+	l.queriedAgents = slices.DeleteFunc(l.queriedAgents, func(agent netip.AddrPort) bool {
+		return slices.Contains(l.possibleHolders, agent)
+	})
+	l.possibleHolders, l.unprobed = nil, nil
+	l.inconclusive, l.probed, l.balancersQueried = false, false, false
+}
+
 // resetAgain repeats the reset of a closed flow, as the earlier one may have been lost, but at most
 // once per resetInterval.
 func (b *Balancer) resetAgain(now time.Time, entry *flowEntry) {
@@ -262,8 +301,10 @@
 func (b *Balancer) handleLookupDeadline(now time.Time, entry *flowEntry) {
 	lookup := entry.lookup
 	if lookup.pendingAgents == nil {
-		b.clearDeadline(entry)
-		b.queueLookup(now, entry)
+		if lookup.waiting {
+			lookup.discardUncertain()
+		}
+		b.requeueLookup(now, entry)
 		return
 	}
 	entry.requestNumber++
@@ -304,6 +345,7 @@
 		b.queryBalancers(now, entry)
 		b.setDeadline(entry, now.Add(2*FlowQueryTimeout))
 	case b.discovering(now):
+		lookup.waiting = true
 		b.setDeadline(entry, b.lookupRetryTime(now, lookup))
 	default:
 		b.abandonLookup(now, entry)
@@ -390,8 +432,7 @@
 	for _, entry := range b.pendingWhere(func(entry *flowEntry) bool {
 		return entry.lookup != nil && entry.lookup.pendingAgents == nil
 	}) {
-		b.clearDeadline(entry)
-		b.queueLookup(now, entry)
+		b.requeueLookup(now, entry)
 	}
 }
 
