handshake: a restarted agent does not make balancers forget where a flow is

Callers saw: a flow whose place another balancer knew was probed at other back ends first. Cause: an agent that has restarted answers "may hold", which counted as no news. So the agent that another balancer named was not used, and a balancer that had probed its flow's agent for reachability cleared what it knew itself. In the entry's log balancer-0 names agent-0, agent-0 answers that it may hold the flow, and balancer-1 has two others probed.

An agent that another balancer names for the numbers of the flow is now used if it may hold the flow, as that balancer would do with the datagram; a named agent that denies the flow is not. A balancer names its agent only for numbers of the flow that it knows, and no longer for another flow with the same key. The answer "may hold" to an agent probe clears nothing.

--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -67,6 +67,7 @@
 	inconclusive     bool             // some agents could not be queried or have not answered
 	searchTimeouts   int              // searches that timed out
 	balancersQueried bool             // other balancers were queried
+	named            netip.AddrPort   // agent that another balancer named as the holder; zero: none
 	waiting          bool             // waits for agents, records or the start of probes
 	nextRepeatAt     time.Time        // earliest time at which a datagram repeats the waiting lookup
 	repeatInterval   time.Duration    // between two repetitions; 0: not repeated yet
@@ -274,19 +275,31 @@
 }
 
 // handleQueryAnswer handles an agent's answer to FlowQuery. If the flow's agent does not confirm
-// that it holds the flow, the agent is cleared, and the caller's next datagram starts a lookup. If
-// an agent that another balancer has named holds the flow, the lookup succeeds.
+// that it holds the flow, the agent is cleared, and the caller's next datagram starts a lookup,
+// unless the agent has been probed and has only restarted. If an agent that another balancer has
+// named may hold the flow, the lookup succeeds.
 func (b *Balancer) handleQueryAnswer(now time.Time, from netip.AddrPort, answer FlowQueryAnswer) {
 	entry := b.flows[answer.Key]
-	if entry != nil && entry.agent == from && answer.Holding != Holds {
+	if entry != nil && entry.agent == from && answer.Holding != Holds &&
+		!b.hasOnlyRestarted(from, answer) {
 		entry.agent = netip.AddrPort{}
 		b.emit(Decision{Event: EventNotHeld, Key: entry.key, Peer: from, Reason: reasonAnotherFlow})
 		return
 	}
-	if entry == nil || entry.agent.IsValid() || entry.lookup == nil || answer.Holding != Holds {
+	if entry == nil || entry.agent.IsValid() || entry.lookup == nil {
 		return
 	}
-	b.completeLookup(now, entry, from)
+	named := from == entry.lookup.named && answer.Holding == HoldsPossibly
+	if named || answer.Holding == Holds {
+		b.completeLookup(now, entry, from)
+	}
+}
+
+// hasOnlyRestarted reports whether the answer to an agent probe shows that the agent has restarted:
+// it does not know the flow, which its back end may hold.
+func (b *Balancer) hasOnlyRestarted(agent netip.AddrPort, answer FlowQueryAnswer) bool {
+	probe := b.agentProbeOf(agent)
+	return probe != nil && probe.key == answer.Key && answer.Holding == HoldsPossibly
 }
 
 // completeLookup ends a lookup that has found the flow's agent, and forwards the buffered datagrams
--- a/handshake/lookup_repeat_test.go
+++ b/handshake/lookup_repeat_test.go
@@ -40,3 +40,48 @@
 	}
 	is.True(searches >= 4 && searches <= 8)
 }
+
+// TestNamedAgentThatMayHoldFlowIsUsed checks that a flow is forwarded to the agent that another
+// balancer names if that agent has restarted and may hold the flow.
+func TestNamedAgentThatMayHoldFlowIsUsed(t *testing.T) {
+	is := is.New(t)
+	holder, other := testAddress(presence.RoleAgent, 1), testAddress(presence.RoleAgent, 2)
+	neighbor := testAddress(presence.RoleBalancer, 2)
+	b, now := newSettledBalancer(t, holder, other)
+	b.HandleStatus(now, neighbor, Status{Role: presence.RoleBalancer, Zone: "a"})
+	searcher, search := onlySearch(t, b.HandleCallerDatagram(now, unknownFlowData(1)))
+	b.HandleMessage(now, searcher, SearchAnswer{Key: testKey(1), PossibleHolders: search.Agents, RequestNumber: search.RequestNumber})
+	b.HandleMessage(now, neighbor, Hint{Key: testKey(1), Agent: holder})
+	possibly := FlowQueryAnswer{Key: testKey(1), Holding: HoldsPossibly}
+	is.Equal(len(b.HandleMessage(now, other, possibly)), 0)
+	is.Equal(sentTo(b.HandleMessage(now, holder, possibly), holder), []Message{Forward{Bytes: []byte{1}}})
+}
+
+// TestHintNamesNoAgentOfEarlierFlow checks that a balancer names the agent of a flow only for
+// numbers of that flow, and not for those of another flow with the same key.
+func TestHintNamesNoAgentOfEarlierFlow(t *testing.T) {
+	is := is.New(t)
+	agent, neighbor := testAddress(presence.RoleAgent, 1), testAddress(presence.RoleBalancer, 2)
+	b, now := newSettledBalancer(t, agent)
+	b.HandleCallerDatagram(now, unknownFlowData(1))
+	b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: Holds})
+	for confirms, named := range map[uint32]netip.AddrPort{50: agent, 60: agent, 50 + maxConfirmsDistance: {}} {
+		actions := b.HandleMessage(now, neighbor, FlowQuery{Key: testKey(1), Confirms: confirms})
+		is.Equal(sentTo(actions, neighbor), []Message{Hint{Key: testKey(1), Agent: named}})
+	}
+}
+
+// TestProbedAgentThatHasRestartedKeepsItsFlows checks that a balancer still forwards a flow to its
+// agent after the agent has answered a probe that it may hold the flow, as it has restarted.
+func TestProbedAgentThatHasRestartedKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	agent := testAddress(presence.RoleAgent, 1)
+	b, now := newSettledBalancer(t, agent)
+	b.HandleCallerDatagram(now, unknownFlowData(1))
+	b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: Holds})
+	b.probedAgents = []*agentProbe{{address: agent, key: testKey(1), startedAt: now, lastWantedAt: now}}
+	b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: HoldsPossibly})
+	is.Equal(sentTo(b.HandleCallerDatagram(now, unknownFlowData(1)), agent), []Message{Forward{Bytes: []byte{1}}})
+	b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: HoldsNot})
+	is.Equal(len(receivers[Forward](b.HandleCallerDatagram(now, unknownFlowData(1)))), 0)
+}
--- a/handshake/neighbors.go
+++ b/handshake/neighbors.go
@@ -128,9 +128,10 @@
 }
 
 // knownHolder returns the agent that holds the flow as far as this balancer knows, zero if it does
-// not know. That is the assigned agent, or else the one whose Accept has the number confirms.
+// not know. That is the assigned agent, or else the one whose Accept has the number confirms. The
+// assigned agent may hold an earlier flow with the same key, whose numbers differ.
 func (f *flowEntry) knownHolder(confirms uint32) netip.AddrPort {
-	if f.agent.IsValid() {
+	if f.agent.IsValid() && sameFlowConfirms(f.lastConfirms, confirms) {
 		return f.agent
 	}
 	agent, _ := f.acceptedBy(confirms)
@@ -138,7 +139,7 @@
 }
 
 // handleHint handles another balancer's answer to a FlowQuery. It queries the named agent itself,
-// because the other balancer may know an earlier flow with the same key.
+// because the agent may know that the flow has ended.
 func (b *Balancer) handleHint(hint Hint) {
 	entry := b.flows[hint.Key]
 	if entry == nil || entry.lookup == nil || !hint.Agent.IsValid() {
@@ -147,5 +148,6 @@
 	if b.agentTable.agents[hint.Agent] == nil {
 		entry.lookup.inconclusive = true // an agent that is not known here may hold the flow
 	}
+	entry.lookup.named = hint.Agent
 	b.emit(Send{To: hint.Agent, Message: FlowQuery{Key: entry.key, Confirms: entry.bufferedConfirms}})
 }
