handshake: an agent that has restarted gets its locations again

Callers saw: an idle flow got no answer after processes had restarted in turn, as in an upgrade. Cause: a restarted agent has lost the locations that it stored, and nobody sent them again; after a few restarts none of a flow's replicas was left.

A balancer that sees another incarnation of an agent sends it the locations again of the flows that it replicated there, and those of the flows of its own back end, within the limits of replication. So an agent regains what the balancers know of its flows. TestRestartedAgentGetsLocationsAgain and TestFlowIsAnsweredAfterAllProcessesRestartInTurn fail on the commit before.

--- a/handshake/agent_table.go
+++ b/handshake/agent_table.go
@@ -129,12 +129,22 @@
 	evacuations  evacuation.Set // zones whose agents get no new flows
 	agentChanged bool           // an agent or its back end has changed since retryWaitingLookups
 	agentAdded   bool           // an agent was added, or SetRecords called, since then
+	// restarted contains the agents of which another incarnation was seen since takeRestarted.
+	restarted map[netip.AddrPort]bool
 }
 
 // NewAgentTable returns an empty table for a balancer in the given zone and region.
 func NewAgentTable(zone catalog.ZoneName, region string, random *rand.Rand) *AgentTable {
 	return &AgentTable{
-		zone: zone, region: region, agents: map[netip.AddrPort]*agentState{}, random: random}
+		zone: zone, region: region, agents: map[netip.AddrPort]*agentState{}, random: random,
+		restarted: map[netip.AddrPort]bool{}}
+}
+
+// takeRestarted returns the agents that have restarted since the last call.
+func (t *AgentTable) takeRestarted() map[netip.AddrPort]bool {
+	restarted := t.restarted
+	t.restarted = map[netip.AddrPort]bool{}
+	return restarted
 }
 
 // UpdateFromStatus updates an agent from its status. An unknown agent is added, and one that has
@@ -199,6 +209,7 @@
 	if agent != nil {
 		*agent = agentState{address: address}
 		t.agentChanged = true
+		t.restarted[address] = true
 		return agent
 	}
 	agent = &agentState{address: address}
--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -74,7 +74,7 @@
 	lastTickAt             time.Time
 	stallEndedAt           time.Time // end of the last stall that was longer than RetransmitTime
 	nextSweepAt            time.Time
-	unreplicated           []unreplicatedFlow // in the order of their dueAt
+	unreplicated           []unreplicatedFlow // a repair waits for those before it
 	nextReplicationAt      time.Time
 	probedAgents           []*agentProbe // probes for reachability, at most maxProbedAgents
 	disturbance            disturbance   // whether shutdown notices may have been missed
@@ -109,20 +109,21 @@
 	possiblyOpen bool
 
 	// State of a flow that is open or closed, or whose lookup is queued or running.
-	agent            netip.AddrPort // zero: not known
-	agentSetAt       time.Time      // when agent was set
-	buffered         [][]byte       // datagrams that await the end of the lookup
-	bufferedConfirms uint32         // number that the first buffered datagram acknowledges
-	lastConfirms     uint32         // number that the caller's latest datagram acknowledges
-	lookup           *flowLookup    // nil: no lookup is queued or running
-	nextLookupAt     time.Time      // earliest time of the next lookup
-	requestNumber    uint32         // Search.RequestNumber of the current or next search
-	nextProbeAt      time.Time      // earliest time of the next probe of back ends
-	lookupFailedAt   time.Time      // last failed lookup; a later change of agents ends the backoff
-	lookupBackoff    time.Duration  // backoff after the last failed lookup
-	closed           bool           // the flow is closed, or resetByRestart is set
-	resetByRestart   bool           // no process knew the flow after a fleet-wide restart
-	resetAt          time.Time      // when the caller was last reset
+	agent            netip.AddrPort   // zero: not known
+	agentSetAt       time.Time        // when agent was set
+	replicas         []netip.AddrPort // agents to which the location was last replicated
+	buffered         [][]byte         // datagrams that await the end of the lookup
+	bufferedConfirms uint32           // number that the first buffered datagram acknowledges
+	lastConfirms     uint32           // number that the caller's latest datagram acknowledges
+	lookup           *flowLookup      // nil: no lookup is queued or running
+	nextLookupAt     time.Time        // earliest time of the next lookup
+	requestNumber    uint32           // Search.RequestNumber of the current or next search
+	nextProbeAt      time.Time        // earliest time of the next probe of back ends
+	lookupFailedAt   time.Time        // last failed lookup; a later change of agents ends the backoff
+	lookupBackoff    time.Duration    // backoff after the last failed lookup
+	closed           bool             // the flow is closed, or resetByRestart is set
+	resetByRestart   bool             // no process knew the flow after a fleet-wide restart
+	resetAt          time.Time        // when the caller was last reset
 
 	// What the caller has sent through this balancer.
 	content  contentProgress
--- a/handshake/flow_locations_test.go
+++ b/handshake/flow_locations_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +147,54 @@
 		})
 	}
 }
+
+// TestRestartedAgentGetsLocationsAgain checks that an agent that has restarted gets the locations
+// again that it stored, and those of its own back end's flows, and that no other agent gets them.
+func TestRestartedAgentGetsLocationsAgain(t *testing.T) {
+	is := is.New(t)
+	var agents []netip.AddrPort
+	for i := range 9 {
+		agents = append(agents, testAddress(presence.RoleAgent, i+1))
+	}
+	b, now := newSettledBalancer(t, agents...)
+	b.HandleCallerDatagram(now, unknownFlowData(1))
+	b.HandleMessage(now, agents[0], FlowQueryAnswer{Key: testKey(1), Holding: Holds})
+	now = now.Add(replicationDelay)
+	storing := append(replicated(b.Tick(now)), agents[0])
+	is.Equal(len(storing), 1+locationReplicas)
+	for _, agent := range agents {
+		now = now.Add(replicationInterval)
+		b.HandleStatus(now, agent, Status{Role: presence.RoleAgent, Zone: "a", Service: worldService, Incarnation: 2})
+		var told []netip.AddrPort
+		if slices.Contains(storing, agent) {
+			told = []netip.AddrPort{agent}
+		}
+		is.Equal(replicated(b.Tick(now)), told)
+	}
+}
+
+// TestFlowIsAnsweredAfterAllProcessesRestartInTurn checks that an idle flow is answered in time
+// after all agents and then all balancers have restarted one after another, as in an upgrade.
+func TestFlowIsAnsweredAfterAllProcessesRestartInTurn(t *testing.T) {
+	for seed := range uint64(8) {
+		is := is.New(t)
+		w := startWorld(t, seed, 3, 8)
+		is.True(w.openFlow(1000))
+		w.advance(flowAge)
+		for _, agent := range w.agents {
+			w.startAgent(agent)
+			w.report(agent)
+			w.advance(time.Second)
+		}
+		for _, balancer := range w.balancers {
+			w.startBalancer(balancer)
+			w.advance(200 * time.Millisecond)
+		}
+		caller := w.callers[testKey(1000)]
+		began := w.now
+		is.True(w.exchange(caller))
+		is.True(w.now.Sub(began) <= callerPatience)
+		w.checkStrays()
+		is.Equal(w.violation, "")
+	}
+}
--- a/handshake/location_replication.go
+++ b/handshake/location_replication.go
@@ -11,7 +11,8 @@
 )
 
 // The agents that store a flow's location are those that rank highest for its key, so that lookups
-// by any balancer query them first. Short flows end before they are replicated.
+// by any balancer query them first. Short flows end before they are replicated. An agent that
+// restarts loses what it stores; the balancers that know the flows send it again.
 
 // Parameters of the replication of locations.
 const (
@@ -28,13 +29,36 @@
 type unreplicatedFlow struct {
 	entry *flowEntry
 	agent netip.AddrPort // that holds the flow
+	to    netip.AddrPort // that has restarted and is to store the location; zero: all replicas
 	dueAt time.Time
 }
 
 // scheduleReplication schedules the replication of the flow's location.
 func (b *Balancer) scheduleReplication(now time.Time, entry *flowEntry) {
 	b.unreplicated = append(b.unreplicated,
-		unreplicatedFlow{entry, entry.agent, now.Add(replicationDelay)})
+		unreplicatedFlow{entry: entry, agent: entry.agent, dueAt: now.Add(replicationDelay)})
+}
+
+// scheduleRepairs schedules that agents that have restarted get the locations again that they have
+// lost: those that they stored, and those of the flows of their own back ends.
+func (b *Balancer) scheduleRepairs(now time.Time) {
+	restarted := b.agentTable.takeRestarted()
+	if len(restarted) == 0 {
+		return
+	}
+	first := len(b.unreplicated)
+	for _, entry := range b.flows {
+		for _, agent := range append(slices.Clone(entry.replicas), entry.agent) {
+			if restarted[agent] {
+				b.unreplicated = append(b.unreplicated,
+					unreplicatedFlow{entry: entry, agent: entry.agent, to: agent, dueAt: now})
+			}
+		}
+	}
+	slices.SortFunc(b.unreplicated[first:], func(x, y unreplicatedFlow) int {
+		return cmp.Or(x.entry.key.Caller.Compare(y.entry.key.Caller),
+			x.entry.key.Service.Compare(y.entry.key.Service), x.to.Compare(y.to))
+	})
 }
 
 // replicateLocations sends the locations that are due to the agents that store them, except those
@@ -44,6 +68,7 @@
 		return
 	}
 	b.nextReplicationAt = now.Add(replicationInterval)
+	b.scheduleRepairs(now)
 	batches := map[netip.AddrPort][]FlowLocation{}
 	due := 0
 	for due < min(len(b.unreplicated), maxReplicationBatch) && !now.Before(b.unreplicated[due].dueAt) {
@@ -67,8 +92,13 @@
 	if b.flows[entry.key] != entry || entry.agent != due.agent || entry.finished {
 		return
 	}
+	receivers := []netip.AddrPort{due.to}
+	if !due.to.IsValid() {
+		entry.replicas = b.locationReplicas(now, entry)
+		receivers = entry.replicas
+	}
 	location := FlowLocation{Key: entry.key, Confirms: entry.lastConfirms, Agent: entry.agent}
-	for _, agent := range b.locationReplicas(now, entry) {
+	for _, agent := range receivers {
 		batches[agent] = append(batches[agent], location)
 	}
 }
