handshake: the holder of an earlier flow is not assigned to a later one with its key

Cause: the answer to a search names the holder for the numbers of that search, but was accepted for the entry's flow as it is now; and a lookup that was pending went on with the numbers of the earlier flow. The back end returns such a datagram; an agent that takes it for one of the earlier flow then reports that flow as closed, so that the later one may be reset.

A datagram whose numbers are another flow's now ends the pending lookup, and answers to earlier searches assign no agent. A late answer to a search for the same flow still does. TestHolderOfEarlierFlowIsNotUsed failed in both cases before.

--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -118,6 +118,7 @@
 	lookup           *flowLookup      // nil: no lookup is queued or running
 	nextLookupAt     time.Time        // earliest time of the next lookup
 	requestNumber    uint32           // Search.RequestNumber of the current or next search
+	firstRequest     uint32           // of the first search for this flow, not for an earlier one with its key
 	nextProbeAt      time.Time        // earliest time of the next probe of back ends
 	lookupFailedAt   time.Time        // last failed lookup; a later change of agents ends the backoff
 	lookupBackoff    time.Duration    // backoff after the last failed lookup
@@ -221,8 +222,10 @@
 		entry = b.addFlow(now, datagram.Key)
 	}
 	entry.lastSeenAt = now
-	if !entry.matches(datagram) && (entry.agent.IsValid() || entry.closed) {
+	if !entry.matches(datagram) {
 		// The datagram belongs to a later flow with the same key, opened by another balancer.
+		b.endLookup(entry)
+		entry.firstRequest = entry.requestNumber
 		entry.agent, entry.closed, entry.resetByRestart = netip.AddrPort{}, false, false
 		entry.content, entry.finished = contentProgress{}, false
 	}
--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -251,7 +251,7 @@
 	if entry == nil || entry.agent.IsValid() || entry.lookup == nil {
 		return
 	}
-	if answer.Agent.IsValid() {
+	if answer.Agent.IsValid() && entry.sentForThisFlow(answer.RequestNumber) {
 		b.completeLookup(now, entry, answer.Agent)
 		return
 	}
@@ -274,6 +274,12 @@
 	b.startLookups(now)
 }
 
+// sentForThisFlow reports whether the search with the number was for this flow, and not for an
+// earlier one with the same key. Numbers wrap around.
+func (f *flowEntry) sentForThisFlow(requestNumber uint32) bool {
+	return int32(requestNumber-f.firstRequest) >= 0
+}
+
 // handleQueryAnswer handles an agent's answer to FlowQuery. If the flow's agent does not confirm
 // that it holds the flow, the agent is cleared, and the caller's next datagram starts a lookup,
 // unless the agent has been probed and has only restarted. If an agent that another balancer has
--- a/handshake/lookup_repeat_test.go
+++ b/handshake/lookup_repeat_test.go
@@ -85,3 +85,28 @@
 	b.HandleMessage(now, agent, FlowQueryAnswer{Key: testKey(1), Holding: HoldsNot})
 	is.Equal(len(receivers[Forward](b.HandleCallerDatagram(now, unknownFlowData(1)))), 0)
 }
+
+// TestHolderOfEarlierFlowIsNotUsed checks that the answer to a search for an earlier flow with the
+// same key does not assign its agent to the later flow, whether the earlier lookup has ended or not.
+func TestHolderOfEarlierFlowIsNotUsed(t *testing.T) {
+	later := unknownFlowData(1)
+	later.Confirms += 2 * maxConfirmsDistance
+	for name, abandon := range map[string]bool{"lookup has ended": true, "lookup is pending": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			holder, other := testAddress(presence.RoleAgent, 1), testAddress(presence.RoleAgent, 2)
+			b, now := newSettledBalancer(t, holder, other)
+			searcher, earlier := onlySearch(t, b.HandleCallerDatagram(now, unknownFlowData(1)))
+			if abandon {
+				b.abandonLookup(now, b.flows[testKey(1)])
+				now = now.Add(minLookupBackoff)
+			}
+			laterSearcher, search := onlySearch(t, b.HandleCallerDatagram(now, later))
+			is.Equal(search.Confirms, later.Confirms)
+			actions := b.HandleMessage(now, searcher, SearchAnswer{Key: testKey(1), Agent: holder, RequestNumber: earlier.RequestNumber})
+			is.Equal(len(receivers[Forward](actions)), 0)
+			actions = b.HandleMessage(now, laterSearcher, SearchAnswer{Key: testKey(1), Agent: other, RequestNumber: search.RequestNumber})
+			is.Equal(receivers[Forward](actions), []netip.AddrPort{other})
+		})
+	}
+}
