handshake: a flow that is looked up for the first time goes before those that were not found

Callers saw: new flows got no answer while many callers sent on flows that no agent holds, as after a loss of all power.

Lookups of flows that have not failed before go first, then by the most recent datagram. TestFirstLookupsGoFirst fails on the commit before.

--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -180,8 +181,9 @@
 	}
 }
 
-// dequeueLookup dequeues the lookup with the most recent datagram and returns its flow, nil if no
-// lookup is queued.
+// dequeueLookup dequeues a lookup and returns its flow, nil if no lookup is queued. Flows that have
+// not been looked up without success before, which most likely are open, come first, then those with
+// the most recent datagrams.
 func (b *Balancer) dequeueLookup() *flowEntry {
 	b.lookupQueue = slices.DeleteFunc(b.lookupQueue, func(entry *flowEntry) bool {
 		return entry.lookup == nil || !entry.lookup.queued
@@ -189,18 +191,24 @@
 	if len(b.lookupQueue) == 0 {
 		return nil
 	}
-	latest := 0
+	first := 0
 	for i, entry := range b.lookupQueue {
-		if !entry.lastSeenAt.Before(b.lookupQueue[latest].lastSeenAt) {
-			latest = i
+		if entry.compareUrgency(b.lookupQueue[first]) >= 0 {
+			first = i
 		}
 	}
-	entry := b.lookupQueue[latest]
-	b.lookupQueue = slices.Delete(b.lookupQueue, latest, latest+1)
+	entry := b.lookupQueue[first]
+	b.lookupQueue = slices.Delete(b.lookupQueue, first, first+1)
 	entry.lookup.queued = false
 	return entry
 }
 
+// compareUrgency compares the order in which two flows are looked up. The greater one is first.
+func (f *flowEntry) compareUrgency(other *flowEntry) int {
+	return cmp.Or(compareBools(f.lookupBackoff == 0, other.lookupBackoff == 0),
+		f.lastSeenAt.Compare(other.lastSeenAt))
+}
+
 // continueLookup takes the next step of a lookup: it has the agents searched that were not queried
 // yet, or else requests probes of the back ends that may hold the flow, at most once per lookup.
 func (b *Balancer) continueLookup(now time.Time, entry *flowEntry) {
--- a/handshake/lookup_repeat_test.go
+++ b/handshake/lookup_repeat_test.go
@@ -1,4 +1,6 @@
-// This file tests that a waiting lookup does not keep answers that have become false.
+// This file tests that a waiting lookup does not keep answers that have become false, that what
+// other balancers and earlier searches say of a flow's holder is used for that flow alone, and the
+// order of lookups.
 
 package handshake
 
@@ -110,3 +112,28 @@
 		})
 	}
 }
+
+// TestFirstLookupsGoFirst checks that a flow that is looked up for the first time does not wait for
+// the lookups of flows that were not found before, whose callers send more recently.
+func TestFirstLookupsGoFirst(t *testing.T) {
+	is := is.New(t)
+	b, now := newSettledBalancer(t, testAddress(presence.RoleAgent, 1))
+	const flows = maxLookups + 5
+	for port := range uint16(flows) {
+		b.HandleCallerDatagram(now, unknownFlowData(1+port))
+	}
+	for _, entry := range b.flows {
+		if entry.lookup.queued {
+			entry.lookup.queued = false
+			b.abandonLookup(now, entry)
+		}
+	}
+	searcher := b.flows[testKey(1)].lookup.searcher
+	now = now.Add(minLookupBackoff)
+	b.HandleCallerDatagram(now, unknownFlowData(100))
+	for port := range uint16(flows) {
+		b.HandleCallerDatagram(now.Add(time.Millisecond), unknownFlowData(1+port))
+	}
+	_, search := onlySearch(t, b.HandleMessage(now.Add(2*time.Millisecond), searcher, SearchAnswer{Key: testKey(1)}))
+	is.Equal(search.Key, testKey(100))
+}
