handshake: the highest ranked agents are selected without sorting all

Replicating a location ranks the agents of the flow's service once more, as placing does. It still grows with the agents of the service, not with those of others, like the placement of a flow, which runs it too. Results are the same (TestCandidates*, TestSelect* unchanged).

--- a/handshake/candidates.go
+++ b/handshake/candidates.go
@@ -56,11 +56,20 @@
 	return agents
 }
 
-// highestRanked returns up to limit agents with the highest ranks, in descending order. It sorts
-// agents in place.
+// highestRanked returns up to limit agents with the highest ranks, in descending order.
 func highestRanked(agents []ranked, limit int) []ranked {
-	slices.SortFunc(agents, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
-	return agents[:min(len(agents), limit)]
+	highest := make([]ranked, 0, limit+1)
+	for _, agent := range agents {
+		if len(highest) == limit && agent.rank <= highest[limit-1].rank {
+			continue
+		}
+		index, _ := slices.BinarySearchFunc(highest, agent.rank, func(other ranked, rank uint64) int {
+			return cmp.Compare(rank, other.rank)
+		})
+		highest = slices.Insert(highest, index, agent)
+		highest = highest[:min(len(highest), limit)]
+	}
+	return highest
 }
 
 // selectAgent returns the agent for a new flow, which is none of except: the least busy candidate
