handshake: three replicas of a location

One hypothesis: of the flows that are still lost when half of the balancers and of the agents are killed, most have lost both replicas and the agent. Nothing depends on the size of the fleet.

--- a/handshake/location_replication.go
+++ b/handshake/location_replication.go
@@ -16,7 +16,7 @@
 
 // Parameters of the replication of locations.
 const (
-	locationReplicas = 2 // agents that store a flow's location
+	locationReplicas = 3 // agents that store a flow's location
 	// replicationDelay is the time after which a flow that has not ended is replicated.
 	replicationDelay    = 250 * time.Millisecond
 	replicationInterval = 50 * time.Millisecond // between two messages to one agent
