handshake: the pending offer of a flow whose lookup is queued does no harm

That the offer's timeout is not recorded is right: the caller has acknowledged the agent's back end, so the agent did answer.

--- a/handshake/lookup_repeat_test.go
+++ b/handshake/lookup_repeat_test.go
@@ -137,3 +137,36 @@
 	_, search := onlySearch(t, b.HandleMessage(now.Add(2*time.Millisecond), searcher, SearchAnswer{Key: testKey(1)}))
 	is.Equal(search.Key, testKey(100))
 }
+
+// TestPendingOfferDoesNotRepeatLookup checks that the deadline of an offer that is pending as the
+// flow's lookup is queued neither starts the lookup twice nor exceeds the limit of lookups.
+func TestPendingOfferDoesNotRepeatLookup(t *testing.T) {
+	is := is.New(t)
+	agent := testAddress(presence.RoleAgent, 1)
+	b, now := newSettledBalancer(t, agent)
+	for port := range uint16(maxLookups) {
+		b.HandleCallerDatagram(now, unknownFlowData(100+port))
+	}
+	b.HandleCallerDatagram(now, &Datagram{Key: testKey(1), Kind: Opening, Number: 7, Bytes: []byte{7}})
+	b.HandleCallerDatagram(now, unknownFlowData(1))
+	is.True(b.flows[testKey(1)].lookup.queued)
+	now = now.Add(MaxOfferTimeout)
+	b.Tick(now) // the deadline of the offer has passed
+	searches := 0
+	for port := range uint16(maxLookups) {
+		entry := b.flows[testKey(100+port)]
+		if entry.lookup == nil {
+			continue
+		}
+		actions := b.HandleMessage(now, entry.lookup.searcher, SearchAnswer{Key: entry.key, RequestNumber: entry.requestNumber})
+		for _, action := range actions {
+			if send, ok := action.(Send); ok {
+				if search, ok := send.Message.(Search); ok && search.Key == testKey(1) {
+					searches++
+				}
+			}
+		}
+		is.True(b.activeLookups <= maxLookups)
+	}
+	is.Equal(searches, 1)
+}
