--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -118,7 +118,7 @@
 	lookup           *flowLookup      // nil: no lookup is queued or running
 	nextLookupAt     time.Time        // earliest time of the next lookup
 	requestNumber    uint32           // Search.RequestNumber of the current or next search
-	firstRequest     uint32           // of the first search for this flow, not for an earlier one with its key
+	firstRequest     uint32           // of the first search for this flow; earlier ones were for others
 	nextProbeAt      time.Time        // earliest time of the next probe of back ends
 	lookupFailedAt   time.Time        // last failed lookup; a later change of agents ends the backoff
 	lookupBackoff    time.Duration    // backoff after the last failed lookup
@@ -326,8 +326,8 @@
 }
 
 // Tick places queued openings, handles passed deadlines, retries waiting lookups, starts queued
-// ones, checks the agent probes, replicates locations and removes expired state. The process must call it at intervals of
-// at most RetransmitTime; a longer interval counts as a stall.
+// ones, checks the agent probes, replicates locations and removes expired state. The process must
+// call it at intervals of at most RetransmitTime; a longer interval counts as a stall.
 func (b *Balancer) Tick(now time.Time) []Action {
 	b.detectStall(now)
 	b.lastTickAt = now
--- a/handshake/flow_locations.go
+++ b/handshake/flow_locations.go
@@ -14,7 +14,8 @@
 
 // An agent that has restarted does not know the flows of its back end until it sees a datagram of
 // them, and can only answer that it may hold a flow. If a stored location names it, no other agent
-// holds the flow, and its datagrams are forwarded without a probe.
+// holds the flow, so its datagrams are forwarded without a probe. If the back end has closed the
+// flow, it returns the datagram, and the caller is reset.
 
 // Limits of stored locations.
 const (
--- a/handshake/location_replication.go
+++ b/handshake/location_replication.go
@@ -12,7 +12,7 @@
 
 // The agents that store a flow's location are those that rank highest for its key, so that lookups
 // by any balancer query them first. Short flows end before they are replicated. An agent that
-// restarts loses what it stores; the balancers that know the flows send it again.
+// restarts loses what it stores; the balancers that know the flows send it again (repair).
 
 // Parameters of the replication of locations.
 const (
@@ -46,19 +46,24 @@
 	if len(restarted) == 0 {
 		return
 	}
-	first := len(b.unreplicated)
+	var repairs []unreplicatedFlow
+	repair := func(entry *flowEntry, agent netip.AddrPort) {
+		if restarted[agent] {
+			repairs = append(repairs,
+				unreplicatedFlow{entry: entry, agent: entry.agent, to: agent, dueAt: now})
+		}
+	}
 	for _, entry := range b.flows {
-		for _, agent := range append(slices.Clone(entry.replicas), entry.agent) {
-			if restarted[agent] {
-				b.unreplicated = append(b.unreplicated,
-					unreplicatedFlow{entry: entry, agent: entry.agent, to: agent, dueAt: now})
-			}
+		repair(entry, entry.agent)
+		for _, agent := range entry.replicas {
+			repair(entry, agent)
 		}
 	}
-	slices.SortFunc(b.unreplicated[first:], func(x, y unreplicatedFlow) int {
+	slices.SortFunc(repairs, func(x, y unreplicatedFlow) int { // decisions are deterministic
 		return cmp.Or(x.entry.key.Caller.Compare(y.entry.key.Caller),
 			x.entry.key.Service.Compare(y.entry.key.Service), x.to.Compare(y.to))
 	})
+	b.unreplicated = append(b.unreplicated, repairs...)
 }
 
 // replicateLocations sends the locations that are due to the agents that store them, except those
--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -7,9 +7,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -105,40 +103,6 @@
 	b.startLookups(now)
 }
 
-// repeatWaitingLookup queues a waiting lookup again when a datagram arrives, at increasing
-// intervals: an agent may have learned of the flow since it was queried.
-func (b *Balancer) repeatWaitingLookup(now time.Time, entry *flowEntry) {
-	lookup := entry.lookup
-	if !lookup.waiting || now.Before(lookup.nextRepeatAt) {
-		return
-	}
-	lookup.repeatInterval = min(max(2*lookup.repeatInterval, minLookupBackoff), maxLookupBackoff)
-	lookup.nextRepeatAt = now.Add(lookup.repeatInterval)
-	lookup.discardUncertain()
-	b.requeueLookup(now, entry)
-	b.startLookups(now)
-}
-
-// requeueLookup queues a lookup that waits for its deadline.
-func (b *Balancer) requeueLookup(now time.Time, entry *flowEntry) {
-	entry.lookup.waiting = false
-	b.clearDeadline(entry)
-	b.queueLookup(now, entry)
-}
-
-// discardUncertain discards the answers that later ones may contradict, so that the agents that
-// gave them, those that have not answered, and the other balancers are queried again.
-func (l *flowLookup) discardUncertain() {
-	if l.inconclusive {
-		l.queriedAgents = nil
-	}
-	l.queriedAgents = slices.DeleteFunc(l.queriedAgents, func(agent netip.AddrPort) bool {
-		return slices.Contains(l.possibleHolders, agent)
-	})
-	l.possibleHolders, l.unprobed = nil, nil
-	l.inconclusive, l.probed, l.balancersQueried = false, false, false
-}
-
 // resetAgain repeats the reset of a closed flow, as the earlier one may have been lost, but at most
 // once per resetInterval.
 func (b *Balancer) resetAgain(now time.Time, entry *flowEntry) {
@@ -150,65 +114,6 @@
 		FleetRestarted: entry.resetByRestart})
 }
 
-// queueLookup queues the flow's lookup. If the queue is full, its oldest lookup is abandoned.
-func (b *Balancer) queueLookup(now time.Time, entry *flowEntry) {
-	if len(b.lookupQueue) >= maxQueuedLookups {
-		oldest := b.lookupQueue[0]
-		b.lookupQueue = slices.Delete(b.lookupQueue, 0, 1)
-		if oldest.lookup != nil && oldest.lookup.queued {
-			b.abandonLookup(now, oldest)
-		}
-	}
-	entry.lookup.queued = true
-	b.lookupQueue = append(b.lookupQueue, entry)
-}
-
-// startLookups starts queued lookups up to maxLookups, those with the most recent datagrams first.
-// Lookups whose callers have given up are abandoned.
-func (b *Balancer) startLookups(now time.Time) {
-	for b.activeLookups < maxLookups && len(b.lookupQueue) > 0 {
-		entry := b.dequeueLookup()
-		if entry == nil {
-			return
-		}
-		if now.Sub(entry.lastSeenAt) > callerTimeout {
-			b.abandonLookup(now, entry)
-			continue
-		}
-		entry.lookup.running = true
-		b.activeLookups++
-		b.continueLookup(now, entry)
-	}
-}
-
-// dequeueLookup dequeues a lookup and returns its flow, nil if no lookup is queued. Flows that have
-// not been looked up without success before, which most likely are open, come first, then those with
-// the most recent datagrams.
-func (b *Balancer) dequeueLookup() *flowEntry {
-	b.lookupQueue = slices.DeleteFunc(b.lookupQueue, func(entry *flowEntry) bool {
-		return entry.lookup == nil || !entry.lookup.queued
-	})
-	if len(b.lookupQueue) == 0 {
-		return nil
-	}
-	first := 0
-	for i, entry := range b.lookupQueue {
-		if entry.compareUrgency(b.lookupQueue[first]) >= 0 {
-			first = i
-		}
-	}
-	entry := b.lookupQueue[first]
-	b.lookupQueue = slices.Delete(b.lookupQueue, first, first+1)
-	entry.lookup.queued = false
-	return entry
-}
-
-// compareUrgency compares the order in which two flows are looked up. The greater one is first.
-func (f *flowEntry) compareUrgency(other *flowEntry) int {
-	return cmp.Or(compareBools(f.lookupBackoff == 0, other.lookupBackoff == 0),
-		f.lastSeenAt.Compare(other.lastSeenAt))
-}
-
 // continueLookup takes the next step of a lookup: it has the agents searched that were not queried
 // yet, or else requests probes of the back ends that may hold the flow, at most once per lookup.
 func (b *Balancer) continueLookup(now time.Time, entry *flowEntry) {
@@ -379,23 +284,6 @@
 	}
 }
 
-// lookupRetryTime returns when a lookup without a result is retried soon after the balancer's
-// start: when it may request probes, if agents may hold the flow, or else at the end of
-// DiscoveryTime.
-func (b *Balancer) lookupRetryTime(now time.Time, lookup *flowLookup) time.Time {
-	if probingStarts := b.startedAt.Add(flowProbeSettleTime); len(lookup.possibleHolders) > 0 &&
-		now.Before(probingStarts) {
-		return probingStarts
-	}
-	return b.startedAt.Add(DiscoveryTime)
-}
-
-// discovering reports whether the balancer has started so recently that the agent that holds a flow
-// may not be known yet.
-func (b *Balancer) discovering(now time.Time) bool {
-	return now.Sub(b.startedAt) < DiscoveryTime && !b.allAgentsQueryable(now)
-}
-
 // SetRecords sets the addresses of all agents that are recorded in the store, as read at readAt.
 // Waiting lookups are retried at the next Tick.
 func (b *Balancer) SetRecords(now, readAt time.Time, agents []netip.AddrPort) {
@@ -445,24 +333,6 @@
 	}
 }
 
-// retryWaitingLookups records changes of agents, and retries the waiting lookups if agents were
-// discovered or the records were read.
-func (b *Balancer) retryWaitingLookups(now time.Time) {
-	if b.agentTable.agentAdded || b.agentTable.agentChanged {
-		b.agentsChangedAt = now
-		b.agentTable.agentChanged = false
-	}
-	if !b.agentTable.agentAdded {
-		return
-	}
-	b.agentTable.agentAdded = false
-	for _, entry := range b.pendingWhere(func(entry *flowEntry) bool {
-		return entry.lookup != nil && entry.lookup.pendingAgents == nil
-	}) {
-		b.requeueLookup(now, entry)
-	}
-}
-
 // abandonLookup drops the buffered datagrams and delays the flow's next lookup.
 func (b *Balancer) abandonLookup(now time.Time, entry *flowEntry) {
 	entry.lookupBackoff = min(max(2*entry.lookupBackoff, minLookupBackoff), maxLookupBackoff)
@@ -479,16 +349,6 @@
 	b.endLookup(entry)
 }
 
-// releaseLookupSlot clears the lookup's deadline and frees its slot, so that a queued lookup can
-// run.
-func (b *Balancer) releaseLookupSlot(entry *flowEntry) {
-	b.clearDeadline(entry)
-	if entry.lookup.running {
-		entry.lookup.running = false
-		b.activeLookups--
-	}
-}
-
 // endLookup ends the flow's lookup, if there is one, and drops the buffered datagrams.
 func (b *Balancer) endLookup(entry *flowEntry) {
 	if entry.lookup == nil {
