handshake: a time earlier than the latest one takes no tokens from the rate limiter

Cause: the processes read the clock before they wait for the lock, so a goroutine that was suspended in between calls the token bucket with an earlier time than the call before. The bucket then lost the tokens of the difference, and the number of statuses to send was negative: 362 at 250 a second are 1.4 s. The bucket now ignores earlier times.

--- a/handshake/rate_limiter.go
+++ b/handshake/rate_limiter.go
@@ -21,11 +21,16 @@
 }
 
 // refill adds the tokens of the time since the latest refill. The bucket is full at the first call.
+// An earlier time than that of the latest refill changes nothing: processes read the clock before
+// they wait for a lock, and may be suspended in between.
 func (l *rateLimiter) refill(now time.Time) {
 	capacity := l.perSecond * rateLimiterBurst
-	if l.refilledAt.IsZero() {
+	switch {
+	case l.refilledAt.IsZero():
 		l.tokens = capacity
-	} else {
+	case now.Before(l.refilledAt):
+		return
+	default:
 		l.tokens = min(capacity, l.tokens+l.perSecond*now.Sub(l.refilledAt).Seconds())
 	}
 	l.refilledAt = now
