--- a/review/cmd/reuse/main.go
+++ b/review/cmd/reuse/main.go
@@ -44,7 +44,7 @@
 	}
 	var hosts []*lab.Host
 	start := func(m lab.Machine, id, service string, hold func(int) bool) error {
-		host, err := lab.StartHost(record, m, lab.HostOptions{ID: id, Service: service, Slots: slots, Work: work, InstanceHeader: true,
+		host, err := lab.StartHost(record, m, lab.HostOptions{ID: id, Service: service, Slots: slots, Work: work, InstanceHeader: os.Getenv("HEADER") != "0",
 			Heartbeat: heartbeat, HoldHeartbeats: hold})
 		if err == nil {
 			hosts = append(hosts, host)
