--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -50,6 +50,15 @@
 	flows map[flowKey]*hostFlow
 	runs  []Run
 	Bad   []string // packets that their sender didn't write in this form
+
+	arrivals []Arrival
+}
+
+// Arrival is a packet of a flow, other than an opening one, that has reached a host.
+type Arrival struct {
+	Client, Route netip.AddrPort
+	At            time.Time
+	Held          bool // the host holds the flow; otherwise it returned the packet
 }
 
 // Run is a request that a host has begun to work on.
@@ -211,6 +220,10 @@
 	}
 	key := flowKey{p.source(), p.destination()}
 	flow := h.flows[key]
+	if p.flags()&flagSYN == 0 {
+		held := flow != nil && (flow.open || p.ack() == flow.seq+1)
+		h.arrivals = append(h.arrivals, Arrival{key.client, key.route, time.Now(), held})
+	}
 	switch {
 	case p.flags()&flagSYN != 0:
 		if flow == nil {
@@ -320,6 +333,19 @@
 	return append([]Run(nil), h.runs...)
 }
 
+// Arrivals returns the packets of a flow that have reached the host.
+func (h *Host) Arrivals(client, route netip.AddrPort) []Arrival {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var found []Arrival
+	for _, a := range h.arrivals {
+		if a.Client == client && a.Route == route {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
 // Holds reports whether the host holds the client's flow.
 func (h *Host) Holds(client, route netip.AddrPort) bool {
 	h.mutex.Lock()
