--- a/review/cmd/probing/main.go
+++ b/review/cmd/probing/main.go
@@ -16,21 +16,21 @@
 )
 
 const (
-	desk        = "applications-desk"
+	desk        = "drawings-intake"
 	slots       = 5
 	work        = 40 * time.Millisecond
 	heartbeat   = 1200 * time.Millisecond // heartbeatMs
 	gap         = 200 * time.Millisecond  // between two machines of a layer
 	restart     = 500 * time.Millisecond  // from a process's end to its next start
 	edgesAfter  = 3600 * time.Millisecond // from the first agent's SIGTERM to the first balancer's
-	openedFlows = 24                      // that clients keep for many requests, with pauses
+	openedFlows = 60                      // that clients keep for many requests, with pauses
 	agentCount  = 8
-	flowTime    = 2 * time.Second // flowMs
-	deadline    = 2500 * time.Millisecond
-	tries       = 4 // requests, one after another, on each kept flow
+	flowTime    = 2 * time.Second         // flowMs
+	deadline    = 5 * time.Second         // of plan-upload
+	pause       = 3500 * time.Millisecond // of the clients, after the last start
 )
 
-var route = lab.Route{Name: "consent-check", Address: netip.MustParseAddrPort("198.18.0.1:8443"), Service: desk, Type: "unsafe"}
+var route = lab.Route{Name: "plan-upload", Address: netip.MustParseAddrPort("198.18.0.1:8443"), Service: desk, Type: "upload"}
 
 func main() { os.Exit(lab.Main(run)) }
 
@@ -93,20 +93,19 @@
 		time.Sleep(7 * time.Second)
 	}
 
-	// The clients go on: each makes one request after another, until one is answered.
+	// The clients go on: each makes its next request.
+	time.Sleep(pause)
 	resumed := time.Now()
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	unanswered := 0
 	for i, flow := range kept {
 		group.Go(func() {
-			for try := range tries {
-				id := fmt.Sprintf("second-%d-%d", i, try)
-				_, err := flow.Request(id, deadline)
-				record.Line("request %s on flow %v, held by host %q: error %v", id, flow.Key, holder(hosts, flow), err)
-				if !errors.Is(err, lab.ErrSilent) {
-					return
-				}
+			id := fmt.Sprintf("second-%d", i)
+			record.Line("request %s is sent on flow %v through %s; held by host %q", id, flow.Key, s.Router.Target(flow.Key, route.Address), holder(hosts, flow))
+			answer, err := flow.Request(id, deadline)
+			record.Line("request %s: answer %v, error %v; flow held by host %q", id, answer, err, holder(hosts, flow))
+			if errors.Is(err, lab.ErrSilent) {
 				mutex.Lock()
 				unanswered++
 				mutex.Unlock()
