--- a/review/lab2/idle.go
+++ b/review/lab2/idle.go
@@ -28,6 +28,7 @@
 // idleFlowProof: a host crashes and starts again at once. Clients open flows of many requests, some
 // of which rest for longer than idleTimeoutMs, so that their hosts forget them.
 func idleFlowProof(l *lab) ([]string, error) {
+	l.idleTimeout = idleTimeout
 	d, err := l.deploy(3, 7, 30*time.Millisecond, idleTimeout)
 	if err != nil {
 		return nil, err
@@ -105,7 +106,7 @@
 	broken, excused := 0, 0
 	var example resetFlow
 	for _, reset := range resets {
-		if reset.heldBy == nil || reset.at.Sub(reset.heldBy.startedAt) < contactTime || reset.resting >= idleTimeout {
+		if reset.heldBy == nil || reset.at.Sub(reset.heldBy.startedAt) < contactTime || reset.resting >= l.idleTimeout {
 			excused++
 			continue
 		}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -31,14 +31,16 @@
 
 // lab is one deployment on loopback addresses.
 type lab struct {
-	root, work string
-	prefix     string // first three numbers of the machines' addresses
-	lastHost   int
-	ports      portSet
-	store      *store
-	record     *recorder
-	trouble    bool
-	seed       string // control address of the first balancer
+	root, work  string
+	prefix      string // first three numbers of the machines' addresses
+	lastHost    int
+	ports       portSet
+	store       *store
+	record      *recorder
+	trouble     bool
+	requestType string        // of the route
+	idleTimeout time.Duration // idleTimeoutMs of the configuration
+	seed        string        // control address of the first balancer
 
 	mutex    sync.Mutex
 	machines []*machine
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0"}
+	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0", requestType: "unsafe", idleTimeout: 15 * time.Second}
 	if err := l.choosePorts(); err != nil {
 		return nil, err
 	}
