--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -200,6 +200,7 @@
 		}
 		return
 	case f == nil || !f.open && p.ack != f.number+1:
+		h.lab.noteArrival(h, key)
 		raw[0] |= flagBounced
 		h.send(raw)
 		return
@@ -208,6 +209,7 @@
 		return
 	}
 	f.last = now
+	h.lab.noteArrival(h, key)
 	if !f.open {
 		f.open = true
 		h.opened[key] = f
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -45,6 +45,7 @@
 	mutex    sync.Mutex
 	machines []*machine
 	closed   bool
+	arrivals map[flowKey][]arrival // of packets other than SYNs, at all hosts
 }
 
 // machine is a machine and the process of the system on it.
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0", requestType: "unsafe", idleTimeout: 15 * time.Second}
+	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0", requestType: "unsafe", idleTimeout: 15 * time.Second, arrivals: map[flowKey][]arrival{}}
 	if err := l.choosePorts(); err != nil {
 		return nil, err
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -21,6 +21,7 @@
 	"drain-ack-lost":  drainAckLost,
 	"idle-flow-proof": idleFlowProof,
 	"planned-roll":    plannedRoll,
+	"resting-flows":   restingFlows,
 }
 
 func main() {
