--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -31,15 +31,14 @@
 
 // host is a stand-in for one start of a host, beside the agent of a side machine.
 type host struct {
-	lab         *lab
-	m           *machine
-	id, service string
-	work        time.Duration
-	idle        time.Duration // flows that have rested this long are forgotten
-	udp         *net.UDPConn
-	health      *http.Server
-	startedAt   time.Time
-	stopped     chan struct{}
+	lab *lab
+	m   *machine
+	hostOptions
+	slotsInUse chan struct{}
+	udp        *net.UDPConn
+	health     *http.Server
+	startedAt  time.Time
+	stopped    chan struct{}
 
 	mutex       sync.Mutex
 	flows       map[flowKey]*hostFlow
@@ -53,9 +52,25 @@
 	healthCalls int
 }
 
-// startHost starts a host. Its first heartbeat is sent after firstBeat.
-func (l *lab) startHost(m *machine, id, service string, work, idle, firstBeat time.Duration) (*host, error) {
-	h := &host{lab: l, m: m, id: id, service: service, work: work, idle: idle, startedAt: time.Now(), stopped: make(chan struct{}),
+// hostOptions are the properties of a host.
+type hostOptions struct {
+	id, service string
+	work        time.Duration // of a request
+	slots       int           // requests and health checks at a time; 0: 7
+	idle        time.Duration // flows that have rested this long are forgotten; 0: none
+	firstBeat   time.Duration // from the start to the first heartbeat
+	nameless    bool          // its health answers don't name it
+	// delayBeat is called before each heartbeat is sent, with its callSeq. It returns when the
+	// heartbeat arrives, and false if that never happens.
+	delayBeat func(callSeq uint64) bool
+}
+
+// startHost starts a host.
+func (l *lab) startHost(m *machine, options hostOptions) (*host, error) {
+	if options.slots == 0 {
+		options.slots = 7
+	}
+	h := &host{lab: l, m: m, hostOptions: options, slotsInUse: make(chan struct{}, options.slots), startedAt: time.Now(), stopped: make(chan struct{}),
 		flows: map[flowKey]*hostFlow{}, opened: map[flowKey]*hostFlow{}}
 	address := netip.MustParseAddrPort(at(m.ip, l.ports.app))
 	var err error
@@ -76,20 +91,24 @@
 	h.health = &http.Server{Handler: http.HandlerFunc(h.serveHealth)}
 	go func() { _ = h.health.Serve(listener) }()
 	go h.receive()
-	go h.heartbeats(firstBeat)
-	if idle > 0 {
+	go h.heartbeats(h.firstBeat)
+	if h.idle > 0 {
 		go h.forgetIdle()
 	}
-	l.record.add("host %s: starts at %s", id, address)
+	l.record.add("host %s: starts at %s", h.id, address)
 	return h, nil
 }
 
 func (h *host) serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	h.slotsInUse <- struct{}{}
+	defer func() { <-h.slotsInUse }()
 	h.mutex.Lock()
 	h.healthCalls++
 	well := !h.leaving || h.saysWell
 	h.mutex.Unlock()
-	writer.Header().Set("X-Burlmill-Instance-Id", h.id)
+	if !h.nameless {
+		writer.Header().Set("X-Burlmill-Instance-Id", h.id)
+	}
 	if !well {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -109,7 +128,7 @@
 		silent := h.silent
 		h.mutex.Unlock()
 		if !silent {
-			h.beat("ready")
+			go h.beat("ready")
 		}
 	}
 }
@@ -119,12 +138,15 @@
 	h.mutex.Lock()
 	h.callSeq++
 	body, _ := json.Marshal(map[string]any{"service": h.service, "address": at(h.m.ip, h.lab.ports.app), "zone": "a", "version": "v1",
-		"slots": 7, "state": state, "coldLeftMs": 0, "callSeq": h.callSeq})
-	first := h.callSeq == 1
+		"slots": h.slots, "state": state, "coldLeftMs": 0, "callSeq": h.callSeq})
+	callSeq := h.callSeq
 	h.mutex.Unlock()
+	if h.delayBeat != nil && !h.delayBeat(callSeq) {
+		return false
+	}
 	acknowledged := h.call(http.MethodPut, body)
-	if first || !acknowledged {
-		h.lab.record.add("host %s: heartbeat %q acknowledged=%v", h.id, state, acknowledged)
+	if callSeq == 1 || !acknowledged {
+		h.lab.record.add("host %s: heartbeat %d, %q, acknowledged=%v", h.id, callSeq, state, acknowledged)
 	}
 	return acknowledged
 }
@@ -200,7 +222,6 @@
 		}
 		return
 	case f == nil || !f.open && p.ack != f.number+1:
-		h.lab.noteArrival(h, key)
 		raw[0] |= flagBounced
 		h.send(raw)
 		return
@@ -209,7 +230,6 @@
 		return
 	}
 	f.last = now
-	h.lab.noteArrival(h, key)
 	if !f.open {
 		f.open = true
 		h.opened[key] = f
@@ -238,7 +258,9 @@
 			id = value
 		}
 	}
+	h.slotsInUse <- struct{}{}
 	time.Sleep(h.work)
+	<-h.slotsInUse
 	select {
 	case <-h.stopped:
 		return
--- a/review/lab2/idle.go
+++ b/review/lab2/idle.go
@@ -38,7 +38,7 @@
 	if l.trouble {
 		d.hosts[0].stop()
 		time.Sleep(idleDownTime)
-		restarted, err := l.startHost(d.agents[0], "i-1-again", serviceName, 30*time.Millisecond, idleTimeout, heartbeatInterval)
+		restarted, err := l.startHost(d.agents[0], hostOptions{id: "i-1-again", service: serviceName, work: 30 * time.Millisecond, idle: idleTimeout, firstBeat: heartbeatInterval})
 		if err != nil {
 			return nil, err
 		}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -38,14 +38,11 @@
 	store       *store
 	record      *recorder
 	trouble     bool
-	requestType string        // of the route
 	idleTimeout time.Duration // idleTimeoutMs of the configuration
 	seed        string        // control address of the first balancer
 
 	mutex    sync.Mutex
 	machines []*machine
-	closed   bool
-	arrivals map[flowKey][]arrival // of packets other than SYNs, at all hosts
 }
 
 // machine is a machine and the process of the system on it.
@@ -73,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0", requestType: "unsafe", idleTimeout: 15 * time.Second, arrivals: map[flowKey][]arrival{}}
+	l := &lab{root: root, work: work, record: record, trouble: os.Getenv("TROUBLE") != "0", idleTimeout: 15 * time.Second}
 	if err := l.choosePorts(); err != nil {
 		return nil, err
 	}
@@ -185,7 +182,6 @@
 func (l *lab) close() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.closed = true
 	for _, m := range l.machines {
 		if m.command != nil && m.command.Process != nil {
 			_ = m.command.Process.Kill()
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,8 +20,7 @@
 var scenarios = map[string]func(*lab) ([]string, error){
 	"drain-ack-lost":  drainAckLost,
 	"idle-flow-proof": idleFlowProof,
-	"planned-roll":    plannedRoll,
-	"resting-flows":   restingFlows,
+	"old-beat-late":   oldBeatLate,
 }
 
 func main() {
@@ -93,7 +92,7 @@
 			return nil, err
 		}
 		d.agents = append(d.agents, m)
-		h, err := l.startHost(m, fmt.Sprintf("i-%d", i+1), serviceName, work, idle, 0)
+		h, err := l.startHost(m, hostOptions{id: fmt.Sprintf("i-%d", i+1), service: serviceName, work: work, idle: idle})
 		if err != nil {
 			return nil, err
 		}
@@ -114,7 +113,7 @@
 	}
 	l.store.put("config", "main", map[string]any{
 		"version": version,
-		"routes": []map[string]any{{"name": "r-1", "host": route.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", route.Port()), "type": l.requestType,
+		"routes": []map[string]any{{"name": "r-1", "host": route.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", route.Port()), "type": "unsafe",
 			"timeoutMs": 3000, "targetLatencyMs": 300, "priority": 1, "service": serviceName, "maxAttempts": 2}},
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idle.Milliseconds()},
