--- a/instance/checks.go
+++ b/instance/checks.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	overdue := t.state == Ready && now.Sub(t.lastSeenAt) > maxMissedReports*t.interval
-	unknown := t.state == Absent && t.latest.ID == ""
+	unknown := t.state == Absent && t.latest.ID == "" && t.drain.heldCheck.ID == ""
 	restoring := t.displaced != nil && now.Before(t.restoreUntil)
 	confirming := t.unconfirmed.countedReports >= confirmReports && now.Sub(t.unconfirmed.lastSeenAt) <= maxMissedReports*t.interval
 	if t.state != Unverified && !overdue && !unknown && !restoring && !confirming && !(t.state == Ready && t.unconfirmedDrain) {
@@ -64,12 +64,16 @@
 	before := t.state
 	switch {
 	case t.confirmedBy(check, startedAt):
-		t.acceptUnconfirmed(now)
+		t.acceptUnconfirmed(now, check)
 		return true
 	case t.fromDisplaced(check):
 		t.restoreDisplaced(now)
 		return true
 	case t.state == Absent && check.Healthy && check.ID != "" && !t.past.covers(Incarnation{ID: check.ID}):
+		if t.drain.awaited {
+			t.holdCheck(now, check)
+			return false
+		}
 		t.adoptChecked(now, check.ID)
 		return true
 	}
@@ -101,16 +105,18 @@
 // unhealthy, but a starting one may refuse a check before it listens. It is the time of three checks.
 const absenceConfirmTime = 2 * CheckInterval
 
-// recordRefusal records whether a check was refused. It sets absenceObserved if the back end has
-// never been seen and all checks were refused for absenceConfirmTime.
+// recordRefusal records whether a check was refused. Once all checks were refused for
+// absenceConfirmTime without another sign of the back end, drained incarnations have ended, and if
+// the back end has never been seen, absenceObserved is set.
 func (t *Tracker) recordRefusal(now time.Time, refused bool) {
 	switch {
-	case !refused || t.latest.ID != "" || !t.lastSeenAt.IsZero():
+	case !refused || t.latest.ID != "":
 		t.refusedSince = time.Time{}
-	case t.refusedSince.IsZero():
+	case t.refusedSince.IsZero() || t.lastSeenAt.After(t.refusedSince):
 		t.refusedSince = now
 	case now.Sub(t.refusedSince) >= absenceConfirmTime:
-		t.absenceObserved = true
+		t.absenceObserved = t.absenceObserved || t.lastSeenAt.IsZero()
+		t.forgetDrains(now)
 	}
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,8 +10,9 @@
 // Instances send reports, which may be delayed and reordered, and the agent may start after the
 // back end. Therefore an incarnation receives new flows only if it has answered a health check
 // since the agent started and has not reported that it is draining. A newly started agent checks at
-// once: the answer contains the id, and reports supply the rest. The package does no I/O and reads
-// no clock: callers pass in reports, check results and the time.
+// once: the answer contains the id, and reports supply the rest. Drains that the agent has
+// acknowledged are passed on to its next start. The package does no I/O and reads no clock: callers
+// pass in reports, check results and the time.
 package instance
 
 import (
@@ -101,6 +102,7 @@
 	restoreUntil     time.Time              // until when checks are due because of displaced
 	past             pastIncarnations       // incarnations that have ended or were replaced
 	unconfirmed      unconfirmedIncarnation // zero: none
+	drain            drainState             // acknowledged drains
 	// unconfirmedDrain is true after a draining report that has the current id but may come from
 	// another incarnation. It makes the next health check due, which decides.
 	unconfirmedDrain  bool
@@ -219,10 +221,22 @@
 // changed its state. The caller must not acknowledge such a report.
 func (t *Tracker) Report(now time.Time, report Report) (bool, error) {
 	report.StartedAt = canonicalTime(report.StartedAt)
+	applied, err := t.applyReport(now, report)
+	if err == nil && report.Draining {
+		t.acknowledgeDrain(report.Incarnation(), true)
+	}
+	return applied, err
+}
+
+func (t *Tracker) applyReport(now time.Time, report Report) (bool, error) {
 	order := t.compare(report.Incarnation())
 	if order == orderSame && report.StartedAt.IsZero() && !t.latest.StartedAt.IsZero() {
 		order = orderEarlier // the current incarnation reports a start time
 	}
+	if t.drain.awaited && !report.Draining && (order == orderLater || order == orderOtherID) {
+		t.holdReport(now, report)
+		return false, nil
+	}
 	switch order {
 	case orderSame:
 		return t.update(now, report)
@@ -242,10 +256,12 @@
 // names an earlier incarnation; the current one is unchanged.
 func (t *Tracker) Remove(now time.Time, incarnation Incarnation) error {
 	incarnation.StartedAt = canonicalTime(incarnation.StartedAt)
+	endConfirmed := !incarnation.StartedAt.IsZero()
 	switch t.compare(incarnation) {
 	case orderSame:
 		t.latest.StartedAt = startTimeOr(t.latest.StartedAt, incarnation.StartedAt)
-		t.past.add(t.Incarnation(), t.latest.Draining || !incarnation.StartedAt.IsZero())
+		endConfirmed = endConfirmed || t.latest.Draining
+		t.past.add(t.Incarnation(), endConfirmed)
 		t.removed = true
 		t.markDraining(now) // it may still serve its open flows
 	case orderLater:
@@ -260,6 +276,7 @@
 			return t.staleError("removal", incarnation)
 		}
 	}
+	t.acknowledgeDrain(incarnation, endConfirmed)
 	return nil
 }
 
@@ -300,6 +317,7 @@
 	t.checkInProgress = false
 	t.unconfirmed = unconfirmedIncarnation{}
 	t.past.remove(t.Incarnation())
+	t.dropDrains(t.latest.ID)
 	if !t.latest.StartedAt.IsZero() {
 		t.past.remove(Incarnation{ID: t.latest.ID}) // start times order its incarnations from now on
 	}
--- a/instance/unconfirmed.go
+++ b/instance/unconfirmed.go
@@ -115,20 +115,22 @@
 
 // confirmedBy reports whether the health check, which started at startedAt, confirms the
 // unconfirmed incarnation: enough reports were counted, and the check got a healthy answer with its
-// id and did not start before the first report.
+// id and did not start before the first report. If drains are awaited and no other incarnation is
+// known, an answer without an id suffices.
 func (t *Tracker) confirmedBy(check Check, startedAt time.Time) bool {
-	return t.unconfirmed.countedReports >= confirmReports && check.Healthy && check.ID == t.unconfirmed.incarnation.ID && !startedAt.Before(t.unconfirmed.firstSeenAt)
+	answered := check.ID == t.unconfirmed.incarnation.ID || check.ID == "" && t.drain.awaited && t.latest.ID == ""
+	return t.unconfirmed.countedReports >= confirmReports && check.Healthy && answered && !startedAt.Before(t.unconfirmed.firstSeenAt)
 }
 
 // acceptUnconfirmed makes the unconfirmed incarnation, which a health check has confirmed, the
 // current one, in state Ready.
-func (t *Tracker) acceptUnconfirmed(now time.Time) {
+func (t *Tracker) acceptUnconfirmed(now time.Time, check Check) {
 	u := t.unconfirmed
 	if u.incarnation.StartedAt.IsZero() || u.incarnation != t.Incarnation() {
 		t.rollOutcomes(now)
 	}
 	t.retire()
-	t.incarnationState = incarnationState{latest: u.latest, cause: CauseConfirmed, state: Ready, reported: true, verified: true, reportedTwice: true,
+	t.incarnationState = incarnationState{latest: u.latest, cause: CauseConfirmed, state: Ready, reported: true, verified: check.ID != "", reportedTwice: true,
 		lastSeenAt: now, firstSeenAt: u.firstSeenAt, coldUntil: u.lastSeenAt.Add(u.latest.ColdRemaining), outcomes: t.outcomes}
 	t.displaced = nil
 	t.afterChange(now)
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/burlmill/burlmill/catalog"
@@ -93,8 +94,16 @@
 	// Withdraw removes the record with the revision. It returns fault.Conflict if the
 	// record has been replaced.
 	Withdraw(ctx context.Context, record Record, revision uint64) error
-	// RecordedAddresses returns the addresses in all records of the role, including those of
-	// processes that ended without withdrawing their record.
+	// ReadRecord returns the current record of the process with the id. It returns fault.NotFound if
+	// there is none, and fault.Invalid, with the revision, if the record is malformed.
+	ReadRecord(ctx context.Context, role presence.Role, id string) (StoredRecord, error)
+	// Replace stores the record of a process in place of the one with the revision, or as a new
+	// one if the revision is 0, and returns the revision of the new record. It returns
+	// fault.Conflict if the store has a record with another revision, and fault.NotFound if it has
+	// none.
+	Replace(ctx context.Context, record Record, revision uint64) (uint64, error)
+	// RecordedAddresses returns the addresses in all records of the role that are not vacated,
+	// including those of processes that ended without withdrawing their record.
 	RecordedAddresses(ctx context.Context, role presence.Role, allowStale bool) ([]netip.AddrPort, error)
 }
 
@@ -103,6 +112,22 @@
 	Role    presence.Role
 	ID      string
 	Address netip.AddrPort // peer address
+	// Drains are the drains that an agent has acknowledged to its back end, oldest first.
+	Drains []instance.Drain
+	// Vacated is true after the agent has ended and its back end holds no flow. Such a record only
+	// keeps the drains.
+	Vacated bool
+}
+
+// StoredRecord is a record in the store.
+type StoredRecord struct {
+	Record
+	Revision uint64 // of its latest change
+}
+
+// holds reports whether the stored record has the content of the other one.
+func (r StoredRecord) holds(other Record) bool {
+	return r.Address == other.Address && r.Vacated == other.Vacated && slices.Equal(r.Drains, other.Drains)
 }
 
 // HostReports receives what a back end reports about itself. Its methods may be called from
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -47,6 +47,7 @@
 	healthChecked       bool                        // a health check has completed
 	backendSeen         event                       // first sign that the back end runs
 	backendAbsent       event                       // a check confirmed that no back end runs here
+	drains              drainRecorder
 }
 
 // event occurs at most once and can be waited for. The zero value is not usable.
@@ -77,13 +78,15 @@
 	if s.Backend.Service == "" {
 		return fault.InvalidField("backend.service", s.Backend.Service, "must be set for an agent if flows.transport is handshake")
 	}
-	a := &agent{node: newNode(s, adapter, presence.RoleAgent, logger), backendSeen: newEvent(), backendAbsent: newEvent()}
+	a := &agent{node: newNode(s, adapter, presence.RoleAgent, logger), backendSeen: newEvent(), backendAbsent: newEvent(), drains: newDrainRecorder()}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Zone:           s.Node.Zone,
 		Service:        s.Backend.Service,
 		FlowLifetime:   s.Flows.MaxLifetime,
 		ReportInterval: s.Backend.ReportInterval,
 	})
+	a.flows.Tracker().AwaitDrains()
+	a.recordDrains = a.acknowledgedDrains
 	if err := a.openAll(changes); err != nil {
 		return errors.Join(err, a.close())
 	}
@@ -119,6 +122,7 @@
 	}
 	a.spawn(a.balancerReadLoop)
 	a.spawn(a.maintainRecord)
+	a.spawn(a.maintainDrains)
 	a.spawn(func() { a.reloadLoop(changes) })
 	return nil
 }
@@ -251,10 +255,12 @@
 func (a *agent) tick(now time.Time) {
 	a.perform(a.flows.Tick(now))
 	a.updateBackendState(now)
-	if a.flows.Tracker().ConfirmedAbsent() {
+	tracker := a.flows.Tracker()
+	if tracker.ConfirmedAbsent() {
 		a.backendAbsent.signal()
 	}
-	if a.flows.Tracker().CheckDue(now) {
+	a.updateDrains(now)
+	if tracker.CheckDue(now) {
 		path := a.healthPath()
 		a.spawn(func() { a.check(path) })
 	}
@@ -320,41 +326,63 @@
 	return result
 }
 
-// Report applies a report of the back end.
+// Report applies a report of the back end. A draining one is acknowledged once the drain is stored.
 func (a *agent) Report(report instance.Report) error {
+	changes, err := a.applyReport(report)
+	if err != nil || !report.Draining {
+		return err
+	}
+	return a.acknowledgeDrain(kindReport, report.Incarnation(), changes)
+}
+
+// applyReport applies a report and returns how often the drains have changed.
+func (a *agent) applyReport(report instance.Report) (drainChanges uint64, err error) {
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if err := a.checkReport(now, report); err != nil {
 		a.RecordRejected(err)
-		return err
+		return 0, err
 	}
 	a.backendSeen.signal()
 	tracker := a.flows.Tracker()
 	lastSeenAt := tracker.LastSeen()
-	_, err := tracker.Report(now, report)
-	if err != nil {
+	if _, err := tracker.Report(now, report); err != nil {
 		a.recordStale(kindReport, report.Incarnation(), err)
-		return err
+		return 0, err
 	}
 	if !lastSeenAt.IsZero() {
 		a.metrics.reportGaps.Observe(now.Sub(lastSeenAt).Seconds())
 	}
 	a.announceBackendState(now)
-	return nil
+	_, drainChanges = tracker.Drains()
+	return drainChanges, nil
 }
 
-// Remove records that an incarnation of the back end has ended permanently.
+// Remove records that an incarnation of the back end has ended permanently. The removal is
+// acknowledged once that is stored.
 func (a *agent) Remove(incarnation instance.Incarnation) error {
+	changes, err := a.applyRemoval(incarnation)
+	if err != nil {
+		return err
+	}
+	return a.acknowledgeDrain(kindRemoval, incarnation, changes)
+}
+
+// applyRemoval applies a removal and returns how often the drains have changed.
+func (a *agent) applyRemoval(incarnation instance.Incarnation) (drainChanges uint64, err error) {
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if err := a.flows.Tracker().Remove(now, incarnation); err != nil {
+	a.backendSeen.signal() // its drain has to be stored
+	tracker := a.flows.Tracker()
+	if err := tracker.Remove(now, incarnation); err != nil {
 		a.recordStale(kindRemoval, incarnation, err)
-		return err
+		return 0, err
 	}
 	a.announceBackendState(now)
-	return nil
+	_, drainChanges = tracker.Drains()
+	return drainChanges, nil
 }
 
 // handleRecord does nothing: agents use no records of other processes.
--- a/internal/relay/deregister.go
+++ b/internal/relay/deregister.go
@@ -1,15 +1,18 @@
 // This file publishes the agent's record in the store after the first sign of a back end, and
 // removes the record of an earlier run if no back end runs. When the agent shuts down, it checks
 // whether the back end has stopped. If the agent holds no flow, it withdraws the record and
-// notifies the balancers within time limits.
+// notifies the balancers within time limits. A record with drains is kept without the claim that
+// the agent may hold flows, unless the back end has stopped.
 
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/presence"
 )
@@ -33,11 +36,18 @@
 	shutdownNoticeTimeout = 700 * time.Millisecond
 )
 
-// maintainRecord publishes the agent's record after the first sign of a back end. An agent without
-// a back end holds no flow, and its record would remain if its machine were removed. If the agent
-// first confirms that no back end runs beside it, maintainRecord removes the record of an earlier
-// run.
+// maintainRecord restores the drains from the record of an earlier run, and publishes the agent's
+// record after the first sign of a back end. An agent without a back end holds no flow, and its
+// record would remain if its machine were removed. If the agent first confirms that no back end runs
+// beside it, maintainRecord removes the record of an earlier run.
 func (a *agent) maintainRecord() {
+	recorded, answered := readUntilAnswered(a.node, func(context.Context) (bool, error) {
+		revision, err := a.lookUpRecord()
+		return revision != 0, err
+	})
+	if !answered || recorded && !a.restoreDrains() {
+		return
+	}
 	select {
 	case <-a.context.Done():
 		return
@@ -46,14 +56,51 @@
 		if a.backendSeen.hasOccurred() {
 			break // both occurred: the back end appeared later
 		}
-		a.limitedLog.Log(log.InfoLevel, "backend-missing", log.Fields{"backend": a.settings.Backend.Address})
-		a.withdraw()
+		a.limitedLog.Log(log.InfoLevel, "backend-missing", log.Fields{"backend": a.settings.Backend.Address, "recorded": recorded})
+		if recorded {
+			a.withdraw()
+		}
 	}
 	select {
 	case <-a.context.Done():
 	case <-a.backendSeen.occurred:
-		a.publish()
+		a.publishRecord()
+	}
+}
+
+// publishRecord creates the agent's record unless it was found. A record that was created shows that
+// no drain was stored; one that exists although an old answer did not contain it is read.
+func (a *agent) publishRecord() {
+	withdrawalPending := a.withdrawalRequested.Load() // may still remove the new record
+	found := a.recordRevision.Load() != 0
+	if !found || withdrawalPending {
+		created, answered := readUntilAnswered(a.node, a.createRecord)
+		switch {
+		case !answered:
+			return
+		case created:
+			a.withdrawalRequested.Store(false)
+			a.applyStoredDrains(StoredRecord{Record: a.ownRecord(), Revision: a.recordRevision.Load()})
+		case !a.restoreDrains():
+			return
+		}
+		found = !created
+	}
+	if (found || withdrawalPending) && a.sleep(jitter(recordRecheckInterval)) {
+		a.publish() // the record may have been about to disappear
+	}
+}
+
+// createRecord creates the agent's record and returns false if there is one already.
+func (a *agent) createRecord(ctx context.Context) (created bool, err error) {
+	if a.publishStopped.Load() {
+		return false, fault.New(fault.Canceled, "the record is no longer published")
+	}
+	err = a.replaceRevision(ctx, a.ownRecord(), 0)
+	if err != nil && fault.KindOf(err) == fault.Conflict {
+		return false, nil
 	}
+	return err == nil, err
 }
 
 // deregister removes the agent's record and notifies balancers if the agent holds no flow.
@@ -73,13 +120,35 @@
 		return
 	}
 	a.publishStopped.Store(true)
-	a.withdraw()
+	if stopped || !a.vacateRecord() {
+		a.withdraw()
+	}
 	deadline := time.Now().Add(shutdownNoticeTimeout)
 	for range shutdownNoticeRounds {
 		a.notifyBalancers(deadline)
 	}
 }
 
+// vacateRecord marks the agent's record as vacated if it has to be kept because of its drains. It
+// returns false if there are none.
+func (a *agent) vacateRecord() bool {
+	ctx, cancel := context.WithTimeout(a.context, withdrawTimeout)
+	defer cancel()
+	a.mutex.Lock()
+	record := a.ownRecord()
+	record.Drains, _ = a.flows.Tracker().Drains()
+	a.mutex.Unlock()
+	if len(record.Drains) == 0 {
+		return false
+	}
+	record.Vacated = true
+	err := a.replaceRecord(ctx, record)
+	if err != nil {
+		a.limitedLog.Log(log.WarnLevel, "vacate-failed", log.Fields{"drains": len(record.Drains), "error": err})
+	}
+	return true
+}
+
 // hasBackendStopped reports whether the back end's address refuses backendStoppedChecks health
 // checks in a row.
 func (a *agent) hasBackendStopped() bool {
--- a/internal/relay/deregister_test.go
+++ b/internal/relay/deregister_test.go
@@ -31,7 +31,7 @@
 // started.
 func newAgentWithoutBackend(t *testing.T, adapter Adapter) *agent {
 	t.Helper()
-	a := &agent{node: newTestNode(t, adapter), backendSeen: newEvent(), backendAbsent: newEvent(), handlingSince: time.Now()}
+	a := &agent{node: newTestNode(t, adapter), backendSeen: newEvent(), backendAbsent: newEvent(), drains: newDrainRecorder(), handlingSince: time.Now()}
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Service: "lessons", FlowLifetime: time.Minute, ReportInterval: time.Second})
 	a.decider = a
@@ -57,7 +57,7 @@
 	waitUntil(t, func() bool { return adapter.wasCalled("publish") })
 	a.cancel() // ends the checks whether a late withdrawal has removed the record
 	<-done
-	is.Equal(adapter.calls, []string{"published", "withdraw", "publish"})
+	is.Equal(adapter.calls, []string{"published", "record", "withdraw", "publish"})
 }
 
 // wasCalled reports whether the adapter has handled a call with the name.
@@ -91,7 +91,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			adapter := &healthAdapter{ownRecordAdapter: ownRecordAdapter{publishedRevision: 7}, check: test.check}
-			a := newAgentWithoutBackend(t, adapter)
+			a := newAgentWithoutBackend(t, recordAdapter{Adapter: adapter, records: &recordStore{}})
+			startDrainMaintenance(a)
 			is.NoErr(a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 90, Draining: true}))
 			a.shuttingDown = true
 			a.deregister()
--- /dev/null
+++ b/internal/relay/drain_records_test.go
@@ -0,0 +1,338 @@
+// The tests in this file guard against drains that are acknowledged without being stored, lost at a
+// restart of the agent, overwritten or kept for ever in its record, and against a host that waits
+// for a store that does not answer.
+
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/fault"
+	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/presence"
+)
+
+// recordStore is a store of one record that implements ReadRecord and Replace.
+type recordStore struct {
+	mutex     sync.Mutex
+	stored    StoredRecord // revision 0: none
+	revision  uint64
+	down      bool // calls fail
+	malformed bool // the record cannot be parsed
+	// loseAnswers is the number of further writes that take effect without an answer.
+	loseAnswers int
+	writes      int
+	unanswered  int // number of further reads that are never answered
+}
+
+// set changes the store.
+func (s *recordStore) set(change func(*recordStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+// drains returns the stored drains.
+func (s *recordStore) drains() []instance.Drain {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stored.Drains
+}
+
+var errStoreDown = fault.New(fault.Unavailable, "store is down")
+
+func (s *recordStore) read() (StoredRecord, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case s.down:
+		return StoredRecord{}, errStoreDown
+	case s.stored.Revision == 0:
+		return StoredRecord{}, fault.New(fault.NotFound, "no record")
+	case s.malformed:
+		return StoredRecord{Revision: s.stored.Revision}, fault.New(fault.Invalid, "malformed record")
+	}
+	return s.stored, nil
+}
+
+func (s *recordStore) replace(record Record, revision uint64) (uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case s.down:
+		return 0, errStoreDown
+	case revision != 0 && s.stored.Revision == 0:
+		return 0, fault.New(fault.NotFound, "no record")
+	case revision != s.stored.Revision:
+		return 0, fault.New(fault.Conflict, "another revision")
+	}
+	s.revision++
+	s.writes++
+	s.malformed = false
+	s.stored = StoredRecord{Record: record, Revision: s.revision}
+	s.stored.Drains = slices.Clone(record.Drains)
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return 0, fault.New(fault.Unavailable, "answer lost")
+	}
+	return s.revision, nil
+}
+
+// recordAdapter is an Adapter that reads and replaces records in a recordStore.
+type recordAdapter struct {
+	Adapter
+	records *recordStore
+}
+
+// answersRead reports whether the store answers a read; otherwise it waits for the end of the read.
+func (a recordAdapter) answersRead(ctx context.Context) bool {
+	hangs := false
+	a.records.set(func(s *recordStore) {
+		if hangs = s.unanswered > 0; hangs {
+			s.unanswered--
+		}
+	})
+	if hangs {
+		<-ctx.Done()
+	}
+	return !hangs
+}
+
+func (a recordAdapter) ReadRecord(ctx context.Context, _ presence.Role, _ string) (StoredRecord, error) {
+	if !a.answersRead(ctx) {
+		return StoredRecord{}, ctx.Err()
+	}
+	return a.records.read()
+}
+
+func (a recordAdapter) Replace(_ context.Context, record Record, revision uint64) (uint64, error) {
+	return a.records.replace(record, revision)
+}
+
+func (a recordAdapter) RecordRevision(ctx context.Context, _ Record) (uint64, error) {
+	if !a.answersRead(ctx) {
+		return 0, ctx.Err()
+	}
+	found, err := a.records.read()
+	if kind := fault.KindOf(err); kind == fault.NotFound || kind == fault.Invalid {
+		return 0, nil
+	}
+	return found.Revision, err
+}
+
+func (a recordAdapter) Publish(_ context.Context, record Record) (uint64, error) {
+	return a.records.replace(record, a.records.stored.Revision)
+}
+
+// startDrainMaintenance starts maintainDrains, which ends with the test.
+func startDrainMaintenance(a *agent) { a.spawn(a.maintainDrains) }
+
+// startAgentWith returns an agent with a new start of its process, before the same store.
+func startAgentWith(t *testing.T, store *recordStore) *agent {
+	t.Helper()
+	return startAgentBefore(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
+}
+
+func startAgentBefore(t *testing.T, adapter recordAdapter) *agent {
+	t.Helper()
+	a := newAgentWithoutBackend(t, adapter)
+	a.flows.Tracker().AwaitDrains()
+	a.recordDrains = a.acknowledgedDrains
+	startDrainMaintenance(a)
+	a.spawn(a.maintainRecord)
+	return a
+}
+
+// checked passes a healthy answer of the back end with the id to the agent and returns the state.
+func (a *agent) checked(id instance.ID) instance.State {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	tracker := a.flows.Tracker()
+	tracker.Checked(time.Now(), instance.Check{Healthy: true, ID: id})
+	a.backendSeen.signal()
+	return tracker.State()
+}
+
+// awaitRestored waits until the agent knows the drains of earlier starts.
+func (a *agent) awaitRestored(t *testing.T) {
+	t.Helper()
+	waitUntil(t, func() bool {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		return !a.flows.Tracker().AwaitsDrains()
+	})
+}
+
+// TestDrainIsStoredBeforeItIsAcknowledged guards against the acknowledgment of a drain that the next
+// start of the agent does not know of.
+func TestDrainIsStoredBeforeItIsAcknowledged(t *testing.T) {
+	for name, fail := range map[string]func(*recordStore){
+		"store answers":     func(*recordStore) {},
+		"answer is lost":    func(s *recordStore) { s.loseAnswers = 1 },
+		"record of another": func(s *recordStore) { s.revision, s.stored = 7, StoredRecord{Revision: 7} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &recordStore{}
+			fail(store)
+			a := startAgentWith(t, store)
+			is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"}))
+			is.Equal(store.drains(), []instance.Drain{{Incarnation: instance.Incarnation{ID: "i-1"}}})
+			writes := store.writes
+			is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"}))
+			is.Equal(store.writes, writes) // a repetition needs no call
+
+			next := startAgentWith(t, store)
+			next.awaitRestored(t)
+			is.Equal(next.checked("i-1"), instance.Absent)
+			is.Equal(next.checked("i-2"), instance.Ready)
+		})
+	}
+}
+
+// TestDrainIsNotAcknowledgedWhileStoreIsDown guards against the acknowledgment of a drain that is
+// not stored, and against one that is not acknowledged although it was stored later.
+func TestDrainIsNotAcknowledgedWhileStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	a := startAgentWith(t, store)
+	is.NoErr(a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 1}))
+	a.awaitRestored(t)
+	is.Equal(a.checked("i-1"), instance.Ready)
+	store.set(func(s *recordStore) { s.down = true })
+	report := instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 2, Draining: true}
+	is.Equal(fault.KindOf(a.Report(report)), fault.Unavailable)
+	is.Equal(a.flows.Tracker().State(), instance.Draining) // it applies at once
+	store.set(func(s *recordStore) { s.down = false })
+	waitUntil(t, func() bool {
+		report.Sequence++
+		return a.Report(report) == nil
+	})
+	is.Equal(len(store.drains()), 1)
+}
+
+// TestConcurrentWriteKeepsDrains guards against drains that are lost to the publication of the
+// record by the same agent.
+func TestConcurrentWriteKeepsDrains(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	a := startAgentWith(t, store)
+	a.backendSeen.signal()
+	a.awaitRestored(t)
+	_, err := store.replace(a.ownRecord(), store.stored.Revision) // the agent does not know the revision
+	is.NoErr(err)
+	is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"}))
+	is.Equal(len(store.drains()), 1)
+}
+
+// TestDrainsAreClearedFromRecord guards against drains that stay in the store after their
+// incarnation has ended.
+func TestDrainsAreClearedFromRecord(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	is.NoErr(startAgentWith(t, store).Remove(instance.Incarnation{ID: "i-1"}))
+	a := startAgentWith(t, store)
+	a.awaitRestored(t)
+	now := time.Now()
+	for range 4 { // no instance runs
+		now = now.Add(instance.CheckInterval)
+		a.mutex.Lock()
+		a.flows.Tracker().Checked(now, instance.Check{Refused: true})
+		a.mutex.Unlock()
+	}
+	a.mutex.Lock()
+	a.tick(time.Now())
+	a.mutex.Unlock()
+	waitUntil(t, func() bool { return len(store.drains()) == 0 })
+	is.Equal(a.checked("i-1"), instance.Ready) // a later incarnation with the same id
+}
+
+// TestShutdownKeepsDrains guards against a planned restart of an agent that loses the drain of its
+// running back end, against a vacated record that is not published again, and against one that
+// remains after the back end has stopped.
+func TestShutdownKeepsDrains(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	adapter := &healthAdapter{check: instance.Check{Healthy: true, ID: "i-1"}}
+	start := func() *agent {
+		a := startAgentBefore(t, recordAdapter{Adapter: adapter, records: store})
+		a.backendSeen.signal()
+		a.awaitRestored(t)
+		return a
+	}
+	a := start()
+	is.NoErr(a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 1}))
+	a.checked("i-1")
+	is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"}))
+	is.True(a.vacateRecord())
+	is.True(store.stored.Vacated)
+	is.Equal(len(store.drains()), 1)
+
+	next := start()
+	is.Equal(next.checked("i-1"), instance.Absent)
+	waitUntil(t, func() bool {
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		return !store.stored.Vacated
+	})
+	is.Equal(len(store.drains()), 1)
+
+	adapter.check = instance.Check{Refused: true} // the back end has stopped
+	next.deregister()
+	is.True(adapter.wasCalled("withdraw"))
+}
+
+// TestMalformedRecordDoesNotHoldBackEndForEver guards against a back end that needs more reports
+// than others for as long as the agent runs, because the agent's record was malformed at its start.
+func TestMalformedRecordDoesNotHoldBackEndForEver(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{revision: 7, stored: StoredRecord{Revision: 7}, malformed: true}
+	a := startAgentWith(t, store)
+	updateDrains := func() (awaits bool) {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.updateDrains(time.Now())
+		return a.flows.Tracker().AwaitsDrains()
+	}
+	is.True(updateDrains())
+	is.Equal(a.checked("i-1"), instance.Absent)
+	now := time.Now()
+	for sequence := range uint64(3) {
+		a.mutex.Lock()
+		_, err := a.flows.Tracker().Report(now.Add(time.Duration(sequence)*time.Second), instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: sequence + 1})
+		a.mutex.Unlock()
+		is.NoErr(err)
+	}
+	is.Equal(a.checked("i-1"), instance.Ready)
+	waitUntil(t, func() bool { return !updateDrains() })
+	is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"})) // replaces the malformed record
+	is.Equal(len(store.drains()), 1)
+}
+
+// TestRestoringDoesNotWaitForUnansweredCall guards against a back end that waits for reads that began
+// during an outage of the store, which answers none of them after its recovery.
+func TestRestoringDoesNotWaitForUnansweredCall(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	is.NoErr(startAgentWith(t, store).Remove(instance.Incarnation{ID: "i-1"}))
+	store.set(func(s *recordStore) { s.unanswered = 1 }) // until the test ends
+	a := startAgentWith(t, store)
+	waitUntil(t, func() bool { return store.remainingUnanswered() == 0 })
+	a.mutex.Lock()
+	a.recordAnnouncedVersion(2) // the store answers another process
+	a.mutex.Unlock()
+	a.awaitRestored(t)
+	is.Equal(a.checked("i-1"), instance.Absent)
+}
+
+func (s *recordStore) remainingUnanswered() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.unanswered
+}
--- a/internal/relay/first_read.go
+++ b/internal/relay/first_read.go
@@ -1,6 +1,6 @@
-// This file reads the first configuration from the store. While none is in force, it starts further
-// reads without waiting for unanswered ones, until the store answers or a peer sends a
-// configuration.
+// This file contains the reads of the store without which a process cannot serve: the first
+// configuration, and the record of an agent. Further reads start without waiting for unanswered
+// ones, until the store answers.
 
 package relay
 
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/burlmill/burlmill/fault"
 )
 
@@ -87,3 +89,55 @@
 	defer n.mutex.Unlock()
 	return n.table != nil
 }
+
+// readUntilAnswered calls read until it succeeds, and returns its result and true, or false if the
+// node stops before. A store that recovers does not answer calls made during its outage, so further
+// calls start while earlier ones are pending, after growing pauses, and as soon as a peer has a
+// configuration that it may have read from the store just now. Failed calls are logged.
+func readUntilAnswered[T any](n *node, read func(context.Context) (T, error)) (result T, answered bool) {
+	ctx, cancel := context.WithCancel(n.context)
+	defer cancel()
+	startedAt := time.Now()
+	results, failures := make(chan T), make(chan error)
+	pause, failurePause := backoff{previous: firstReadInterval / 2}, backoff{}
+	for ctx.Err() == nil {
+		callStartedAt := time.Now()
+		n.spawn(func() { readOnce(ctx, read, results, failures) })
+		for next := time.After(pause.next(maxRecordBackoff)); next != nil; {
+			select {
+			case <-ctx.Done():
+				return result, false
+			case result = <-results:
+				return result, true
+			case err := <-failures:
+				n.limitedLog.Log(log.WarnLevel, "record-call-failed", log.Fields{"error": err, "age": time.Since(startedAt)})
+				if time.Since(callStartedAt) < firstReadInterval {
+					next = time.After(failurePause.next(maxRecordBackoff)) // the store refuses calls at once
+				}
+			case <-n.versionAnnounced:
+				if time.Since(callStartedAt) >= minStoreBackoff {
+					next = nil
+				}
+			case <-next:
+				next = nil
+			}
+		}
+	}
+	return result, false
+}
+
+// readOnce calls read once and sends its result or error, unless the context ends first.
+func readOnce[T any](ctx context.Context, read func(context.Context) (T, error), results chan<- T, failures chan<- error) {
+	result, err := read(ctx)
+	if err != nil {
+		select {
+		case failures <- err:
+		case <-ctx.Done():
+		}
+		return
+	}
+	select {
+	case results <- result:
+	case <-ctx.Done():
+	}
+}
--- a/internal/relay/first_read_test.go
+++ b/internal/relay/first_read_test.go
@@ -39,9 +39,12 @@
 }
 
 // newTestNode returns a balancer's node that uses the adapter and stops at the end of the test.
+// testPeerAddress is the address of newTestNode's nodes.
+var testPeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
 func newTestNode(t *testing.T, adapter Adapter) *node {
 	t.Helper()
-	s := settings.Settings{Node: settings.Node{ID: "balancer", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}}
+	s := settings.Settings{Node: settings.Node{ID: "balancer", PeerAddress: testPeerAddress}}
 	n := newNode(s, adapter, presence.RoleBalancer, logging.New(io.Discard, "error"))
 	t.Cleanup(func() {
 		n.cancel()
--- a/internal/relay/incarnations_test.go
+++ b/internal/relay/incarnations_test.go
@@ -22,7 +22,7 @@
 // newUnstartedAgent returns an agent whose loops are not started.
 func newUnstartedAgent(t *testing.T) *agent {
 	t.Helper()
-	a := &agent{node: newTestNode(t, &configurationAdapter{}), backendSeen: newEvent()}
+	a := &agent{node: newTestNode(t, recordAdapter{Adapter: &configurationAdapter{}, records: &recordStore{}}), backendSeen: newEvent(), drains: newDrainRecorder()}
 	a.settings.Backend.Service = "lessons"
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
 		Service: "lessons", FlowLifetime: time.Minute, ReportInterval: time.Second})
@@ -31,6 +31,7 @@
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = peerConn.Close() })
 	a.peerConn = peerConn
+	startDrainMaintenance(a)
 	return a
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -57,6 +57,8 @@
 	refusedReports *prometheus.CounterVec // rejected reports and removals, by reason
 	skippedEntries *prometheus.CounterVec // unusable objects of the store, by kind and reason
 
+	unacknowledgedDrains prometheus.Counter // drains and removals that the store did not record in time
+
 	// Cached counters of frequent events, which avoid a lookup by labels. The maps are guarded by
 	// the node's lock.
 	callerDatagrams, backendDatagrams, peerDatagrams prometheus.Counter
@@ -94,7 +96,9 @@
 	}
 	m.refusedReports = newCounterVec("reports_refused_total", "Reports and removals that name no back end.", "reason")
 	m.skippedEntries = newCounterVec("entries_skipped_total", "Objects of the store that could not be used.", "kind", "reason")
-	m.registry.MustRegister(m.refusedReports, m.skippedEntries)
+	m.unacknowledgedDrains = prometheus.NewCounter(prometheus.CounterOpts{Namespace: observability.Namespace, Name: "drains_unacknowledged_total",
+		Help: "Draining reports and removals that were not acknowledged because the store did not record them in time."})
+	m.registry.MustRegister(m.refusedReports, m.skippedEntries, m.unacknowledgedDrains)
 	m.callerDatagrams = m.datagrams.WithLabelValues(sourceCaller)
 	m.backendDatagrams = m.datagrams.WithLabelValues(sourceBackend)
 	m.peerDatagrams = m.datagrams.WithLabelValues(sourcePeer)
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -20,6 +20,7 @@
 	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
+	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/entry"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
@@ -93,6 +94,7 @@
 	confirmedAt        time.Time           // last answer that had to be current; zero if none
 	behindSince        time.Time           // when a peer first had a newer version; zero if none
 	failedFetchVersion routing.Version     // latest version whose fetch failed; 0 if none
+	newestAnnounced    routing.Version     // newest version that a peer has announced; 0 if none
 
 	configurationCall *storeCall // latest call of watchLoop; nil before the first
 	evacuationCall    *storeCall // latest call of evacuationLoop; nil before the first
@@ -105,11 +107,17 @@
 	recordRevision      atomic.Uint64 // revision of this process's record in the store; 0 if none
 	withdrawalRequested atomic.Bool   // set by a withdrawal, cleared by the next publication
 	publishStopped      atomic.Bool   // the record is no longer published
+	// recordDrains returns the drains that the record contains. It is nil for balancers, and called
+	// without the lock.
+	recordDrains func() []instance.Drain
 
 	peerConn   peerSocket
 	peerClient *http.Client // for fetches from peers
 	servers    []*http.Server
 	fetchDue   chan struct{} // signals that a peer has a newer configuration
+	// versionAnnounced signals that a peer has a configuration that none had before, which it may
+	// have read from the store just now.
+	versionAnnounced chan struct{}
 }
 
 // peerSocket sends datagrams to other processes and counts those from them that were dropped.
@@ -139,6 +147,8 @@
 		peers:        handshake.NewPeers(s.Node.PeerAddress, role, s.Node.Zone),
 		peerClient:   newPeerClient(),
 		fetchDue:     make(chan struct{}, 1),
+
+		versionAnnounced: make(chan struct{}, 1),
 	}
 }
 
@@ -250,6 +260,19 @@
 	}
 }
 
+// recordAnnouncedVersion signals versionAnnounced if no peer has announced a version as new. The lock
+// is held.
+func (n *node) recordAnnouncedVersion(version routing.Version) {
+	if version <= n.newestAnnounced {
+		return
+	}
+	n.newestAnnounced = version
+	select {
+	case n.versionAnnounced <- struct{}{}:
+	default:
+	}
+}
+
 // sourceStore is the source, in log lines, of configurations and evacuations read from the store.
 // Configurations fetched from peers have sourcePeer.
 const sourceStore = "store"
--- a/internal/relay/peer_messages.go
+++ b/internal/relay/peer_messages.go
@@ -154,6 +154,7 @@
 		n.log.WithFields(log.Fields{"peer": from, "id": received.ID, "role": received.Role, "zone": received.Zone,
 			"service": received.Service, "version": received.Version}).Info("peer-reachable")
 	}
+	n.recordAnnouncedVersion(received.Version)
 	if received.Version > n.table.Version() {
 		n.recordBehind(now, received)
 		n.requestFetch()
--- a/internal/relay/skipped_test.go
+++ b/internal/relay/skipped_test.go
@@ -33,7 +33,7 @@
 // service sheets and, only as the target of a route, songs.
 func newConfiguredAgent(t *testing.T) *agent {
 	t.Helper()
-	a := &agent{node: newTestNode(t, &configurationAdapter{}), backendSeen: newEvent()}
+	a := &agent{node: newTestNode(t, recordAdapter{Adapter: &configurationAdapter{}, records: &recordStore{}}), backendSeen: newEvent(), drains: newDrainRecorder()}
 	a.settings.Backend.Service = "lessons"
 	a.settings.Backend.Address = ownBackend
 	a.flows = handshake.NewAgent(time.Now(), handshake.AgentOptions{
@@ -48,6 +48,7 @@
 	a.decider = a
 	a.peerConn, err = wire.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte, netip.AddrPort, wire.Arrival) {})
 	is.New(t).NoErr(err)
+	startDrainMaintenance(a)
 	t.Cleanup(func() { _ = a.peerConn.Close() })
 	return a
 }
--- a/internal/relay/store_records.go
+++ b/internal/relay/store_records.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/presence"
 )
@@ -42,7 +43,7 @@
 	unannouncedReadInterval = 20 * time.Second
 )
 
-// ownRecord returns the record of this process.
+// ownRecord returns the record of this process without drains.
 func (n *node) ownRecord() Record {
 	return Record{Role: n.role, ID: n.settings.Node.ID, Address: n.settings.Node.PeerAddress}
 }
@@ -94,19 +95,34 @@
 		return false, err
 	}
 	if found = revision != 0; !found {
+		record := n.ownRecord()
+		if n.recordDrains != nil {
+			record.Drains = n.recordDrains()
+		}
 		startedAt := time.Now()
-		revision, err = n.adapter.Publish(n.context, n.ownRecord())
+		revision, err = n.adapter.Publish(n.context, record)
 		n.metrics.observeStoreCall("publish", startedAt, err)
 		if err == nil {
 			n.withdrawalRequested.Store(false)
 		}
 	}
 	if err == nil {
-		n.recordRevision.Store(revision)
+		n.raiseRecordRevision(revision)
 	}
 	return found || withdrawalPending, err
 }
 
+// raiseRecordRevision records the revision of this process's record in the store, unless a later one
+// is known already: the answer with the revision may be old.
+func (n *node) raiseRecordRevision(revision uint64) {
+	for {
+		known := n.recordRevision.Load()
+		if known >= revision || n.recordRevision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 // lookUpRecord returns the revision of this process's record in the store, 0 if there is none. It
 // also returns 0 while an earlier withdrawal may still take effect.
 func (n *node) lookUpRecord() (revision uint64, err error) {
@@ -138,14 +154,26 @@
 		}
 		revision = found
 	}
-	startedAt := time.Now()
-	err := n.adapter.Withdraw(ctx, n.ownRecord(), revision)
-	n.metrics.observeStoreCall("withdraw", startedAt, err)
+	err := n.withdrawRevision(ctx, revision)
+	if fault.KindOf(err) == fault.Conflict {
+		// The answer to the latest write was lost, or the revision was read from an old answer.
+		var current StoredRecord
+		if current, err = n.adapter.ReadRecord(ctx, n.role, n.settings.Node.ID); err == nil {
+			err = n.withdrawRevision(ctx, current.Revision)
+		}
+	}
 	if err != nil {
 		n.limitedLog.Log(log.WarnLevel, "withdraw-failed", log.Fields{"error": err, "revision": revision})
 	}
 }
 
+func (n *node) withdrawRevision(ctx context.Context, revision uint64) error {
+	startedAt := time.Now()
+	err := n.adapter.Withdraw(ctx, n.ownRecord(), revision)
+	n.metrics.observeStoreCall("withdraw", startedAt, err)
+	return err
+}
+
 // balancerReadLoop reads the records of balancers from the store while no balancer is reachable.
 func (n *node) balancerReadLoop() {
 	pause := firstBalancerReadDelay
--- a/internal/relay/store_records_test.go
+++ b/internal/relay/store_records_test.go
@@ -18,6 +18,7 @@
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
 	"github.com/burlmill/burlmill/instance"
+	"github.com/burlmill/burlmill/presence"
 )
 
 // ownRecordAdapter is an Adapter that implements only the calls with which a process reads, writes
@@ -51,6 +52,14 @@
 	return 9, a.handleCall("publish")
 }
 
+func (a *ownRecordAdapter) ReadRecord(context.Context, presence.Role, string) (StoredRecord, error) {
+	return StoredRecord{Record: Record{Address: testPeerAddress}, Revision: a.publishedRevision}, a.handleCall("record")
+}
+
+func (a *ownRecordAdapter) Replace(context.Context, Record, uint64) (uint64, error) {
+	return 9, a.handleCall("publish")
+}
+
 func (a *ownRecordAdapter) Withdraw(_ context.Context, _ Record, revision uint64) error {
 	a.withdrawnRevision = revision
 	return a.handleCall("withdraw")
