entry: a number is read whole

Now the whole literal is parsed; its length is bounded by the document's. The new case of TestErrorReasons failed before.

--- a/internal/entry/object.go
+++ b/internal/entry/object.go
@@ -219,7 +219,7 @@
 		o.fail(WrongType, name, excerpt(value), intRule(lower, upper))
 		return 0
 	}
-	number, err := strconv.ParseInt(excerpt(value), 10, 64)
+	number, err := strconv.ParseInt(string(value), 10, 64)
 	if err != nil || number < lower || number > upper {
 		o.fail(OutOfRange, name, excerpt(value), intRule(lower, upper))
 		return 0
@@ -237,7 +237,7 @@
 		o.fail(WrongType, name, excerpt(value), numberRule(lower, upper))
 		return 0
 	}
-	number, err := strconv.ParseFloat(excerpt(value), 64)
+	number, err := strconv.ParseFloat(string(value), 64)
 	if err != nil || math.IsInf(number, 0) || number < lower || number > upper {
 		o.fail(OutOfRange, name, excerpt(value), numberRule(lower, upper))
 		return 0
--- a/internal/entry/object_test.go
+++ b/internal/entry/object_test.go
@@ -101,6 +101,7 @@
 		"beyond 64 bits":                   {`"count":3`, `"count":99999999999999999999`, OutOfRange, "thing count"},
 		"share above":                      {`2.5e-1`, `1.1`, OutOfRange, "thing share"},
 		"share beyond a float":             {`2.5e-1`, `1e999`, OutOfRange, "thing share"},
+		"share with many digits":           {`2.5e-1`, `0.25` + strings.Repeat("0", 70) + `e5`, OutOfRange, "thing share"},
 		"host name for an IP address":      {`10.0.0.1:80`, `there:80`, OutOfRange, "must be an IP address and a port"},
 		"port 0":                           {`10.0.0.1:80`, `10.0.0.1:0`, OutOfRange, "must be an IP address and a port"},
 		"address with a zone":              {`10.0.0.1:80`, `[fe80::1%eth0]:80`, OutOfRange, "must be an IP address and a port"},
