relay: a list entry that cannot be decoded no longer spoils its message

One odd record, peer, confirmation or location made the receiver drop the whole message, for a status also the sign that its sender runs. Such an entry is now left out, counted (entries_skipped_total, kind message) and logged. Lists that are only correct as a whole, as the agents of a search, still spoil the message. TestMalformedListEntryIsSkipped: six of its seven cases fail before (Decode returned no message).

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -94,7 +94,8 @@
 }
 
 // Decode parses a message that was received from another process at now. Errors are of kind
-// fault.Invalid.
+// fault.Invalid. With an error of type *Skipped it returns the message without its malformed list
+// entries. A list that is only correct as a whole makes the message malformed.
 func Decode(now time.Time, encoded []byte) (handshake.Message, error) {
 	envelope := &burlmillv1.HandshakeMessage{}
 	if err := proto.Unmarshal(encoded, envelope); err != nil {
@@ -216,20 +217,18 @@
 		return nil, fault.InvalidField("locations", count,
 			fmt.Sprintf("must be at most %d", handshake.MaxLocationsPerMessage))
 	}
-	var message handshake.StoreLocations
-	for _, location := range encoded.GetLocations() {
-		key, err := decodeKey(location.GetKey())
-		if err != nil {
-			return nil, err
-		}
-		agent, err := decodeAddress(location.GetAgent())
-		if err != nil {
-			return nil, err
-		}
-		message.Locations = append(message.Locations,
-			handshake.FlowLocation{Key: key, Confirms: location.GetConfirms(), Agent: agent})
+	skipped := Skipped{}
+	message := handshake.StoreLocations{Locations: decodeEach(encoded.GetLocations(), decodeLocation, &skipped)}
+	return message, skipped.Err()
+}
+
+func decodeLocation(encoded *burlmillv1.HandshakeLocation) (handshake.FlowLocation, error) {
+	key, err := decodeKey(encoded.GetKey())
+	if err != nil {
+		return handshake.FlowLocation{}, err
 	}
-	return message, nil
+	agent, err := decodeAddress(encoded.GetAgent())
+	return handshake.FlowLocation{Key: key, Confirms: encoded.GetConfirms(), Agent: agent}, err
 }
 
 func decodeStatus(encoded *burlmillv1.HandshakeStatus) (handshake.Message, error) {
@@ -253,15 +252,30 @@
 		Uptime:       time.Duration(encoded.GetUptimeMs()) * time.Millisecond,
 		Records:      handshake.RecordsDigest{RunningCount: encoded.GetPresent(), Hash: encoded.GetRecordsHash()},
 	}
-	var err error
-	if status.Peers, err = decodeAddresses(encoded.GetPeers()); err != nil {
-		return nil, err
+	skipped := Skipped{}
+	status.Peers = decodeEach(encoded.GetPeers(), decodeAddress, &skipped)
+	status.Confirmations = decodeEach(encoded.GetConfirmations(), decodeConfirmation, &skipped)
+	evacuations, err := decodeEvacuations(encoded.GetEvacuations())
+	if err != nil {
+		skipped.Add("", err)
+	} else {
+		status.Evacuations = evacuations
 	}
-	if status.Confirmations, err = decodeConfirmations(encoded.GetConfirmations()); err != nil {
-		return nil, err
+	return status, skipped.Err()
+}
+
+// decodeEach decodes the entries of a list and adds the malformed ones to skipped.
+func decodeEach[E, T any](encoded []E, decode func(E) (T, error), skipped *Skipped) []T {
+	var list []T
+	for _, item := range encoded {
+		decoded, err := decode(item)
+		if err != nil {
+			skipped.Add("", err)
+			continue
+		}
+		list = append(list, decoded)
 	}
-	status.Evacuations, err = decodeEvacuations(encoded.GetEvacuations())
-	return status, err
+	return list
 }
 
 // encodeEvacuations returns nil for the zero set, which then takes no bytes on the wire.
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -222,6 +222,62 @@
 	}
 }
 
+// TestMalformedListEntryIsSkipped guards against one malformed entry of a list that hides the others,
+// and against a message that is used although its list has to be complete.
+func TestMalformedListEntryIsSkipped(t *testing.T) {
+	address, odd := encodeAddress(testKey.Service), []byte{1, 2, 3}
+	record := func(address []byte, role uint32) *burlmillv1.HandshakeRecord {
+		return &burlmillv1.HandshakeRecord{Address: address, Role: role}
+	}
+	location := func(agent []byte) *burlmillv1.HandshakeLocation {
+		return &burlmillv1.HandshakeLocation{Key: encodeKey(testKey), Agent: agent}
+	}
+	agent := uint32(presence.RoleAgent)
+	entries := func(message handshake.Message) int {
+		switch message := message.(type) {
+		case handshake.Records:
+			return len(message.List) + len(message.Parts)
+		case handshake.Status:
+			return len(message.Peers) + len(message.Confirmations) + len(message.Evacuations.Zones())
+		case handshake.StoreLocations:
+			return len(message.Locations)
+		default:
+			return 0
+		}
+	}
+	for name, test := range map[string]struct {
+		message *burlmillv1.HandshakeMessage
+		left    int // entries left; 0: the message is malformed
+	}{
+		"address of a record": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Records{Records: &burlmillv1.HandshakeRecords{Names: []string{"a"},
+			List: []*burlmillv1.HandshakeRecord{record(address, agent), record(odd, agent), record(address, agent)}}}}, 2},
+		"role of a record": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Records{Records: &burlmillv1.HandshakeRecords{Names: []string{"a"},
+			List: []*burlmillv1.HandshakeRecord{record(address, 1<<31), record(address, agent)}}}}, 1},
+		"part": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Records{Records: &burlmillv1.HandshakeRecords{
+			Parts: []*burlmillv1.HandshakePart{{Bits: 1 << 20}, {Bits: 1}}}}}, 1},
+		"peer of a status": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Status{Status: &burlmillv1.HandshakeStatus{
+			Peers: [][]byte{odd, address}}}}, 1},
+		"confirmation of a status": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Status{Status: &burlmillv1.HandshakeStatus{
+			Confirmations: []*burlmillv1.HandshakeConfirmation{{Reader: address}, {Reader: odd}}}}}, 1},
+		"location": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_StoreLocations{StoreLocations: &burlmillv1.HandshakeStoreLocations{
+			Locations: []*burlmillv1.HandshakeLocation{location(odd), location(address)}}}}, 1},
+		"agents to search": {&burlmillv1.HandshakeMessage{Body: &burlmillv1.HandshakeMessage_Search{Search: &burlmillv1.HandshakeSearch{
+			Key: encodeKey(testKey), Agents: [][]byte{address, odd}}}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			encoded, err := proto.Marshal(test.message)
+			is.NoErr(err)
+			message, err := Decode(codecNow, encoded)
+			is.Equal(fault.KindOf(err), fault.Invalid)
+			is.Equal(isSkipped(err), test.left > 0)
+			if test.left > 0 {
+				is.Equal(entries(message), test.left)
+			}
+		})
+	}
+}
+
 var testKey = flow.Key{Caller: netip.MustParseAddrPort("192.0.2.1:1"), Service: netip.MustParseAddrPort("192.0.2.2:2")}
 
 // FuzzDecode checks that the decoder does not panic, that it rejects input only with fault.Invalid,
--- a/internal/relay/peer_messages.go
+++ b/internal/relay/peer_messages.go
@@ -94,7 +94,7 @@
 	n.metrics.peerDatagrams.Inc()
 	now := time.Now()
 	message, err := Decode(now, datagram)
-	if err != nil {
+	if err = n.handleSkipped(entryMessage, err); err != nil {
 		n.metrics.invalid.WithLabelValues(sourcePeer).Inc()
 		n.limitedLog.Log(log.WarnLevel, "message-invalid", log.Fields{"from": from, "error": err})
 		return
--- a/internal/relay/records_codec.go
+++ b/internal/relay/records_codec.go
@@ -55,24 +55,15 @@
 	return uint32(min(max(0, now.Sub(since)), maxAge).Milliseconds())
 }
 
-// decodeRecords rejects the whole message if one record or part is invalid.
 func decodeRecords(now time.Time, encoded *burlmillv1.HandshakeRecords) (handshake.Message, error) {
-	records := handshake.Records{}
-	for _, item := range encoded.GetList() {
-		record, err := decodeRecord(now, item, encoded.GetNames())
-		if err != nil {
-			return nil, err
-		}
-		records.List = append(records.List, record)
-	}
-	for _, item := range encoded.GetParts() {
-		part, err := decodePart(item)
-		if err != nil {
-			return nil, err
-		}
-		records.Parts = append(records.Parts, part)
+	skipped := Skipped{}
+	records := handshake.Records{
+		List: decodeEach(encoded.GetList(), func(item *burlmillv1.HandshakeRecord) (presence.Record, error) {
+			return decodeRecord(now, item, encoded.GetNames())
+		}, &skipped),
+		Parts: decodeEach(encoded.GetParts(), decodePart, &skipped),
 	}
-	return records, nil
+	return records, skipped.Err()
 }
 
 func decodeRecord(now time.Time, encoded *burlmillv1.HandshakeRecord, names []string) (presence.Record, error) {
@@ -134,15 +125,7 @@
 	return encoded
 }
 
-func decodeConfirmations(encoded []*burlmillv1.HandshakeConfirmation) ([]handshake.Confirmation, error) {
-	var list []handshake.Confirmation
-	for _, confirmation := range encoded {
-		watcher, err := decodeAddress(confirmation.GetReader())
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, handshake.Confirmation{Watcher: watcher,
-			Age: time.Duration(confirmation.GetAgeMs()) * time.Millisecond, Served: confirmation.GetServed()})
-	}
-	return list, nil
+func decodeConfirmation(encoded *burlmillv1.HandshakeConfirmation) (handshake.Confirmation, error) {
+	watcher, err := decodeAddress(encoded.GetReader())
+	return handshake.Confirmation{Watcher: watcher, Age: time.Duration(encoded.GetAgeMs()) * time.Millisecond, Served: encoded.GetServed()}, err
 }
--- a/internal/relay/skipped.go
+++ b/internal/relay/skipped.go
@@ -17,8 +17,8 @@
 	"github.com/burlmill/burlmill/presence"
 )
 
-// Skipped is returned with an answer of the store from which malformed objects were left out. It is
-// of kind fault.Invalid.
+// Skipped is returned with an answer of the store from which malformed objects were left out, or with
+// a message from which malformed list entries were left out. It is of kind fault.Invalid.
 type Skipped struct {
 	Entries []SkippedEntry // not empty when used as an error
 }
@@ -50,14 +50,15 @@
 // Unwrap returns the reason for the first object.
 func (s *Skipped) Unwrap() error { return s.Entries[0].Err }
 
-// Kinds of objects in the store, as values of a label.
+// Kinds of objects in the store and of lists in messages, as values of a label.
 const (
 	entryConfiguration = "configuration"
 	entryEvacuation    = "evacuation"
 	entryRecord        = "record"
+	entryMessage       = "message" // list entry of a message from a peer
 )
 
-// handleSkipped counts and logs the objects that were skipped in an answer of the store. It
+// handleSkipped counts and logs the objects that were skipped in an answer or a message. It
 // returns nil if the error is of type *Skipped, and otherwise the error itself.
 func (n *node) handleSkipped(kind string, err error) error {
 	var skipped *Skipped
