--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -199,3 +199,34 @@
 	is.True(strings.Contains(err.Error(), `evacuated[1] = "Z"`))
 	is.True(strings.Contains(err.Error(), `evacuated[2] = "z1": is listed twice`))
 }
+
+// TestObjectOfLaterRevisionIsSkipped guards against an object with a revision that the snapshot has
+// not reached, which would hide later changes of it.
+func TestObjectOfLaterRevisionIsSkipped(t *testing.T) {
+	is := is.New(t)
+	odd, lessons := objectOf(t, validService("odd"), 1<<62), objectOf(t, validService("lessons"), 3)
+	snapshot, err := Empty().With([]Object{odd, lessons}, 3)
+	is.Equal(fault.KindOf(err), fault.Invalid)
+	is.True(snapshot.Service("lessons") != nil)
+	is.True(snapshot.Service("odd") == nil)
+	later := validService("odd")
+	later.Address = netip.MustParseAddrPort("192.0.2.2:443")
+	snapshot, err = snapshot.With([]Object{objectOf(t, later, 4)}, 4)
+	is.NoErr(err)
+	is.True(snapshot.Service("odd") != nil)
+}
+
+// FuzzParseService checks that no body makes the parser panic, and that every accepted one is valid.
+func FuzzParseService(f *testing.F) {
+	f.Add(objectOf(f, validService("lessons"), 1).Body)
+	f.Add([]byte(`{"name":"lessons","backends":[{"weight":1e999,"agent":"10.0.0.1:70000"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		service, err := ParseService("lessons", body)
+		if err == nil && service.Validate() != nil {
+			t.Fatalf("%q: %v", body, service.Validate())
+		}
+		if err != nil && fault.KindOf(err) != fault.Invalid {
+			t.Fatalf("%q: error of kind %v", body, fault.KindOf(err))
+		}
+	})
+}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -95,7 +96,8 @@
 
 // With returns a snapshot at the given revision that includes the objects. Objects
 // older than the version in the snapshot are ignored, so deltas may arrive twice or in
-// any order. If an object is invalid, its last valid version stays. A service whose address
+// any order. If an object is invalid, its last valid version stays. So it does if the object has a
+// higher revision than the snapshot, which would hide later changes of it. A service whose address
 // belongs to another service is stored, but not active. The returned error, of kind
 // fault.Invalid, joins the errors of invalid objects and address conflicts; the returned
 // snapshot is valid nevertheless. If the given revision is lower than that of the snapshot,
@@ -114,6 +116,10 @@
 	slices.SortFunc(ordered, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
 	var problems []error
 	for _, object := range ordered {
+		if object.Revision > revision {
+			problems = append(problems, fault.InvalidField("revision", object.Revision, fmt.Sprintf("of object %q must be at most that of the snapshot, %d", object.Name, revision)))
+			continue
+		}
 		if err := next.put(object); err != nil {
 			problems = append(problems, err)
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/burlmill/burlmill/internal/agent/handover"
 	"github.com/burlmill/burlmill/internal/coordination"
 	"github.com/burlmill/burlmill/internal/logging"
+	"github.com/burlmill/burlmill/internal/observability"
 	"github.com/burlmill/burlmill/internal/settings"
 	"github.com/burlmill/burlmill/internal/status"
 	"github.com/burlmill/burlmill/membership"
@@ -33,6 +35,7 @@
 		WithField("node", settings.Node.ID)
 	statusService := status.NewService(events)
 	path, handler := statusService.Handler()
+	skipped := observability.NewSkippedEntries()
 	handoverService := handover.Start()
 	defer handoverService.Close()
 	node, err := coordination.Start(coordination.Options{
@@ -41,6 +44,7 @@
 		Platform: settings.Platform,
 		Peers:    settings.Peers,
 		Log:      logger,
+		Skipped:  skipped,
 		Handlers: append(handoverService.Handlers(), coordination.Handler{Path: path, Handler: handler}),
 	})
 	if err != nil {
@@ -54,6 +58,7 @@
 		DrainIdleTimeout: settings.Flows.DrainIdleTimeout,
 		DrainLimit:       settings.Flows.DrainLimit,
 		Coordination:     node,
+		Collectors:       []prometheus.Collector{skipped},
 		Log:              logger,
 		Handover:         handoverService,
 		OnStart: func(inspector status.AgentInspector, data netip.AddrPort) {
@@ -62,8 +67,8 @@
 	})
 }
 
-// Options configures an agent. MetricsAddress, DrainIdleTimeout, Handover and OnStart are optional;
-// all other fields must be set.
+// Options configures an agent. MetricsAddress, DrainIdleTimeout, Collectors, Handover and OnStart are
+// optional; all other fields must be set.
 type Options struct {
 	DataAddress    netip.AddrPort // data socket; identifies this agent in the catalog
 	MetricsAddress netip.AddrPort // listen address for metrics; the zero value disables them
@@ -71,7 +76,8 @@
 	// DrainIdleTimeout is the idle timeout of udp flows during shutdown, and of connections without
 	// requests while their back end drains, if it is shorter than IdleTimeout. 0 means IdleTimeout.
 	DrainIdleTimeout time.Duration
-	DrainLimit       time.Duration // maximum duration of the drain during shutdown
+	DrainLimit       time.Duration          // maximum duration of the drain during shutdown
+	Collectors       []prometheus.Collector // further metrics to serve
 	Coordination     Coordination
 	Log              log.Interface
 
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -63,6 +63,7 @@
 	}
 	receiver.inbox.evicted = receiver.evict
 	ready := new(atomic.Bool)
+	metrics.registry.MustRegister(options.Collectors...)
 	if p.metricsServer, err = observability.Serve(options.MetricsAddress, metrics.registry, ready.Load); err != nil {
 		return err
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -54,6 +54,7 @@
 type balancer struct {
 	log           log.Interface
 	metrics       *metrics
+	skipped       *prometheus.CounterVec // malformed entries of the store
 	drops         *dropLog
 	forwarder     atomic.Pointer[forwarder] // nil until the node has started
 	received      atomic.Uint64             // datagrams received
@@ -66,7 +67,8 @@
 
 func start(settings settings.Settings, logger log.Interface, statusService *status.Service) (*balancer, error) {
 	registry := observability.NewRegistry()
-	b := &balancer{log: logger, metrics: newMetrics(registry), drops: newDropLog(logger)}
+	b := &balancer{log: logger, metrics: newMetrics(registry), skipped: observability.NewSkippedEntries(), drops: newDropLog(logger)}
+	registry.MustRegister(b.skipped)
 	if err := b.open(settings, statusService); err != nil {
 		return nil, err
 	}
@@ -108,6 +110,7 @@
 		Platform: settings.Platform,
 		Peers:    settings.Peers,
 		Log:      b.log,
+		Skipped:  b.skipped,
 		Handlers: []coordination.Handler{{Path: path, Handler: handler}},
 	})
 	if err != nil {
--- a/internal/coordination/exchange/codec.go
+++ b/internal/coordination/exchange/codec.go
@@ -5,6 +5,7 @@
 package exchange
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"time"
@@ -18,6 +19,10 @@
 	"github.com/burlmill/burlmill/membership"
 )
 
+// maxIncarnation is the maximum incarnation of a member record. It leaves room for refutations, each
+// of which increases it.
+const maxIncarnation = math.MaxInt64
+
 // regionAgeUnit is the unit of burlmillv1.RegionAge.Age.
 const regionAgeUnit = 100 * time.Millisecond
 
@@ -76,10 +81,16 @@
 	if encoded.GetId() == "" || len(encoded.GetId()) > catalog.MaxNameLength {
 		return nil, fault.InvalidField("member.id", encoded.GetId(), "must be 1 to 63 bytes")
 	}
+	if encoded.GetIncarnation() > maxIncarnation {
+		return nil, fault.InvalidField("member.incarnation", encoded.GetIncarnation(), fmt.Sprintf("must be at most %d", uint64(maxIncarnation)))
+	}
 	control, err := decodeAddress(encoded.GetControl())
 	if err != nil {
 		return nil, err
 	}
+	if !control.IsValid() || control.Port() == 0 {
+		return nil, fault.InvalidField("member.control", control, "must be an IP address and a port above 0")
+	}
 	data, err := decodeAddress(encoded.GetData())
 	if err != nil {
 		return nil, err
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
@@ -44,6 +45,9 @@
 	Log      log.Interface
 	Handlers []Handler
 	Store    Store // if nil, a client of Platform.URL, or no store if the URL is empty
+	// Skipped counts the malformed entries of the store; see observability.NewSkippedEntries. It may
+	// be nil.
+	Skipped *prometheus.CounterVec
 }
 
 // Node is the part of a process that communicates with other burlmill processes. All methods are
--- a/internal/coordination/store_watcher.go
+++ b/internal/coordination/store_watcher.go
@@ -6,15 +6,18 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/burlmill/burlmill/catalog"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/internal/coordination/exchange"
+	"github.com/burlmill/burlmill/internal/entry"
 	"github.com/burlmill/burlmill/internal/objects"
 )
 
@@ -81,9 +84,9 @@
 // watch polls the store and applies its changes until the context ends. It retries a failed poll
 // with exponential backoff.
 func (w *storeWatcher) watch(ctx context.Context) {
-	log := w.node.options.Log.WithField("node", w.node.options.Node.ID)
-	log.Info("store-watcher-start")
-	defer log.Info("store-watcher-stop")
+	logger := w.node.options.Log.WithField("node", w.node.options.Node.ID)
+	logger.Info("store-watcher-start")
+	defer logger.Info("store-watcher-stop")
 	retry := &backoff.ExponentialBackOff{
 		InitialInterval:     initialRetryDelay,
 		RandomizationFactor: backoff.DefaultRandomizationFactor,
@@ -99,11 +102,12 @@
 		}
 		if err != nil {
 			delay := retry.NextBackOff()
-			log.WithError(err).WithField("kind", fault.KindOf(err).String()).WithField("retry", delay).Warn("store-unreachable")
+			logger.WithError(err).WithField("kind", fault.KindOf(err).String()).WithField("retry", delay).Warn("store-unreachable")
 			sleep(ctx, delay)
 			continue
 		}
 		retry.Reset()
+		w.node.recordSkipped(skippedObject, changes.Skipped)
 		w.applyChanges(ctx, changes, after)
 	}
 }
@@ -142,8 +146,8 @@
 	output, err := n.decider.ApplyStoreChanges(now, changes.Objects, revision)
 	n.apply(output)
 	if err != nil {
-		n.options.Log.WithField("node", n.options.Node.ID).WithError(err).
-			WithField("kind", fault.KindOf(err).String()).Warn("objects-refused")
+		n.countSkipped(skippedObject, err)
+		n.log.Log(log.WarnLevel, "objects-refused", log.Fields{"node": n.options.Node.ID, "kind": fault.KindOf(err).String(), "error": err})
 	}
 	n.publish()
 }
@@ -167,7 +171,11 @@
 // list cannot be read, it sets the configured seeds only.
 func (n *Node) refreshSeeds() {
 	machines, err := n.options.Store.Machines(n.context)
-	if err != nil && n.context.Err() == nil {
+	var skipped *objects.SkippedError
+	switch {
+	case errors.As(err, &skipped):
+		n.recordSkipped(skippedMachine, skipped.Entries)
+	case err != nil && n.context.Err() == nil:
 		n.options.Log.WithField("node", n.options.Node.ID).WithError(err).Warn("machine-list")
 	}
 	addresses := slices.Clone(n.options.Peers.Seeds)
@@ -179,6 +187,34 @@
 	n.setSeeds(addresses)
 }
 
+// Kinds of malformed entries, as values of a label.
+const (
+	skippedObject  = "object"
+	skippedMachine = "machine"
+)
+
+// recordSkipped counts and logs malformed entries that were left out of an answer of the store.
+func (n *Node) recordSkipped(kind string, skipped []error) {
+	for _, err := range skipped {
+		n.countSkipped(kind, err)
+		n.log.Log(log.WarnLevel, "entry-skipped", log.Fields{"node": n.options.Node.ID, "kind": kind, "error": err})
+	}
+}
+
+// countSkipped counts a malformed entry, or those whose errors are joined in err.
+func (n *Node) countSkipped(kind string, err error) {
+	if n.options.Skipped == nil {
+		return
+	}
+	reasons := []error{err}
+	if joined, isJoined := err.(interface{ Unwrap() []error }); isJoined {
+		reasons = joined.Unwrap()
+	}
+	for _, reason := range reasons {
+		n.options.Skipped.WithLabelValues(kind, string(entry.ReasonOf(reason))).Inc()
+	}
+}
+
 func (n *Node) setSeeds(addresses []netip.AddrPort) {
 	n.post(func(now time.Time) { n.apply(n.decider.SetSeeds(now, addresses)) })
 }
--- a/internal/lab/store/control.go
+++ b/internal/lab/store/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -73,7 +74,7 @@
 // respondJSON responds with the status and value as JSON, or with status 500 and {} if value cannot
 // be encoded.
 func respondJSON(response http.ResponseWriter, status int, value any) {
-	encoded, err := json.Marshal(value)
+	encoded, err := encodeJSON(value)
 	if err != nil {
 		status = http.StatusInternalServerError
 		encoded = []byte(`{}`)
@@ -84,6 +85,41 @@
 	_, _ = response.Write(encoded) // fails only if the client has disconnected
 }
 
+// encodeJSON returns the value as JSON. It copies the bodies of objects, as json.Marshal fails if one
+// is nested so deeply that it is valid only by itself.
+func encodeJSON(value any) ([]byte, error) {
+	switch value := value.(type) {
+	case objects.Object:
+		return encodeObject(value)
+	case objects.ChangeList:
+		encoded := fmt.Appendf(nil, `{"version":%d,"objects":[`, value.Version)
+		for i, object := range value.Objects {
+			item, err := encodeObject(object)
+			if err != nil {
+				return nil, err
+			}
+			if i > 0 {
+				encoded = append(encoded, ',')
+			}
+			encoded = append(encoded, item...)
+		}
+		return append(encoded, "]}"...), nil
+	default:
+		return json.Marshal(value)
+	}
+}
+
+func encodeObject(object objects.Object) ([]byte, error) {
+	body := object.Body
+	object.Body = nil
+	encoded, err := json.Marshal(object)
+	if err != nil || len(body) == 0 {
+		return encoded, err
+	}
+	encoded = append(encoded[:len(encoded)-1], `,"body":`...)
+	return append(append(encoded, body...), '}'), nil
+}
+
 // respondObject responds with the object and its version as entity tag.
 func respondObject(response http.ResponseWriter, status int, object objects.Object) {
 	response.Header().Set(objects.HeaderETag, objects.FormatEntityTag(object.Version))
--- a/internal/lab/store/store_test.go
+++ b/internal/lab/store/store_test.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -167,7 +168,8 @@
 func TestMachineListLags(t *testing.T) {
 	is := is.New(t)
 	f := startStore(t, longTimeout)
-	f.store.SetMachine(objects.Machine{ID: "one", Role: "agent"})
+	machine := objects.Machine{ID: "one", Role: "agent", Control: netip.MustParseAddrPort("127.0.0.1:9")}
+	f.store.SetMachine(machine)
 	is.NoErr(f.store.SetFaults(Faults{MachineLag: Milliseconds(time.Hour / time.Millisecond)}))
 	machines, err := f.client.Machines(t.Context())
 	is.NoErr(err)
@@ -175,7 +177,7 @@
 	is.NoErr(f.store.SetFaults(Faults{}))
 	machines, err = f.client.Machines(t.Context())
 	is.NoErr(err)
-	is.Equal(machines, []objects.Machine{{ID: "one", Role: "agent"}})
+	is.Equal(machines, []objects.Machine{machine})
 }
 
 func TestFaultsOverHTTP(t *testing.T) {
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -7,8 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -136,20 +134,20 @@
 	return request, nil
 }
 
-// get decodes the JSON response for path into result.
-func (c *Client) get(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) error {
+// get returns the response for path, decoded by parse, together with the error of parse.
+func get[T any](ctx context.Context, c *Client, path string, query url.Values, timeout time.Duration, parse func([]byte) (T, error)) (result T, err error) {
 	exchange := exchange{operation: readOperation, method: http.MethodGet, path: path, query: query, timeout: timeout}
 	reply, err := c.do(ctx, exchange)
 	if err != nil {
-		return err
+		return result, err
 	}
 	if reply.status != http.StatusOK {
-		return readOperation.statusError(reply.status, reply.body, exchange.String())
+		return result, readOperation.statusError(reply.status, reply.body, exchange.String())
 	}
-	if err := json.Unmarshal(reply.body, result); err != nil {
-		return readOperation.responseError(err, exchange.String())
+	if result, err = parse(reply.body); err != nil {
+		return result, readOperation.responseError(err, exchange.String())
 	}
-	return nil
+	return result, nil
 }
 
 // Changes holds the objects changed in the store after a revision.
@@ -158,6 +156,7 @@
 	// if the store was restored to an older state.
 	Revision catalog.Revision
 	Objects  []catalog.Object // oldest first, deletions included
+	Skipped  []error          // malformed objects that are left out, each of kind fault.Invalid
 }
 
 // Changes returns every configuration object changed after the revision. Errors
@@ -172,54 +171,27 @@
 // object. If there is none, it returns no objects and the store's current version.
 func (c *Client) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (Changes, error) {
 	end := time.Now().Add(wait)
+	var skipped []error
 	for {
 		remaining := max(time.Until(end), 0).Round(time.Millisecond)
 		query := url.Values{QueryAfter: {fmt.Sprint(after)}, QueryWait: {remaining.String()}}
 		changes, err := c.changes(ctx, PathWatch, query, remaining+c.timeout)
+		skipped = append(skipped, changes.Skipped...)
+		changes.Skipped = skipped
 		if err != nil || len(changes.Objects) > 0 || changes.Revision <= after || remaining == 0 {
 			return changes, err
 		}
-		after = changes.Revision // only internal objects changed
+		after = changes.Revision // only internal or malformed objects changed
 	}
 }
 
 func (c *Client) changes(ctx context.Context, path string, query url.Values, timeout time.Duration) (Changes, error) {
-	var list ChangeList
-	if err := c.get(ctx, path, query, timeout, &list); err != nil {
-		return Changes{}, err
-	}
-	changes := Changes{Revision: list.Version}
-	for _, object := range list.Objects {
-		if strings.HasPrefix(string(object.Name), InternalPrefix) {
-			continue
-		}
-		changes.Objects = append(changes.Objects, catalog.Object{
-			Name:     object.Name,
-			Revision: object.Version,
-			Deleted:  object.Deleted,
-			Body:     object.Body,
-		})
-	}
-	return changes, nil
+	return get(ctx, c, path, query, timeout, parseChanges)
 }
 
 // Machines returns the platform's machine list, which may be out of date. Malformed
 // entries are omitted and reported in an error of kind Invalid; the valid entries
 // are returned together with that error.
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
-	var list MachineList
-	if err := c.get(ctx, PathMachines, nil, c.timeout, &list); err != nil {
-		return nil, err
-	}
-	var machines []Machine
-	var problems []error
-	for _, encoded := range list.Machines {
-		var machine Machine
-		if err := json.Unmarshal(encoded, &machine); err != nil {
-			problems = append(problems, fault.Wrap(fault.Invalid, err, "machine list entry %.200s", encoded))
-			continue
-		}
-		machines = append(machines, machine)
-	}
-	return machines, errors.Join(problems...)
+	return get(ctx, c, PathMachines, nil, c.timeout, parseMachines)
 }
--- a/internal/objects/client_test.go
+++ b/internal/objects/client_test.go
@@ -19,8 +19,12 @@
 
 // newTestClient starts a platform with the given handler and returns a client of it.
 func newTestClient(t *testing.T, handler http.HandlerFunc) *Client {
+	return newTestClientWith(t, Options{Timeout: 10 * time.Second, MaxResponseBytes: 1000}, handler)
+}
+
+func newTestClientWith(t *testing.T, options Options, handler http.HandlerFunc) *Client {
 	server := httptest.NewServer(handler)
-	client := NewClient(server.URL, Options{Timeout: 10 * time.Second, MaxResponseBytes: 1000})
+	client := NewClient(server.URL, options)
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
--- a/internal/objects/protocol.go
+++ b/internal/objects/protocol.go
@@ -76,8 +76,13 @@
 	// History contains the writes before this version, latest first, at most
 	// HistoryLimit-1 of them. Lists and watches omit it.
 	History []HistoryEntry `json:"history,omitempty"`
+
+	historyIncomplete bool // annotations or history are malformed
 }
 
+// isInternal reports whether the object is one of burlmill's own, which configure nothing.
+func (o *Object) isInternal() bool { return strings.HasPrefix(string(o.Name), InternalPrefix) }
+
 // VersionOf returns the version that the command wrote, if the object's history
 // still contains it.
 func (o *Object) VersionOf(command CommandID) (catalog.Revision, bool) {
@@ -94,6 +99,9 @@
 
 // historyCovers reports whether the history contains every write after the version.
 func (o *Object) historyCovers(version catalog.Revision) bool {
+	if o.historyIncomplete {
+		return false
+	}
 	if len(o.History) < HistoryLimit-1 {
 		return true
 	}
--- a/internal/objects/write.go
+++ b/internal/objects/write.go
@@ -118,16 +118,6 @@
 	return 0, &ConflictError{Current: current}
 }
 
-func decodeObject(body []byte, name catalog.ServiceName, object *Object) error {
-	if err := json.Unmarshal(body, object); err != nil {
-		return err
-	}
-	if object.Name != name {
-		return fault.New(fault.Invalid, "response contains object %q", object.Name)
-	}
-	return nil
-}
-
 func objectPath(name catalog.ServiceName) string {
 	return PathObjects + "/" + url.PathEscape(string(name))
 }
--- a/internal/observability/observability.go
+++ b/internal/observability/observability.go
@@ -48,6 +48,12 @@
 	return registry
 }
 
+// NewSkippedEntries returns the counter of malformed objects, by kind and reason (entry.Reason).
+func NewSkippedEntries() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: "entries_skipped_total",
+		Help: "Objects of the store that could not be used."}, []string{"kind", "reason"})
+}
+
 // Serve starts a server at the address. It runs until the returned closer is closed. ready is
 // called for each request of /readyz and must be safe for concurrent use. If the address is
 // invalid, such as the zero value, Serve starts no server and returns a closer that does nothing.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -95,7 +95,7 @@
 			Help: "Calls to the store; watches wait on purpose.", Buckets: durationBuckets}, []string{"call", "outcome"}),
 	}
 	m.refusedReports = newCounterVec("reports_refused_total", "Reports and removals that name no back end.", "reason")
-	m.skippedEntries = newCounterVec("entries_skipped_total", "Objects of the store that could not be used.", "kind", "reason")
+	m.skippedEntries = observability.NewSkippedEntries()
 	m.unacknowledgedDrains = prometheus.NewCounter(prometheus.CounterOpts{Namespace: observability.Namespace, Name: "drains_unacknowledged_total",
 		Help: "Draining reports and removals that were not acknowledged because the store did not record them in time."})
 	m.registry.MustRegister(m.refusedReports, m.skippedEntries, m.unacknowledgedDrains)
