--- a/instance/drains.go
+++ b/instance/drains.go
@@ -164,9 +164,13 @@
 	return true
 }
 
-// dropDrains drops the drains of all incarnations with the id.
-func (t *Tracker) dropDrains(id ID) {
-	kept := slices.DeleteFunc(slices.Clone(t.drain.drains), func(drain Drain) bool { return drain.ID == id })
+// dropReplacedDrains drops the drains of incarnations with the id of the current one that may be the
+// current one or have started before it.
+func (t *Tracker) dropReplacedDrains() {
+	current := t.Incarnation()
+	kept := slices.DeleteFunc(slices.Clone(t.drain.drains), func(drain Drain) bool {
+		return drain.ID == current.ID && (mayBeSame(drain.Incarnation, current) || drain.StartedAt.Before(current.StartedAt))
+	})
 	t.replaceDrains(kept)
 }
 
--- a/instance/incarnations.go
+++ b/instance/incarnations.go
@@ -101,6 +101,7 @@
 type pastIncarnation struct {
 	incarnation  Incarnation
 	endConfirmed bool // the end is confirmed: it reported draining, or its removal had its start time
+	contested    bool // its removal was received while it may have been running, and not acknowledged
 }
 
 func (p *pastIncarnations) index(incarnation Incarnation) int {
@@ -113,7 +114,7 @@
 		p.entries[i].endConfirmed = p.entries[i].endConfirmed || endConfirmed
 		return
 	}
-	p.entries = append(p.entries, pastIncarnation{incarnation, endConfirmed})
+	p.entries = append(p.entries, pastIncarnation{incarnation: incarnation, endConfirmed: endConfirmed})
 	if len(p.entries) > maxPastIncarnations {
 		p.entries = slices.Delete(p.entries, 0, 1)
 	}
@@ -141,6 +142,20 @@
 	return i >= 0 && p.entries[i].endConfirmed && !incarnation.StartedAt.IsZero()
 }
 
+// endedFor reports whether a past incarnation that may be the given one has ended for certain.
+func (p *pastIncarnations) endedFor(incarnation Incarnation) bool {
+	return slices.ContainsFunc(p.entries, func(past pastIncarnation) bool {
+		return past.incarnation.ID == incarnation.ID && mayBeSame(past.incarnation, incarnation) && past.endConfirmed && !past.contested
+	})
+}
+
+// contest records that the removal of the incarnation was not acknowledged.
+func (p *pastIncarnations) contest(incarnation Incarnation) {
+	if i := p.index(incarnation); i >= 0 {
+		p.entries[i].contested = true
+	}
+}
+
 // confirmEnd confirms the end of the incarnation if it is recorded.
 func (p *pastIncarnations) confirmEnd(incarnation Incarnation) {
 	if i := p.index(incarnation); i >= 0 {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -253,9 +253,19 @@
 
 // Remove applies the removal of an incarnation. A removal without a start time applies to the
 // current incarnation if the id matches. An error of kind fault.Stale means that the removal
-// names an earlier incarnation; the current one is unchanged.
+// names an earlier incarnation, or one that may run in place of the current one; the current one is
+// unchanged.
 func (t *Tracker) Remove(now time.Time, incarnation Incarnation) error {
 	incarnation.StartedAt = canonicalTime(incarnation.StartedAt)
+	if t.mayRunInstead(incarnation) {
+		if t.unconfirmed.countedReports == 0 || t.unconfirmed.incarnation != incarnation {
+			t.recordEnd(incarnation)
+			t.past.contest(incarnation)
+			return t.staleError("removal", incarnation)
+		}
+		t.setCurrent(now, t.unconfirmed.latest, CauseConfirmed) // it has reported last
+		t.dropDisplaced(incarnation)
+	}
 	endConfirmed := !incarnation.StartedAt.IsZero()
 	switch t.compare(incarnation) {
 	case orderSame:
@@ -280,6 +290,13 @@
 	return nil
 }
 
+// mayRunInstead reports whether the incarnation, which has another id than the current one, may be
+// the one that runs: no health check was answered with the id of the current one, whose reports may
+// have been delayed ones, and it is not known to have ended.
+func (t *Tracker) mayRunInstead(incarnation Incarnation) bool {
+	return (t.state == Ready || t.state == Unverified) && !t.verified && incarnation.ID != t.latest.ID && !t.past.endedFor(incarnation)
+}
+
 // supersede makes a later incarnation with the current id the current one.
 func (t *Tracker) supersede(now time.Time, report Report) {
 	startObserved := report.Sequence == firstSequence || t.reportedTwice && t.verified
@@ -317,7 +334,7 @@
 	t.checkInProgress = false
 	t.unconfirmed = unconfirmedIncarnation{}
 	t.past.remove(t.Incarnation())
-	t.dropDrains(t.latest.ID)
+	t.dropReplacedDrains()
 	if !t.latest.StartedAt.IsZero() {
 		t.past.remove(Incarnation{ID: t.latest.ID}) // start times order its incarnations from now on
 	}
--- a/instance/unconfirmed.go
+++ b/instance/unconfirmed.go
@@ -115,10 +115,12 @@
 
 // confirmedBy reports whether the health check, which started at startedAt, confirms the
 // unconfirmed incarnation: enough reports were counted, and the check got a healthy answer with its
-// id and did not start before the first report. If drains are awaited and no other incarnation is
-// known, an answer without an id suffices.
+// id and did not start before the first report. An answer without an id suffices if no incarnation is
+// known while drains are awaited, or if the current one is not draining and has answered no check with
+// its id either.
 func (t *Tracker) confirmedBy(check Check, startedAt time.Time) bool {
-	answered := check.ID == t.unconfirmed.incarnation.ID || check.ID == "" && t.drain.awaited && t.latest.ID == ""
+	nameless := t.drain.awaited && t.latest.ID == "" || (t.state == Ready || t.state == Unverified) && !t.verified && t.latest.ID != t.unconfirmed.incarnation.ID
+	answered := check.ID == t.unconfirmed.incarnation.ID || check.ID == "" && nameless
 	return t.unconfirmed.countedReports >= confirmReports && check.Healthy && answered && !startedAt.Before(t.unconfirmed.firstSeenAt)
 }
 
