--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -68,14 +68,18 @@
 	probeHistories  map[flow.Key]*probeHistory // flows for which this agent is the coordinator
 	probesAllowedAt time.Time                  // before this time the agent permits no probes
 	lastTickAt      time.Time                  // zero: none yet
-	restartProof    *trackedFlow               // flow that proves a back end's restart; nil: none
-	restartProofAt  time.Time                  // when the back end returned its datagram as unknown
-	closedFlows     []*trackedFlow             // closed by a restart, balancers not notified yet
-	changesAtClear  uint64                     // Tracker.Changes at the latest clearStaleOutstanding
-	refusals        uint64
-	startedAt       time.Time
-	nextSweepAt     time.Time
-	actions         []Action
+	// idleTimeoutOfBackend is the time after which the back end may forget a flow without datagrams;
+	// 0: not known.
+	idleTimeoutOfBackend time.Duration
+
+	restartProof   *trackedFlow   // flow that proves a back end's restart; nil: none
+	restartProofAt time.Time      // when the back end returned its datagram as unknown
+	closedFlows    []*trackedFlow // closed by a restart, balancers not notified yet
+	changesAtClear uint64         // Tracker.Changes at the latest clearStaleOutstanding
+	refusals       uint64
+	startedAt      time.Time
+	nextSweepAt    time.Time
+	actions        []Action
 }
 
 // flowState is the state of a flow at one back end.
@@ -133,6 +137,8 @@
 		locations:       newLocationStore(now, options.FlowLifetime),
 		probeHistories:  map[flow.Key]*probeHistory{},
 		probesAllowedAt: now.Add(flowProbeSettleTime),
+
+		idleTimeoutOfBackend: DefaultIdleTimeout,
 	}
 }
 
--- a/handshake/backend_restart.go
+++ b/handshake/backend_restart.go
@@ -15,9 +15,16 @@
 
 // Timeouts and limits after a restart of the back end.
 const (
-	// certainHoldTime is how long a back end that has not restarted certainly holds a flow after it
-	// last sent on it: less than the idle timeout of back ends, 15 s.
-	certainHoldTime = 10 * time.Second
+	// DefaultIdleTimeout is the idle timeout of back ends if the configuration contains none.
+	DefaultIdleTimeout = 15 * time.Second
+	// certainHoldTime is how long a back end with the default idle timeout that has not restarted
+	// certainly holds a flow after it last sent on it. It is shorter, since datagrams may be late.
+	certainHoldTime = holdTimeNumerator * DefaultIdleTimeout / holdTimeDenominator
+	// The time for which a flow is certainly held is this part of the idle timeout.
+	holdTimeNumerator, holdTimeDenominator = 2, 3
+	// restartProofTTL is how long a proof of a restart waits for the tracker to know the new
+	// incarnation.
+	restartProofTTL = 10 * time.Second
 	// maxClosedNotices is the maximum number of closed flows whose balancers an agent notifies in
 	// one tick.
 	maxClosedNotices = 64
@@ -55,7 +62,7 @@
 	if proof == nil {
 		return
 	}
-	if now.Sub(a.restartProofAt) > certainHoldTime {
+	if now.Sub(a.restartProofAt) > restartProofTTL {
 		a.restartProof = nil
 		return
 	}
@@ -78,11 +85,15 @@
 	a.closedFlows = append(a.closedFlows, closed...)
 }
 
+// SetIdleTimeout sets the time after which the back end may forget a flow without datagrams. 0 means
+// that it is not known; then no returned datagram proves a restart.
+func (a *Agent) SetIdleTimeout(timeout time.Duration) { a.idleTimeoutOfBackend = timeout }
+
 // certainlyHeld reports whether a back end that has not restarted certainly holds the flow: it sent
 // on the flow recently, and the flow is younger than FlowLifetime.
 func (a *Agent) certainlyHeld(now time.Time, tracked *trackedFlow) bool {
 	young := !tracked.acceptedAt.IsZero() && now.Sub(tracked.acceptedAt) < a.options.FlowLifetime
-	return young && now.Sub(tracked.backendLastSentAt) < certainHoldTime
+	return young && now.Sub(tracked.backendLastSentAt) < holdTimeNumerator*a.idleTimeoutOfBackend/holdTimeDenominator
 }
 
 // closedByRestart reports whether the flow was accepted by the incarnation that last sent on proof,
--- a/handshake/backend_restart_test.go
+++ b/handshake/backend_restart_test.go
@@ -219,3 +219,40 @@
 	is.Equal(countReset(callers), len(callers))
 	is.Equal(w.violation, "")
 }
+
+// TestForgottenFlowDoesNotProveRestart checks that a returned datagram of a flow that has rested for
+// longer than the idle timeout closes no other flow, even if the flow was accepted by an incarnation
+// that reported only afterwards.
+func TestForgottenFlowDoesNotProveRestart(t *testing.T) {
+	for name, test := range map[string]struct {
+		idleTimeout time.Duration
+		others      bool // whether other flows are closed
+	}{
+		"shorter than the pause": {5 * time.Second, false},
+		"longer than the pause":  {15 * time.Second, true},
+		"unknown":                {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := startWorldWithStartTimes(t, 38)
+			agent := w.agents[0]
+			agent.logic.SetIdleTimeout(test.idleTimeout)
+			w.restartBackendUnreported(agent, w.now)
+			callers := openFlowsAt(t, w, agent, 6)
+			exchangeAll(t, w, callers)
+			idle := callers[0]
+			w.advance(resendInterval)
+			w.report(agent)
+			for range 3 { // some 6.5 s
+				w.advance(time.Second)
+				exchangeAll(t, w, callers[1:])
+			}
+			delete(agent.backend.open, idle.key)
+			delete(agent.backend.halfOpen, idle.key)
+			w.sendFromCaller(Datagram{Key: idle.key, Kind: Data, Confirms: idle.backendNumber, PayloadLength: 1})
+			w.advance(resendInterval)
+			is.True(idle.reset)
+			is.Equal(countReset(callers) > 1, test.others)
+		})
+	}
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -6,6 +6,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -253,6 +254,7 @@
 
 // tick performs the actions that are due and starts a health check if one is due. The lock is held.
 func (a *agent) tick(now time.Time) {
+	a.flows.SetIdleTimeout(a.backendIdleTimeout())
 	a.perform(a.flows.Tick(now))
 	a.updateBackendState(now)
 	tracker := a.flows.Tracker()
@@ -290,6 +292,15 @@
 	a.sendStatuses(now)
 }
 
+// backendIdleTimeout returns the idle timeout of the back end's flows, 0 if it is not known because no
+// configuration is in force or a peer has a newer one. The lock is held.
+func (a *agent) backendIdleTimeout() time.Duration {
+	if a.table == nil || !a.behindSince.IsZero() {
+		return 0
+	}
+	return cmp.Or(a.table.IdleTimeout(), handshake.DefaultIdleTimeout)
+}
+
 // defaultHealthPath is the path of health checks while none is configured.
 const defaultHealthPath = "/health"
 
