--- a/handshake/balancer.go
+++ b/handshake/balancer.go
@@ -63,6 +63,9 @@
 	activeLookups  int                     // running lookups, at most maxLookups
 	recordedAgents []netip.AddrPort        // agents that have a record in the store
 	recordsReadAt  time.Time               // when these records were read; zero: not yet
+	plannedStops   bool                    // an agent among them was recently stopped as planned
+	// recordsFirstWantedAt is when the records were first needed for a conclusion; zero: not yet.
+	recordsFirstWantedAt time.Time
 	// recordsWanted is set by a lookup that needs a current list of recorded agents to prove that
 	// its flow is closed. SetRecords clears it.
 	recordsWanted          bool
--- a/handshake/fleet_restart.go
+++ b/handshake/fleet_restart.go
@@ -12,8 +12,8 @@
 // In a fleet-wide restart, all processes were killed at once and have restarted, while back ends
 // may have kept running. No process knows the flows then, and only few back ends may be probed for
 // each, so most lookups would fail and callers would wait until their deadlines. A caller that is
-// reset opens a new flow at once. Planned restarts do not restart all processes within
-// fleetRestartSpan, so they never cause such resets.
+// reset opens a new flow at once. Planned restarts may restart all processes within
+// fleetRestartSpan too, but agents that are stopped as planned leave a mark in their records.
 
 // Limits that define a fleet-wide restart.
 const (
@@ -32,6 +32,9 @@
 	// minFleetRestartProcesses is the minimum number of other processes that have restarted, so
 	// that a planned restart of a few processes does not count as fleet-wide.
 	minFleetRestartProcesses = 4
+	// recordsWait is how long the records of agents are waited for, which show planned stops. The
+	// store may not answer.
+	recordsWait = 500 * time.Millisecond
 )
 
 // fleetRestarted reports whether all known processes have restarted together with this balancer:
@@ -43,6 +46,12 @@
 		return false
 	}
 	earliest := b.startedAt.Add(-fleetRestartSpan)
+	if b.plannedStops {
+		return false
+	}
+	if b.awaitsRecords(now) {
+		return false
+	}
 	others := b.neighbors.count()
 	if (others == 0 || b.recordsReadAt.IsZero()) && b.starting(now) {
 		return false // processes that have kept running may not be known yet
@@ -60,6 +69,19 @@
 		b.mostRecordedReachable(now)
 }
 
+// awaitsRecords requests the records of agents if they have not been read, and reports whether they
+// may still be read within recordsWait.
+func (b *Balancer) awaitsRecords(now time.Time) bool {
+	if !b.recordsReadAt.IsZero() {
+		return false
+	}
+	b.recordsWanted = true
+	if b.recordsFirstWantedAt.IsZero() {
+		b.recordsFirstWantedAt = now
+	}
+	return now.Sub(b.recordsFirstWantedAt) < recordsWait
+}
+
 // mostRecordedReachable reports whether enough of the recorded agents are reachable: all of them
 // during fleetRestartGracePeriod, minFleetRestartShare of them later. It is true if no records
 // have been read.
--- a/handshake/fleet_restart_test.go
+++ b/handshake/fleet_restart_test.go
@@ -154,3 +154,27 @@
 	is.True(hasReset(b.HandleCallerDatagram(now.Add(resetInterval), unknownFlowData(1))))
 	is.True(!hasReset(b.HandleCallerDatagram(now.Add(3*resetInterval), unknownFlowData(1))))
 }
+
+// TestPlannedStopIsNoFleetWideRestart checks that a balancer assumes no fleet-wide restart if an
+// agent was stopped as planned, and reads the agents' records before it assumes one.
+func TestPlannedStopIsNoFleetWideRestart(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	b := newTestBalancer(start)
+	now := start.Add(StartupTime)
+	var recorded []netip.AddrPort
+	for i := range minFleetRestartProcesses {
+		recorded = append(recorded, testAddress(presence.RoleAgent, i+1))
+		b.HandleStatus(now, recorded[i], Status{Role: presence.RoleAgent, Incarnation: 1, Uptime: time.Millisecond})
+	}
+	b.HandleStatus(now, testAddress(presence.RoleBalancer, 2), Status{Role: presence.RoleBalancer, Incarnation: 1, Uptime: time.Millisecond})
+	is.True(!b.RecordsDue(now))
+	is.True(!b.fleetRestarted(now, nil))
+	is.True(b.RecordsDue(now))
+	is.True(b.fleetRestarted(now.Add(recordsWait), nil)) // the store does not answer
+	b.SetPlannedStops(true)
+	b.SetRecords(now, now, recorded)
+	is.True(!b.fleetRestarted(now, nil))
+	b.SetPlannedStops(false)
+	is.True(b.fleetRestarted(now, nil))
+}
--- a/handshake/lookup.go
+++ b/handshake/lookup.go
@@ -284,6 +284,9 @@
 	}
 }
 
+// SetPlannedStops sets whether the records contain an agent that was recently stopped as planned.
+func (b *Balancer) SetPlannedStops(found bool) { b.plannedStops = found }
+
 // SetRecords sets the addresses of all agents that are recorded in the store, as read at readAt.
 // Waiting lookups are retried at the next Tick.
 func (b *Balancer) SetRecords(now, readAt time.Time, agents []netip.AddrPort) {
--- a/internal/relay/adapter.go
+++ b/internal/relay/adapter.go
@@ -102,9 +102,9 @@
 	// fault.Conflict if the store has a record with another revision, and fault.NotFound if it has
 	// none.
 	Replace(ctx context.Context, record Record, revision uint64) (uint64, error)
-	// RecordedAddresses returns the addresses in all records of the role that are not vacated,
-	// including those of processes that ended without withdrawing their record.
-	RecordedAddresses(ctx context.Context, role presence.Role, allowStale bool) ([]netip.AddrPort, error)
+	// Records returns the records of the role that are not vacated, without their drains. They
+	// include those of processes that ended without withdrawing their record.
+	Records(ctx context.Context, role presence.Role, allowStale bool) ([]Record, error)
 }
 
 // Record is the entry of a process in the store.
@@ -117,6 +117,9 @@
 	// Vacated is true after the agent has ended and its back end holds no flow. Such a record only
 	// keeps the drains.
 	Vacated bool
+	// Stopped is true if the agent was stopped as planned and its back end may hold flows. The next
+	// start removes it after the maximum duration of a flow.
+	Stopped bool
 }
 
 // StoredRecord is a record in the store.
@@ -127,7 +130,7 @@
 
 // holds reports whether the stored record has the content of the other one.
 func (r StoredRecord) holds(other Record) bool {
-	return r.Address == other.Address && r.Vacated == other.Vacated && slices.Equal(r.Drains, other.Drains)
+	return r.Address == other.Address && r.Vacated == other.Vacated && r.Stopped == other.Stopped && slices.Equal(r.Drains, other.Drains)
 }
 
 // HostReports receives what a back end reports about itself. Its methods may be called from
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -175,6 +175,7 @@
 	a.flows.BeginShutdown()
 	a.log.WithField("flows", a.flows.ActiveFlows()).Info("shutting-down")
 	a.mutex.Unlock()
+	a.spawn(a.recordStop)
 	noticeUntil := startedAt.Add(handshake.MinAgentShutdownTime)
 	deadline := startedAt.Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
 	for time.Now().Before(deadline) && (time.Now().Before(noticeUntil) || a.activeFlows() > 0) {
--- a/internal/relay/deregister.go
+++ b/internal/relay/deregister.go
@@ -135,8 +135,7 @@
 	ctx, cancel := context.WithTimeout(a.context, withdrawTimeout)
 	defer cancel()
 	a.mutex.Lock()
-	record := a.ownRecord()
-	record.Drains, _ = a.flows.Tracker().Drains()
+	record := a.currentRecord()
 	a.mutex.Unlock()
 	if len(record.Drains) == 0 {
 		return false
--- a/internal/relay/drain_records.go
+++ b/internal/relay/drain_records.go
@@ -33,6 +33,9 @@
 	updated    chan struct{} // closed when stored changes
 	unreadable bool          // the stored record is malformed and has to be replaced
 	outdated   bool          // the stored record has to be replaced even if no drain has changed
+	// stoppedUntil is until when the record says that the agent was stopped as planned, by an
+	// earlier start; zero: it does not.
+	stoppedUntil time.Time
 }
 
 func newDrainRecorder() drainRecorder {
@@ -74,6 +77,10 @@
 	if a.drains.unreadable && tracker.AwaitsDrains() && tracker.State() == instance.Ready {
 		tracker.RestoreDrains(now, nil) // reports have confirmed the back end
 	}
+	if !a.drains.stoppedUntil.IsZero() && now.After(a.drains.stoppedUntil) {
+		a.drains.stoppedUntil = time.Time{}
+		a.drains.outdated = true
+	}
 	if a.drainWriteDue() {
 		a.requestDrainWrite()
 	}
@@ -155,9 +162,12 @@
 	if tracker.AwaitsDrains() {
 		tracker.RestoreDrains(now, found.Drains)
 	}
+	if found.Stopped {
+		a.drains.stoppedUntil = now.Add(a.settings.Flows.MaxLifetime)
+	}
 	drains, changes := tracker.Drains()
 	a.limitedLog.Log(log.InfoLevel, "drains-restored", log.Fields{"drains": len(found.Drains), "kept": len(drains), "revision": found.Revision,
-		"backend": tracker.Latest().ID, "state": tracker.State(), "age": now.Sub(a.startedAt)})
+		"backend": tracker.Latest().ID, "state": tracker.State(), "stopped_as_planned": found.Stopped, "age": now.Sub(a.startedAt)})
 	if slices.Equal(drains, found.Drains) && !found.Vacated {
 		a.setStoredDrains(changes)
 	} else {
@@ -175,6 +185,28 @@
 	a.drains.updated = make(chan struct{})
 }
 
+// currentRecord returns the record that the store has to hold. The lock is held.
+func (a *agent) currentRecord() Record {
+	record := a.ownRecord()
+	record.Drains, _ = a.flows.Tracker().Drains()
+	record.Stopped = a.shuttingDown || !a.drains.stoppedUntil.IsZero()
+	return record
+}
+
+// recordStop writes to the agent's record that the agent is being stopped as planned, so that
+// balancers do not take the next start of all processes for a failure of all of them.
+func (a *agent) recordStop() {
+	if a.recordRevision.Load() == 0 {
+		return // without a record, the agent has seen no back end
+	}
+	a.mutex.Lock()
+	record := a.currentRecord()
+	a.mutex.Unlock()
+	if err := a.replaceRecord(a.context, record); err != nil {
+		a.limitedLog.Log(log.WarnLevel, "stop-unrecorded", log.Fields{"error": err})
+	}
+}
+
 // storeDrains writes the drains to the agent's record unless the store holds them, and returns false
 // if that failed.
 func (a *agent) storeDrains() bool {
@@ -182,9 +214,8 @@
 		return true // deregister decides what the record contains
 	}
 	a.mutex.Lock()
-	record := a.ownRecord()
-	var changes uint64
-	record.Drains, changes = a.flows.Tracker().Drains()
+	record := a.currentRecord()
+	_, changes := a.flows.Tracker().Drains()
 	due := a.drainWriteDue()
 	a.mutex.Unlock()
 	if !due {
--- a/internal/relay/drain_records_test.go
+++ b/internal/relay/drain_records_test.go
@@ -336,3 +336,40 @@
 	defer s.mutex.Unlock()
 	return s.unanswered
 }
+
+// TestPlannedStopStaysOnRecord guards against a planned stop that is not recorded, that the next
+// start removes too early, or that stays for ever.
+func TestPlannedStopStaysOnRecord(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	a := startAgentWith(t, store)
+	a.backendSeen.signal()
+	a.awaitRestored(t)
+	a.mutex.Lock()
+	a.shuttingDown = true
+	a.mutex.Unlock()
+	a.recordStop()
+	is.True(store.record().Stopped)
+
+	next := startAgentWith(t, store)
+	next.awaitRestored(t)
+	is.NoErr(next.Remove(instance.Incarnation{ID: "i-1"})) // another write of the record
+	is.True(store.record().Stopped)
+	is.Equal(len(store.record().Drains), 1)
+	update := func(now time.Time) {
+		next.mutex.Lock()
+		defer next.mutex.Unlock()
+		next.updateDrains(now)
+	}
+	update(time.Now())
+	is.True(store.record().Stopped)
+	update(time.Now().Add(next.settings.Flows.MaxLifetime + time.Second))
+	waitUntil(t, func() bool { return !store.record().Stopped })
+	is.Equal(len(store.record().Drains), 1)
+}
+
+func (s *recordStore) record() Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stored.Record
+}
--- a/internal/relay/skipped_test.go
+++ b/internal/relay/skipped_test.go
@@ -205,8 +205,12 @@
 	skipped Skipped
 }
 
-func (s *malformedStore) RecordedAddresses(context.Context, presence.Role, bool) ([]netip.AddrPort, error) {
-	return s.records, s.skipped.Err()
+func (s *malformedStore) Records(context.Context, presence.Role, bool) ([]Record, error) {
+	var records []Record
+	for _, address := range s.records {
+		records = append(records, Record{Address: address})
+	}
+	return records, s.skipped.Err()
 }
 
 func (s *malformedStore) Evacuations(context.Context, bool) (evacuation.Set, error) {
@@ -263,7 +267,7 @@
 		handshake.Status{ID: "agent-7", Role: presence.RoleBalancer, Incarnation: 1, Interval: time.Hour})
 	addresses, err := b.readRecords(presence.RoleAgent, false)
 	is.True(isSkipped(err))
-	is.Equal(addresses, []netip.AddrPort{store.records[0], agent})
+	is.Equal(addresses.addresses, []netip.AddrPort{store.records[0], agent})
 }
 
 // TestRecordWithoutNameMatchesNoProcess guards against attributing a skipped record without a name
@@ -274,7 +278,7 @@
 	n.peers.Add(time.Now(), netip.MustParseAddrPort("10.0.0.7:1"), false)
 	addresses, err := n.readRecords(presence.RoleBalancer, true)
 	is.True(isSkipped(err))
-	is.Equal(len(addresses), 1)
+	is.Equal(len(addresses.addresses), 1)
 }
 
 // TestMalformedEvacuationDoesNotAffectOthers checks that a malformed evacuation does not prevent
--- a/internal/relay/store_records.go
+++ b/internal/relay/store_records.go
@@ -189,12 +189,12 @@
 			continue
 		}
 		lastReadAt = now
-		addresses, err := n.readRecords(presence.RoleBalancer, true)
+		found, err := n.readRecords(presence.RoleBalancer, true)
 		if err != nil && !isSkipped(err) {
 			n.limitedLog.Log(log.WarnLevel, "directory-failed", log.Fields{"role": presence.RoleBalancer, "error": err})
 			continue
 		}
-		n.limitedLog.Log(log.InfoLevel, "directory-read", log.Fields{"balancers": len(addresses)})
+		n.limitedLog.Log(log.InfoLevel, "directory-read", log.Fields{"balancers": len(found.addresses)})
 	}
 }
 
@@ -248,10 +248,11 @@
 		b.limitedLog.Log(log.WarnLevel, "directory-failed", log.Fields{"role": presence.RoleAgent, "error": err})
 		return false
 	}
-	b.limitedLog.Log(log.InfoLevel, "directory-read", log.Fields{"agents": len(agents), "took": time.Since(startedAt)})
+	b.limitedLog.Log(log.InfoLevel, "directory-read", log.Fields{"agents": len(agents.addresses), "stopped_as_planned": agents.stopped, "took": time.Since(startedAt)})
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.flows.SetRecords(time.Now(), startedAt, agents)
+	b.flows.SetPlannedStops(agents.stopped > 0)
+	b.flows.SetRecords(time.Now(), startedAt, agents.addresses)
 	return true
 }
 
@@ -263,21 +264,35 @@
 	}
 }
 
-// readRecords reads the records of a role, adds the processes as peers and returns
-// their addresses. With an error of type *Skipped, which is already logged, the addresses are
-// those in the valid records, and those of known processes whose record is malformed.
-func (n *node) readRecords(role presence.Role, allowStale bool) ([]netip.AddrPort, error) {
+// recordedProcesses is what the records of a role contain.
+type recordedProcesses struct {
+	// addresses are those in the valid records, and those of known processes whose record is
+	// malformed.
+	addresses []netip.AddrPort
+	stopped   int // number of records of processes that were stopped as planned
+}
+
+// readRecords reads the records of a role and adds the processes as peers. An error of type *Skipped
+// is already logged, and the result is usable.
+func (n *node) readRecords(role presence.Role, allowStale bool) (recordedProcesses, error) {
 	startedAt := time.Now()
-	addresses, err := n.adapter.RecordedAddresses(n.context, role, allowStale)
+	records, err := n.adapter.Records(n.context, role, allowStale)
 	n.metrics.observeStoreCall(callName("list", allowStale), startedAt, err)
 	if n.handleSkipped(entryRecord, err) != nil {
-		return nil, err
+		return recordedProcesses{}, err
+	}
+	var found recordedProcesses
+	for _, record := range records {
+		found.addresses = append(found.addresses, record.Address)
+		if record.Stopped {
+			found.stopped++
+		}
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	addresses = append(addresses, n.skippedAddresses(role, err)...)
-	for _, address := range addresses {
+	found.addresses = append(found.addresses, n.skippedAddresses(role, err)...)
+	for _, address := range found.addresses {
 		n.peers.Add(time.Now(), address, false)
 	}
-	return addresses, err
+	return found, err
 }
