--- a/handshake/handshake_test.go
+++ b/handshake/handshake_test.go
@@ -357,12 +357,13 @@
 	is.True(!delivers(actions)) // the offer is for another service than the agent's
 }
 
-// readyAgent returns an agent whose back end is ready and has 3 slots.
+// readyAgent returns an agent whose back end started after it, is ready and has 3 slots.
 func readyAgent(t *testing.T, now time.Time) *Agent {
 	t.Helper()
 	is := is.New(t)
 	agent := NewAgent(now, AgentOptions{Service: worldService, FlowLifetime: time.Minute,
 		ReportInterval: time.Second})
+	agent.Tracker().Checked(now, instance.Check{Refused: true})
 	agent.Tracker().Report(now, instance.Report{ID: "i", Service: worldService, Slots: 3, Sequence: 1})
 	is.True(agent.Tracker().CheckDue(now))
 	agent.Tracker().Checked(now, instance.Check{Healthy: true, ID: "i"})
--- a/handshake/overload_test.go
+++ b/handshake/overload_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/burlmill/burlmill/instance"
 )
 
 // Settings of TestFleetRestartDoesNotOverloadBalancers.
@@ -73,6 +75,9 @@
 	}
 	for _, agent := range w.agents {
 		w.startAgent(agent)
+		if observed {
+			agent.logic.Tracker().Checked(w.now, instance.Check{Refused: true}) // before the back end starts
+		}
 		w.replaceBackend(agent)
 	}
 	for _, balancer := range w.balancers {
--- a/instance/checks.go
+++ b/instance/checks.go
@@ -109,6 +109,7 @@
 // absenceConfirmTime without another sign of the back end, drained incarnations have ended, and if
 // the back end has never been seen, absenceObserved is set.
 func (t *Tracker) recordRefusal(now time.Time, refused bool) {
+	t.refusedOnce = t.refusedOnce || refused && t.latest.ID == "" && t.lastSeenAt.IsZero()
 	switch {
 	case !refused || t.latest.ID != "":
 		t.refusedSince = time.Time{}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -113,6 +113,8 @@
 	checkStartedAt    time.Time // of the check in progress
 	warmReportsNeeded int       // reports still needed to end ExpectCold
 	refusedSince      time.Time // first of the latest consecutive refused checks; zero: none
+	// refusedOnce is true if a check was refused before any instance was seen: none was serving then.
+	refusedOnce bool
 	// absenceObserved is true if checks have shown that no instance ran at some time since the
 	// tracker was created, before any was seen. An instance that runs now has therefore started
 	// since.
@@ -123,7 +125,7 @@
 type incarnationState struct {
 	latest        Report
 	cause         Cause // why it became the current incarnation
-	startObserved bool  // its first report made it current, or it replaced a verified one
+	startObserved bool  // its first report followed a refused check, or it replaced a verified one
 	reported      bool  // it has sent a report
 	reportedTwice bool  // it has reported at least confirmSpacing after it was first seen
 	verified      bool  // it has answered a health check with its id
@@ -185,9 +187,9 @@
 
 // SawStart reports whether the current incarnation certainly started after the tracker was
 // created, so that it has no flows that the tracker's owner does not know. This holds if health
-// checks have shown at any time that no instance ran. It also holds if the first report of the
-// incarnation made it current, or it replaced a verified one, and it has answered a health check
-// itself. An incarnation that differs from its predecessor only in the start time has to report
+// checks have shown at any time that no instance ran. It also holds if a check was refused before the
+// first report of the incarnation made it current, or it replaced a verified one, and it has answered
+// a health check itself. The first report alone may have been sent before the tracker was created. An incarnation that differs from its predecessor only in the start time has to report
 // twice, since its first report may be a delayed one and answers to checks contain only the id. The
 // start time is not compared with any clock, since the back end's clock may have been set.
 func (t *Tracker) SawStart() bool {
@@ -299,19 +301,25 @@
 
 // supersede makes a later incarnation with the current id the current one.
 func (t *Tracker) supersede(now time.Time, report Report) {
-	startObserved := report.Sequence == firstSequence || t.reportedTwice && t.verified
+	startObserved := t.startsAfterRefusal(report) || t.reportedTwice && t.verified
 	t.setCurrent(now, report, CauseStartTime)
 	t.startObserved = startObserved
 }
 
 // supersedeOtherID makes an incarnation with another id the current one.
 func (t *Tracker) supersedeOtherID(now time.Time, report Report) {
-	startObserved := report.Sequence == firstSequence || t.verified
+	startObserved := t.startsAfterRefusal(report) || t.verified
 	t.displace(now)
 	t.setCurrent(now, report, CauseID)
 	t.startObserved = startObserved
 }
 
+// startsAfterRefusal reports whether the report is the first one of an instance that was not serving
+// yet at some time since the tracker was created.
+func (t *Tracker) startsAfterRefusal(report Report) bool {
+	return report.Sequence == firstSequence && t.refusedOnce
+}
+
 // setCurrent makes the incarnation of the report the current one. Its state is Draining if the
 // report is a draining one, otherwise Unverified.
 func (t *Tracker) setCurrent(now time.Time, report Report, cause Cause) {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -115,18 +115,58 @@
 	check(tracker, later, "b")
 	is.True(tracker.SawStart()) // it follows a known instance
 
+	refused := func(tracker *Tracker) {
+		is.True(tracker.CheckDue(start))
+		tracker.Checked(start, Check{Refused: true})
+	}
 	tracker = NewTracker("lessons", time.Second)
-	tracker.Report(start, Report{ID: "a", Sequence: firstSequence})
+	refused(tracker)
+	tracker.Report(later, Report{ID: "a", Sequence: firstSequence})
 	is.True(!tracker.SawStart())
-	check(tracker, start, "a")
-	is.True(tracker.SawStart()) // its first report was received
+	check(tracker, later, "a")
+	is.True(tracker.SawStart()) // no instance ran, and its first report was received
 
 	tracker = NewTracker("lessons", time.Second)
-	tracker.Report(start, Report{ID: "a", Sequence: firstSequence + 1})
-	check(tracker, start, "a")
+	refused(tracker)
+	tracker.Report(later, Report{ID: "a", Sequence: firstSequence + 1})
+	check(tracker, later, "a")
 	is.True(!tracker.SawStart())
 }
 
+// TestLateFirstReportShowsNoStart guards against treating an instance as new because its first report
+// was received, which may have been sent long before.
+func TestLateFirstReportShowsNoStart(t *testing.T) {
+	well := Check{Healthy: true, ID: "a"}
+	first := Report{ID: "a", Service: "lessons", Sequence: firstSequence}
+	for name, events := range map[string]func(*Tracker){
+		"before the first check": func(tracker *Tracker) {
+			tracker.Report(start, first)
+			tracker.Checked(start, well)
+		},
+		"while drains are awaited": func(tracker *Tracker) {
+			tracker.AwaitDrains()
+			tracker.Checked(start, well)
+			tracker.Report(start, first)
+			tracker.RestoreDrains(start, nil)
+			tracker.Checked(start.Add(CheckInterval), well)
+		},
+		"after a check that was not answered": func(tracker *Tracker) {
+			tracker.Checked(start, Check{})
+			tracker.Report(start, first)
+			tracker.Checked(start.Add(CheckInterval), well)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker("lessons", time.Second)
+			events(tracker)
+			tracker.Report(start.Add(time.Second), Report{ID: "a", Service: "lessons", Sequence: 4})
+			is.Equal(tracker.State(), Ready)
+			is.True(!tracker.SawStart())
+		})
+	}
+}
+
 // TestDrainingIsFinal guards against an incarnation with a start time becoming ready again after
 // it has reported draining or was removed. TestIncarnationsModel covers missing start times.
 func TestDrainingIsFinal(t *testing.T) {
