--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -218,6 +218,13 @@
 // BeginShutdown makes the agent refuse new flows because it is shutting down.
 func (a *Agent) BeginShutdown() { a.shuttingDown = true }
 
+// SetService sets the service of the back end. Until a back end of it has reported, the agent accepts
+// no new flows.
+func (a *Agent) SetService(service catalog.ServiceName) {
+	a.options.Service = service
+	a.tracker.SetService(service)
+}
+
 // SetEvacuations sets the evacuated zones. An agent in one of them refuses new flows; its open
 // flows continue.
 func (a *Agent) SetEvacuations(set evacuation.Set) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -143,6 +143,9 @@
 	return &Tracker{service: service, interval: interval}
 }
 
+// SetService sets the service of incarnations that are known from a health check only, from now on.
+func (t *Tracker) SetService(service catalog.ServiceName) { t.service = service }
+
 // State returns the state of the current incarnation.
 func (t *Tracker) State() State { return t.state }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -88,10 +89,11 @@
 	})
 	a.flows.Tracker().AwaitDrains()
 	a.recordDrains = a.acknowledgedDrains
+	incarnation := a.incarnation // changeService may change it
 	if err := a.openAll(changes); err != nil {
 		return errors.Join(err, a.close())
 	}
-	a.log.WithFields(log.Fields{"service": s.Backend.Service, "backend": s.Backend.Address, "peer": s.Node.PeerAddress, "incarnation": a.incarnation}).Info("started")
+	a.log.WithFields(log.Fields{"service": s.Backend.Service, "backend": s.Backend.Address, "peer": s.Node.PeerAddress, "incarnation": incarnation}).Info("started")
 	<-ctx.Done()
 	a.stop()
 	return a.closeAll()
@@ -124,10 +126,27 @@
 	a.spawn(a.balancerReadLoop)
 	a.spawn(a.maintainRecord)
 	a.spawn(a.maintainDrains)
-	a.spawn(func() { a.reloadLoop(changes) })
+	a.spawn(func() { a.reloadLoop(changes, a.changeService) })
 	return nil
 }
 
+// changeService applies a changed service of the back end: the address has gone to another one. New
+// flows of the earlier service are refused from now on, and those of the new service are accepted
+// once a back end of it has reported. Other processes take the agent for a new incarnation, so that
+// all of them learn its service. The lock is held.
+func (a *agent) changeService(changed settings.Settings) {
+	service := changed.Backend.Service
+	if service == "" || service == a.settings.Backend.Service {
+		return
+	}
+	a.log.WithFields(log.Fields{"service": service, "previous": a.settings.Backend.Service, "backend": a.flows.Tracker().Latest().ID}).Info("service-changed")
+	now := time.Now()
+	a.settings.Backend.Service = service
+	a.flows.SetService(service)
+	a.incarnation, a.startedAt = rand.Uint64(), now
+	a.announceBackendState(now)
+}
+
 // addAgentGauges registers the gauges that only agents have.
 func (a *agent) addAgentGauges() {
 	a.metrics.addGauge("flows", "Flows known.", a.withLock(func(time.Time) float64 {
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -81,7 +81,7 @@
 	b.spawn(b.maintainRecord)
 	b.spawn(b.balancerReadLoop)
 	b.spawn(b.agentReadLoop)
-	b.spawn(func() { b.reloadLoop(changes) })
+	b.spawn(func() { b.reloadLoop(changes, nil) })
 	return nil
 }
 
--- a/internal/relay/node_monitoring.go
+++ b/internal/relay/node_monitoring.go
@@ -1,5 +1,5 @@
 // This file registers gauges, logs unreachable peers, counts and logs decisions of the flow logic,
-// and applies changed settings. Only changed seeds take effect without a restart.
+// and applies changed settings.
 
 package relay
 
@@ -72,11 +72,15 @@
 	n.cancelOutdatedCalls(now)
 }
 
-// applySettings applies settings that have changed while the process runs. Only seeds take effect
-// at once. Whether other changes need a restart is logged.
-func (n *node) applySettings(changed settings.Settings) {
+// applySettings applies settings that have changed while the process runs. Only seeds and those that
+// apply takes effect at once; it is called with the lock held, and may be nil. Whether other changes
+// need a restart is logged.
+func (n *node) applySettings(changed settings.Settings, apply func(settings.Settings)) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	if apply != nil {
+		apply(changed)
+	}
 	n.addSeeds(time.Now(), changed.Peers.Seeds)
 	withChangedSeeds := n.settings
 	withChangedSeeds.Peers.Seeds = changed.Peers.Seeds
@@ -86,13 +90,13 @@
 }
 
 // reloadLoop applies changed settings until the node stops.
-func (n *node) reloadLoop(changes <-chan settings.Settings) {
+func (n *node) reloadLoop(changes <-chan settings.Settings, apply func(settings.Settings)) {
 	for {
 		select {
 		case <-n.context.Done():
 			return
 		case changed := <-changes:
-			n.applySettings(changed)
+			n.applySettings(changed, apply)
 		}
 	}
 }
