relay: a write on its way creates no record after its withdrawal

Found by reading the diff: the mark of a planned stop, or a drain, written while the record is withdrawn, would have created the record of an agent that has ended. TestWithdrawnRecordIsNotCreatedAgain and TestRecordOfAnotherMachineIsReplaced fail without the two conditions.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -192,9 +192,10 @@
 // created, so that it has no flows that the tracker's owner does not know. This holds if health
 // checks have shown at any time that no instance ran. It also holds if a check was refused before the
 // first report of the incarnation made it current, or it replaced a verified one, and it has answered
-// a health check itself. The first report alone may have been sent before the tracker was created. An incarnation that differs from its predecessor only in the start time has to report
-// twice, since its first report may be a delayed one and answers to checks contain only the id. The
-// start time is not compared with any clock, since the back end's clock may have been set.
+// a health check itself. The first report alone may have been sent before the tracker was created. An
+// incarnation that differs from its predecessor only in the start time has to report twice, since its
+// first report may be a delayed one and answers to checks contain only the id. The start time is not
+// compared with any clock, since the back end's clock may have been set.
 func (t *Tracker) SawStart() bool {
 	return t.absenceObserved || t.startObserved && t.verified && (t.reportedTwice || t.cause != CauseStartTime)
 }
--- a/internal/relay/deregister.go
+++ b/internal/relay/deregister.go
@@ -86,6 +86,10 @@
 		}
 		found = !created
 	}
+	if a.recordRevision.Load() == 0 {
+		a.publish() // in place of a malformed record, or of one of another machine
+		return
+	}
 	if (found || withdrawalPending) && a.sleep(jitter(recordRecheckInterval)) {
 		a.publish() // the record may have been about to disappear
 	}
--- a/internal/relay/drain_records.go
+++ b/internal/relay/drain_records.go
@@ -249,9 +249,12 @@
 	if err != nil && fault.KindOf(err) != fault.NotFound && fault.KindOf(err) != fault.Invalid {
 		return err
 	}
-	if err == nil && found.holds(record) {
+	switch {
+	case err == nil && found.holds(record):
 		a.raiseRecordRevision(found.Revision)
 		return nil
+	case found.Revision == 0 && a.publishStopped.Load() && !record.Vacated:
+		return nil // the record has been withdrawn meanwhile
 	}
 	return a.replaceRevision(ctx, record, found.Revision)
 }
--- a/internal/relay/drain_records_test.go
+++ b/internal/relay/drain_records_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -120,7 +121,8 @@
 		return 0, ctx.Err()
 	}
 	found, err := a.records.read()
-	if kind := fault.KindOf(err); kind == fault.NotFound || kind == fault.Invalid {
+	kind := fault.KindOf(err)
+	if err != nil && (kind == fault.NotFound || kind == fault.Invalid) || err == nil && found.Address != testPeerAddress {
 		return 0, nil
 	}
 	return found.Revision, err
@@ -368,6 +370,31 @@
 	is.Equal(len(store.record().Drains), 1)
 }
 
+// TestWithdrawnRecordIsNotCreatedAgain guards against the record of an agent that has ended, left by a
+// write that was on its way when the record was withdrawn.
+func TestWithdrawnRecordIsNotCreatedAgain(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{}
+	a := startAgentWith(t, store)
+	a.backendSeen.signal()
+	a.awaitRestored(t)
+	a.publishStopped.Store(true)
+	store.set(func(s *recordStore) { s.stored = StoredRecord{} }) // withdrawn
+	a.recordStop()
+	is.Equal(store.record().Address, Record{}.Address)
+}
+
+// TestRecordOfAnotherMachineIsReplaced guards against an agent that stays without a record because
+// another machine with its name has left one.
+func TestRecordOfAnotherMachineIsReplaced(t *testing.T) {
+	is := is.New(t)
+	store := &recordStore{revision: 7, stored: StoredRecord{Record: Record{Address: netip.MustParseAddrPort("10.9.9.9:1")}, Revision: 7}}
+	a := startAgentWith(t, store)
+	a.backendSeen.signal()
+	waitUntil(t, func() bool { return store.record().Address == testPeerAddress })
+	is.True(!a.flows.Tracker().AwaitsDrains())
+}
+
 func (s *recordStore) record() Record {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
