--- a/handshake/agent.go
+++ b/handshake/agent.go
@@ -68,9 +68,10 @@
 	probeHistories  map[flow.Key]*probeHistory // flows for which this agent is the coordinator
 	probesAllowedAt time.Time                  // before this time the agent permits no probes
 	lastTickAt      time.Time                  // zero: none yet
-	// idleTimeoutOfBackend is the time after which the back end may forget a flow without datagrams;
+
+	// backendIdleTimeout is the time after which the back end may forget a flow without datagrams;
 	// 0: not known.
-	idleTimeoutOfBackend time.Duration
+	backendIdleTimeout time.Duration
 
 	restartProof   *trackedFlow   // flow that proves a back end's restart; nil: none
 	restartProofAt time.Time      // when the back end returned its datagram as unknown
@@ -138,7 +139,7 @@
 		probeHistories:  map[flow.Key]*probeHistory{},
 		probesAllowedAt: now.Add(flowProbeSettleTime),
 
-		idleTimeoutOfBackend: DefaultIdleTimeout,
+		backendIdleTimeout: DefaultIdleTimeout,
 	}
 }
 
--- a/handshake/backend_restart.go
+++ b/handshake/backend_restart.go
@@ -17,11 +17,6 @@
 const (
 	// DefaultIdleTimeout is the idle timeout of back ends if the configuration contains none.
 	DefaultIdleTimeout = 15 * time.Second
-	// certainHoldTime is how long a back end with the default idle timeout that has not restarted
-	// certainly holds a flow after it last sent on it. It is shorter, since datagrams may be late.
-	certainHoldTime = holdTimeNumerator * DefaultIdleTimeout / holdTimeDenominator
-	// The time for which a flow is certainly held is this part of the idle timeout.
-	holdTimeNumerator, holdTimeDenominator = 2, 3
 	// restartProofTTL is how long a proof of a restart waits for the tracker to know the new
 	// incarnation.
 	restartProofTTL = 10 * time.Second
@@ -87,13 +82,17 @@
 
 // SetIdleTimeout sets the time after which the back end may forget a flow without datagrams. 0 means
 // that it is not known; then no returned datagram proves a restart.
-func (a *Agent) SetIdleTimeout(timeout time.Duration) { a.idleTimeoutOfBackend = timeout }
+func (a *Agent) SetIdleTimeout(timeout time.Duration) { a.backendIdleTimeout = timeout }
+
+// certainHoldTime returns how long a back end that has not restarted certainly holds a flow after it
+// last sent on it. It is shorter than the idle timeout, since datagrams may be late.
+func certainHoldTime(idleTimeout time.Duration) time.Duration { return idleTimeout * 2 / 3 }
 
 // certainlyHeld reports whether a back end that has not restarted certainly holds the flow: it sent
 // on the flow recently, and the flow is younger than FlowLifetime.
 func (a *Agent) certainlyHeld(now time.Time, tracked *trackedFlow) bool {
 	young := !tracked.acceptedAt.IsZero() && now.Sub(tracked.acceptedAt) < a.options.FlowLifetime
-	return young && now.Sub(tracked.backendLastSentAt) < holdTimeNumerator*a.idleTimeoutOfBackend/holdTimeDenominator
+	return young && now.Sub(tracked.backendLastSentAt) < certainHoldTime(a.backendIdleTimeout)
 }
 
 // closedByRestart reports whether the flow was accepted by the incarnation that last sent on proof,
--- a/handshake/backend_restart_test.go
+++ b/handshake/backend_restart_test.go
@@ -124,7 +124,7 @@
 	callers := openFlowsAt(t, w, agent, 5)
 	exchangeAll(t, w, callers)
 	idle := callers[0]
-	w.advance(certainHoldTime - time.Second)
+	w.advance(certainHoldTime(DefaultIdleTimeout) - time.Second)
 	exchangeAll(t, w, callers[1:])
 	w.advance(2 * time.Second)
 	w.sendPreviousReport(agent)
--- a/instance/incarnations.go
+++ b/instance/incarnations.go
@@ -101,7 +101,8 @@
 type pastIncarnation struct {
 	incarnation  Incarnation
 	endConfirmed bool // the end is confirmed: it reported draining, or its removal had its start time
-	contested    bool // its removal was received while it may have been running, and not acknowledged
+	// removalRejected is true after its removal was received while it may have been running.
+	removalRejected bool
 }
 
 func (p *pastIncarnations) index(incarnation Incarnation) int {
@@ -142,17 +143,17 @@
 	return i >= 0 && p.entries[i].endConfirmed && !incarnation.StartedAt.IsZero()
 }
 
-// endedFor reports whether a past incarnation that may be the given one has ended for certain.
-func (p *pastIncarnations) endedFor(incarnation Incarnation) bool {
+// coversEnded reports whether a past incarnation that may be the given one has ended for certain.
+func (p *pastIncarnations) coversEnded(incarnation Incarnation) bool {
 	return slices.ContainsFunc(p.entries, func(past pastIncarnation) bool {
-		return past.incarnation.ID == incarnation.ID && mayBeSame(past.incarnation, incarnation) && past.endConfirmed && !past.contested
+		return past.incarnation.ID == incarnation.ID && mayBeSame(past.incarnation, incarnation) && past.endConfirmed && !past.removalRejected
 	})
 }
 
-// contest records that the removal of the incarnation was not acknowledged.
-func (p *pastIncarnations) contest(incarnation Incarnation) {
+// rejectRemoval records that the removal of the incarnation was rejected.
+func (p *pastIncarnations) rejectRemoval(incarnation Incarnation) {
 	if i := p.index(incarnation); i >= 0 {
-		p.entries[i].contested = true
+		p.entries[i].removalRejected = true
 	}
 }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -1,7 +1,8 @@
-// This file runs the agent: its start, its shutdown within the drain limit, health checks, the
-// reports, removals and datagrams of the back end, and the messages of other processes. It sends to
-// the back end and to callers, determines when statuses are sent, logs changes of the back end's
-// state and registers gauges. Datagrams that cannot be parsed are logged and dropped.
+// This file runs the agent: its start, its shutdown within the drain limit, the datagrams
+// of the back end, and the messages of other processes. It sends to the back end and to callers,
+// determines when statuses are sent, logs changes of the back end's state and registers gauges.
+// Datagrams that cannot be parsed are logged and dropped. Health checks, reports and removals of the
+// back end are in backend_state.go.
 
 package relay
 
@@ -321,101 +322,6 @@
 	return cmp.Or(a.table.IdleTimeout(), handshake.DefaultIdleTimeout)
 }
 
-// defaultHealthPath is the path of health checks while none is configured.
-const defaultHealthPath = "/health"
-
-func (a *agent) healthPath() string {
-	service, known := a.table.Service(a.settings.Backend.Service)
-	if !known || service.HealthPath == "" {
-		return defaultHealthPath
-	}
-	return service.HealthPath
-}
-
-// check runs a health check of the back end and applies its result.
-func (a *agent) check(path string) instance.Check {
-	return a.checkWithin(path, instance.CheckTimeout)
-}
-
-// checkWithin runs a health check with the timeout and applies its result.
-func (a *agent) checkWithin(path string, timeout time.Duration) instance.Check {
-	ctx, cancel := context.WithTimeout(a.context, timeout)
-	defer cancel()
-	startedAt := time.Now()
-	result := a.adapter.CheckHealth(ctx, a.settings.Backend.Address, path)
-	result.StartedAt = startedAt
-	now := time.Now()
-	if result.Healthy || result.ID != "" {
-		a.backendSeen.signal()
-	}
-	a.limitedLog.Log(log.InfoLevel, "backend-checked", log.Fields{"well": result.Healthy, "backend": result.ID, "refused": result.Refused, "took": now.Sub(startedAt)})
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.healthChecked = true
-	a.flows.Tracker().Checked(now, result)
-	a.announceBackendState(now)
-	return result
-}
-
-// Report applies a report of the back end. A draining one is acknowledged once the drain is stored.
-func (a *agent) Report(report instance.Report) error {
-	changes, err := a.applyReport(report)
-	if err != nil || !report.Draining {
-		return err
-	}
-	return a.acknowledgeDrain(kindReport, report.Incarnation(), changes)
-}
-
-// applyReport applies a report and returns how often the drains have changed.
-func (a *agent) applyReport(report instance.Report) (drainChanges uint64, err error) {
-	now := time.Now()
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if err := a.checkReport(now, report); err != nil {
-		a.RecordRejected(err)
-		return 0, err
-	}
-	a.backendSeen.signal()
-	tracker := a.flows.Tracker()
-	lastSeenAt := tracker.LastSeen()
-	if _, err := tracker.Report(now, report); err != nil {
-		a.recordStale(kindReport, report.Incarnation(), err)
-		return 0, err
-	}
-	if !lastSeenAt.IsZero() {
-		a.metrics.reportGaps.Observe(now.Sub(lastSeenAt).Seconds())
-	}
-	a.announceBackendState(now)
-	_, drainChanges = tracker.Drains()
-	return drainChanges, nil
-}
-
-// Remove records that an incarnation of the back end has ended permanently. The removal is
-// acknowledged once that is stored.
-func (a *agent) Remove(incarnation instance.Incarnation) error {
-	changes, err := a.applyRemoval(incarnation)
-	if err != nil {
-		return err
-	}
-	return a.acknowledgeDrain(kindRemoval, incarnation, changes)
-}
-
-// applyRemoval applies a removal and returns how often the drains have changed.
-func (a *agent) applyRemoval(incarnation instance.Incarnation) (drainChanges uint64, err error) {
-	now := time.Now()
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.backendSeen.signal() // its drain has to be stored
-	tracker := a.flows.Tracker()
-	if err := tracker.Remove(now, incarnation); err != nil {
-		a.recordStale(kindRemoval, incarnation, err)
-		return 0, err
-	}
-	a.announceBackendState(now)
-	_, drainChanges = tracker.Drains()
-	return drainChanges, nil
-}
-
 // handleRecord does nothing: agents use no records of other processes.
 func (a *agent) handleRecord(time.Time, presence.Record) {}
 
--- a/internal/relay/drain_records_test.go
+++ b/internal/relay/drain_records_test.go
@@ -5,10 +5,7 @@
 package relay
 
 import (
-	"context"
 	"net/netip"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,122 +13,8 @@
 
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/instance"
-	"github.com/burlmill/burlmill/presence"
 )
 
-// recordStore is a store of one record that implements ReadRecord and Replace.
-type recordStore struct {
-	mutex     sync.Mutex
-	stored    StoredRecord // revision 0: none
-	revision  uint64
-	down      bool // calls fail
-	malformed bool // the record cannot be parsed
-	// loseAnswers is the number of further writes that take effect without an answer.
-	loseAnswers int
-	writes      int
-	unanswered  int // number of further reads that are never answered
-}
-
-// set changes the store.
-func (s *recordStore) set(change func(*recordStore)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	change(s)
-}
-
-// drains returns the stored drains.
-func (s *recordStore) drains() []instance.Drain {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.stored.Drains
-}
-
-var errStoreDown = fault.New(fault.Unavailable, "store is down")
-
-func (s *recordStore) read() (StoredRecord, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	switch {
-	case s.down:
-		return StoredRecord{}, errStoreDown
-	case s.stored.Revision == 0:
-		return StoredRecord{}, fault.New(fault.NotFound, "no record")
-	case s.malformed:
-		return StoredRecord{Revision: s.stored.Revision}, fault.New(fault.Invalid, "malformed record")
-	}
-	return s.stored, nil
-}
-
-func (s *recordStore) replace(record Record, revision uint64) (uint64, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	switch {
-	case s.down:
-		return 0, errStoreDown
-	case revision != 0 && s.stored.Revision == 0:
-		return 0, fault.New(fault.NotFound, "no record")
-	case revision != s.stored.Revision:
-		return 0, fault.New(fault.Conflict, "another revision")
-	}
-	s.revision++
-	s.writes++
-	s.malformed = false
-	s.stored = StoredRecord{Record: record, Revision: s.revision}
-	s.stored.Drains = slices.Clone(record.Drains)
-	if s.loseAnswers > 0 {
-		s.loseAnswers--
-		return 0, fault.New(fault.Unavailable, "answer lost")
-	}
-	return s.revision, nil
-}
-
-// recordAdapter is an Adapter that reads and replaces records in a recordStore.
-type recordAdapter struct {
-	Adapter
-	records *recordStore
-}
-
-// answersRead reports whether the store answers a read; otherwise it waits for the end of the read.
-func (a recordAdapter) answersRead(ctx context.Context) bool {
-	hangs := false
-	a.records.set(func(s *recordStore) {
-		if hangs = s.unanswered > 0; hangs {
-			s.unanswered--
-		}
-	})
-	if hangs {
-		<-ctx.Done()
-	}
-	return !hangs
-}
-
-func (a recordAdapter) ReadRecord(ctx context.Context, _ presence.Role, _ string) (StoredRecord, error) {
-	if !a.answersRead(ctx) {
-		return StoredRecord{}, ctx.Err()
-	}
-	return a.records.read()
-}
-
-func (a recordAdapter) Replace(_ context.Context, record Record, revision uint64) (uint64, error) {
-	return a.records.replace(record, revision)
-}
-
-func (a recordAdapter) RecordRevision(ctx context.Context, _ Record) (uint64, error) {
-	if !a.answersRead(ctx) {
-		return 0, ctx.Err()
-	}
-	found, err := a.records.read()
-	kind := fault.KindOf(err)
-	if err != nil && (kind == fault.NotFound || kind == fault.Invalid) || err == nil && found.Address != testPeerAddress {
-		return 0, nil
-	}
-	return found.Revision, err
-}
-
-func (a recordAdapter) Publish(_ context.Context, record Record) (uint64, error) {
-	return a.records.replace(record, a.records.stored.Revision)
-}
-
 // startDrainMaintenance starts maintainDrains, which ends with the test.
 func startDrainMaintenance(a *agent) { a.spawn(a.maintainDrains) }
 
@@ -141,7 +24,7 @@
 	return startAgentBefore(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 }
 
-func startAgentBefore(t *testing.T, adapter recordAdapter) *agent {
+func startAgentBefore(t *testing.T, adapter Adapter) *agent {
 	t.Helper()
 	a := newAgentWithoutBackend(t, adapter)
 	a.flows.Tracker().AwaitDrains()
@@ -151,6 +34,15 @@
 	return a
 }
 
+// startRestoredAgent returns an agent that has seen a back end and knows the drains of earlier starts.
+func startRestoredAgent(t *testing.T, adapter Adapter) *agent {
+	t.Helper()
+	a := startAgentBefore(t, adapter)
+	a.backendSeen.signal()
+	a.awaitRestored(t)
+	return a
+}
+
 // checked passes a healthy answer of the back end with the id to the agent and returns the state.
 func (a *agent) checked(id instance.ID) instance.State {
 	a.mutex.Lock()
@@ -224,9 +116,7 @@
 func TestConcurrentWriteKeepsDrains(t *testing.T) {
 	is := is.New(t)
 	store := &recordStore{}
-	a := startAgentWith(t, store)
-	a.backendSeen.signal()
-	a.awaitRestored(t)
+	a := startRestoredAgent(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 	_, err := store.replace(a.ownRecord(), store.stored.Revision) // the agent does not know the revision
 	is.NoErr(err)
 	is.NoErr(a.Remove(instance.Incarnation{ID: "i-1"}))
@@ -262,12 +152,7 @@
 	is := is.New(t)
 	store := &recordStore{}
 	adapter := &healthAdapter{check: instance.Check{Healthy: true, ID: "i-1"}}
-	start := func() *agent {
-		a := startAgentBefore(t, recordAdapter{Adapter: adapter, records: store})
-		a.backendSeen.signal()
-		a.awaitRestored(t)
-		return a
-	}
+	start := func() *agent { return startRestoredAgent(t, recordAdapter{Adapter: adapter, records: store}) }
 	a := start()
 	is.NoErr(a.Report(instance.Report{ID: "i-1", Service: "lessons", Slots: 3, Sequence: 1}))
 	a.checked("i-1")
@@ -333,20 +218,12 @@
 	is.Equal(a.checked("i-1"), instance.Absent)
 }
 
-func (s *recordStore) remainingUnanswered() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.unanswered
-}
-
 // TestPlannedStopStaysOnRecord guards against a planned stop that is not recorded, that the next
 // start removes too early, or that stays for ever.
 func TestPlannedStopStaysOnRecord(t *testing.T) {
 	is := is.New(t)
 	store := &recordStore{}
-	a := startAgentWith(t, store)
-	a.backendSeen.signal()
-	a.awaitRestored(t)
+	a := startRestoredAgent(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 	a.mutex.Lock()
 	a.shuttingDown = true
 	a.mutex.Unlock()
@@ -375,9 +252,7 @@
 func TestWithdrawnRecordIsNotCreatedAgain(t *testing.T) {
 	is := is.New(t)
 	store := &recordStore{}
-	a := startAgentWith(t, store)
-	a.backendSeen.signal()
-	a.awaitRestored(t)
+	a := startRestoredAgent(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 	a.publishStopped.Store(true)
 	store.set(func(s *recordStore) { s.stored = StoredRecord{} }) // withdrawn
 	a.recordStop()
@@ -394,9 +269,3 @@
 	waitUntil(t, func() bool { return store.record().Address == testPeerAddress })
 	is.True(!a.flows.Tracker().AwaitsDrains())
 }
-
-func (s *recordStore) record() Record {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.stored.Record
-}
