agent: one writer and one version for the record, so that no write hides or replaces another

A drain that was stored and acknowledged between its two calls was replaced by the earlier content. * A mark of a planned stop that ended during another write counted as written: the flag was cleared by the success of a write that did not contain the change, and the mark stayed for good. * A write that found the agent deregistered counted as stored, so that a drain could be acknowledged by it. Besides, the planned stop had a write of its own beside that of the drains, with no repetition.

Change: a change of any part of the record raises its version (recordVersion); maintainDrains alone replaces the record, and a success stores the version that it wrote. The planned stop and publications raise the version and ask for such a write; the event stop-unrecorded goes, since drains-write-failed tells it. The node's hook is rewriteRecord in place of recordDrains. A write after deregister fails with fault.Canceled.

TestPlannedStopStaysOnRecord and TestWithdrawnRecordIsNotCreatedAgain keep their assertions; the first waits for the write, which is no longer made by the call, the second calls replaceRecord itself and also asks for its error.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -89,7 +89,7 @@
 		ReportInterval: s.Backend.ReportInterval,
 	})
 	a.flows.Tracker().AwaitDrains()
-	a.recordDrains = a.acknowledgedDrains
+	a.rewriteRecord = a.rewriteOwnRecord
 	incarnation := a.incarnation // changeService may change it
 	if err := a.openAll(changes); err != nil {
 		return errors.Join(err, a.close())
@@ -193,9 +193,9 @@
 	a.statusUrgent = true
 	a.peers.BeginShutdown(startedAt)
 	a.flows.BeginShutdown()
+	a.recordStop()
 	a.log.WithField("flows", a.flows.ActiveFlows()).Info("shutting-down")
 	a.mutex.Unlock()
-	a.spawn(a.recordStop)
 	noticeUntil := startedAt.Add(handshake.MinAgentShutdownTime)
 	deadline := startedAt.Add(max(0, a.settings.Flows.DrainLimit-agentDrainMargin))
 	for time.Now().Before(deadline) && (time.Now().Before(noticeUntil) || a.activeFlows() > 0) {
--- a/internal/relay/backend_state.go
+++ b/internal/relay/backend_state.go
@@ -51,15 +51,15 @@
 
 // Report applies a report of the back end. A draining one is acknowledged once the drain is stored.
 func (a *agent) Report(report instance.Report) error {
-	changes, err := a.applyReport(report)
+	version, err := a.applyReport(report)
 	if err != nil || !report.Draining {
 		return err
 	}
-	return a.acknowledgeDrain(kindReport, report.Incarnation(), changes)
+	return a.acknowledgeDrain(kindReport, report.Incarnation(), version)
 }
 
-// applyReport applies a report and returns how often the drains have changed.
-func (a *agent) applyReport(report instance.Report) (drainChanges uint64, err error) {
+// applyReport applies a report and returns the version of the record that contains its effect.
+func (a *agent) applyReport(report instance.Report) (version uint64, err error) {
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -78,32 +78,29 @@
 		a.metrics.reportGaps.Observe(now.Sub(lastSeenAt).Seconds())
 	}
 	a.announceBackendState(now)
-	_, drainChanges = tracker.Drains()
-	return drainChanges, nil
+	return a.recordVersion(), nil
 }
 
 // Remove records that an incarnation of the back end has ended permanently. The removal is
 // acknowledged once that is stored.
 func (a *agent) Remove(incarnation instance.Incarnation) error {
-	changes, err := a.applyRemoval(incarnation)
+	version, err := a.applyRemoval(incarnation)
 	if err != nil {
 		return err
 	}
-	return a.acknowledgeDrain(kindRemoval, incarnation, changes)
+	return a.acknowledgeDrain(kindRemoval, incarnation, version)
 }
 
-// applyRemoval applies a removal and returns how often the drains have changed.
-func (a *agent) applyRemoval(incarnation instance.Incarnation) (drainChanges uint64, err error) {
+// applyRemoval applies a removal and returns the version of the record that contains its effect.
+func (a *agent) applyRemoval(incarnation instance.Incarnation) (version uint64, err error) {
 	now := time.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.backendSeen.signal() // its drain has to be stored
-	tracker := a.flows.Tracker()
-	if err := tracker.Remove(now, incarnation); err != nil {
+	if err := a.flows.Tracker().Remove(now, incarnation); err != nil {
 		a.recordStale(kindRemoval, incarnation, err)
 		return 0, err
 	}
 	a.announceBackendState(now)
-	_, drainChanges = tracker.Drains()
-	return drainChanges, nil
+	return a.recordVersion(), nil
 }
--- a/internal/relay/deregister.go
+++ b/internal/relay/deregister.go
@@ -98,7 +98,7 @@
 // createRecord creates the agent's record and returns false if there is one already.
 func (a *agent) createRecord(ctx context.Context) (created bool, err error) {
 	if a.publishStopped.Load() {
-		return false, fault.New(fault.Canceled, "the record is no longer published")
+		return false, errRecordClosed
 	}
 	err = a.replaceRevision(ctx, a.ownRecord(), 0)
 	if err != nil && fault.KindOf(err) == fault.Conflict {
--- a/internal/relay/drain_records.go
+++ b/internal/relay/drain_records.go
@@ -1,6 +1,7 @@
-// This file keeps the drains that an agent acknowledges to its back end in the agent's record in the
-// store, so that the agent's next start knows them. A drain is acknowledged only after it was
-// stored. A start reads the record and passes its drains to the tracker of the back end.
+// This file keeps in the agent's record in the store what the agent's next start and balancers have to
+// know: the drains that it acknowledges to its back end, and that it was stopped as planned. A drain
+// is acknowledged only after it was stored. A start reads the record and passes its drains to the
+// tracker of the back end.
 
 package relay
 
@@ -25,14 +26,17 @@
 	maxRecordBackoff = 2 * time.Second
 )
 
-// drainRecorder is the state of storing the drains. Its fields are guarded by the agent's lock,
-// except due.
+// errRecordClosed is returned for a write of the record after deregister has begun to write it.
+var errRecordClosed = fault.New(fault.Canceled, "the record is no longer published")
+
+// drainRecorder is the state of storing the record. Its fields are guarded by the agent's lock, except
+// due.
 type drainRecorder struct {
-	due        chan struct{} // signals that the drains may have to be written
-	stored     uint64        // changes of instance.Tracker.Drains that the store holds
-	updated    chan struct{} // closed when stored changes
-	unreadable bool          // the stored record is malformed and has to be replaced
-	outdated   bool          // the stored record has to be replaced even if no drain has changed
+	due          chan struct{} // signals that the record may have to be written
+	otherChanges uint64        // changes of the record besides those of its drains
+	stored       uint64        // recordVersion that the store holds
+	updated      chan struct{} // closed when stored changes
+	unreadable   bool          // the stored record is malformed and has to be replaced
 	// stoppedUntil is until when the record says that the agent was stopped as planned, by an
 	// earlier start; zero: it does not.
 	stoppedUntil time.Time
@@ -42,15 +46,15 @@
 	return drainRecorder{due: make(chan struct{}, 1), updated: make(chan struct{})}
 }
 
-// requestDrainWrite makes maintainDrains store the drains if the store does not hold them.
-func (a *agent) requestDrainWrite() {
+// requestRecordWrite makes maintainDrains store the record if the store does not hold it.
+func (a *agent) requestRecordWrite() {
 	select {
 	case a.drains.due <- struct{}{}:
 	default: // already requested
 	}
 }
 
-// maintainDrains stores the drains whenever they change.
+// maintainDrains stores the record whenever its content changes.
 func (a *agent) maintainDrains() {
 	pause := backoff{}
 	for {
@@ -60,7 +64,7 @@
 		case <-a.drains.due:
 		}
 		pause.reset()
-		for !a.storeDrains() {
+		for !a.storeRecord() {
 			if !a.sleep(pause.next(maxRecordBackoff)) {
 				return
 			}
@@ -68,21 +72,21 @@
 	}
 }
 
-// updateDrains drops drains that have no further use, requests a write if the store does not hold
-// the drains, and ends the wait for those of earlier starts if these do not matter any more. The
-// lock is held.
+// updateDrains drops what the record no longer has to contain, requests a write if the store does not
+// hold the record, and ends the wait for the drains of a malformed one once reports have confirmed
+// the back end. The lock is held.
 func (a *agent) updateDrains(now time.Time) {
 	tracker := a.flows.Tracker()
 	tracker.ExpireDrains(now)
 	if a.drains.unreadable && tracker.AwaitsDrains() && tracker.State() == instance.Ready {
-		tracker.RestoreDrains(now, nil) // reports have confirmed the back end
+		tracker.RestoreDrains(now, nil)
 	}
 	if !a.drains.stoppedUntil.IsZero() && now.After(a.drains.stoppedUntil) {
 		a.drains.stoppedUntil = time.Time{}
-		a.drains.outdated = true
+		a.drains.otherChanges++
 	}
-	if a.drainWriteDue() {
-		a.requestDrainWrite()
+	if a.recordWriteDue() {
+		a.requestRecordWrite()
 	}
 }
 
@@ -92,18 +96,15 @@
 	return a.drains.unreadable || !a.flows.Tracker().AwaitsDrains()
 }
 
-// drainWriteDue reports whether the agent's record has to be written. The lock is held.
-func (a *agent) drainWriteDue() bool {
+// recordVersion returns the number of changes of currentRecord. The lock is held.
+func (a *agent) recordVersion() uint64 {
 	_, changes := a.flows.Tracker().Drains()
-	return a.drainsKnown() && (a.drains.outdated || changes != a.drains.stored)
+	return changes + a.drains.otherChanges
 }
 
-// acknowledgedDrains returns the drains that the agent's record has to contain.
-func (a *agent) acknowledgedDrains() []instance.Drain {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	drains, _ := a.flows.Tracker().Drains()
-	return drains
+// recordWriteDue reports whether the agent's record has to be written. The lock is held.
+func (a *agent) recordWriteDue() bool {
+	return a.drainsKnown() && a.recordVersion() != a.drains.stored
 }
 
 // readOwnRecord reads the current record of this agent. The result is the zero value if there is
@@ -165,22 +166,22 @@
 	if found.Stopped {
 		a.drains.stoppedUntil = now.Add(a.settings.Flows.MaxLifetime)
 	}
-	drains, changes := tracker.Drains()
-	a.limitedLog.Log(log.InfoLevel, "drains-restored", log.Fields{"drains": len(found.Drains), "kept": len(drains), "revision": found.Revision,
+	current := a.currentRecord()
+	a.limitedLog.Log(log.InfoLevel, "drains-restored", log.Fields{"drains": len(found.Drains), "kept": len(current.Drains), "revision": found.Revision,
 		"backend": tracker.Latest().ID, "state": tracker.State(), "stopped_as_planned": found.Stopped, "age": now.Sub(a.startedAt)})
-	if slices.Equal(drains, found.Drains) && !found.Vacated {
-		a.setStoredDrains(changes)
+	if slices.Equal(current.Drains, found.Drains) && current.Stopped == found.Stopped && !found.Vacated {
+		a.setStored(a.recordVersion())
 	} else {
-		a.drains.outdated = true
-		a.requestDrainWrite()
+		a.drains.otherChanges++
+		a.requestRecordWrite()
 	}
 	a.announceBackendState(now)
 }
 
-// setStoredDrains records that the store holds the drains as of the change, and wakes the calls that
-// wait for it. The lock is held.
-func (a *agent) setStoredDrains(changes uint64) {
-	a.drains.stored, a.drains.outdated = changes, false
+// setStored records that the store holds a version of the record, and wakes the calls that wait for
+// it. The lock is held.
+func (a *agent) setStored(version uint64) {
+	a.drains.stored = version
 	close(a.drains.updated)
 	a.drains.updated = make(chan struct{})
 }
@@ -193,30 +194,35 @@
 	return record
 }
 
-// recordStop writes to the agent's record that the agent is being stopped as planned, so that
-// balancers do not take the next start of all processes for a failure of all of them.
-func (a *agent) recordStop() {
-	if a.recordRevision.Load() == 0 {
-		return // without a record, the agent has seen no back end
-	}
+// rewriteOwnRecord makes maintainDrains write the record, and waits for that. If other goroutines wrote
+// it too, an earlier content could replace a later one.
+func (a *agent) rewriteOwnRecord() (revision uint64, err error) {
 	a.mutex.Lock()
-	record := a.currentRecord()
+	a.drains.otherChanges++
+	version := a.recordVersion()
 	a.mutex.Unlock()
-	if err := a.replaceRecord(a.context, record); err != nil {
-		a.limitedLog.Log(log.WarnLevel, "stop-unrecorded", log.Fields{"error": err})
+	err = a.awaitStored(version)
+	return a.recordRevision.Load(), err
+}
+
+// recordStop makes the agent's record say that the agent is stopped as planned, so that balancers do
+// not take the next start of all processes for a failure of all of them. An agent without a record
+// has seen no back end. The lock is held.
+func (a *agent) recordStop() {
+	if a.recordRevision.Load() == 0 {
+		return
 	}
+	a.drains.otherChanges++
+	a.requestRecordWrite()
 }
 
-// storeDrains writes the drains to the agent's record unless the store holds them, and returns false
-// if that failed.
-func (a *agent) storeDrains() bool {
+// storeRecord writes the agent's record unless the store holds it, and returns false if that failed.
+func (a *agent) storeRecord() bool {
 	if a.publishStopped.Load() {
 		return true // deregister decides what the record contains
 	}
 	a.mutex.Lock()
-	record := a.currentRecord()
-	_, changes := a.flows.Tracker().Drains()
-	due := a.drainWriteDue()
+	record, version, due := a.currentRecord(), a.recordVersion(), a.recordWriteDue()
 	a.mutex.Unlock()
 	if !due {
 		return true
@@ -224,13 +230,13 @@
 	startedAt := time.Now()
 	err := a.replaceRecord(a.context, record)
 	if err != nil {
-		a.limitedLog.Log(log.WarnLevel, "drains-write-failed", log.Fields{"drains": len(record.Drains), "error": err, "took": time.Since(startedAt)})
+		a.limitedLog.Log(log.WarnLevel, "drains-write-failed", log.Fields{"drains": len(record.Drains), "stopped": record.Stopped, "error": err, "took": time.Since(startedAt)})
 		return false
 	}
-	a.limitedLog.Log(log.InfoLevel, "drains-stored", log.Fields{"drains": len(record.Drains), "revision": a.recordRevision.Load(), "took": time.Since(startedAt)})
+	a.limitedLog.Log(log.InfoLevel, "drains-stored", log.Fields{"drains": len(record.Drains), "stopped": record.Stopped, "revision": a.recordRevision.Load(), "took": time.Since(startedAt)})
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.setStoredDrains(changes)
+	a.setStored(version)
 	return true
 }
 
@@ -253,8 +259,8 @@
 	case err == nil && found.holds(record):
 		a.raiseRecordRevision(found.Revision)
 		return nil
-	case found.Revision == 0 && a.publishStopped.Load() && !record.Vacated:
-		return nil // the record has been withdrawn meanwhile
+	case a.publishStopped.Load() && !record.Vacated:
+		return errRecordClosed
 	}
 	return a.replaceRevision(ctx, record, found.Revision)
 }
@@ -274,34 +280,34 @@
 	return err
 }
 
-// awaitDrainStored waits until the store holds the tracker's drains as of the change, at most for
-// drainAckTimeout. It returns an error of kind fault.Unavailable if it does not.
-func (a *agent) awaitDrainStored(changes uint64) error {
+// awaitStored waits until the store holds the version of the record, at most for drainAckTimeout. It
+// returns an error of kind fault.Unavailable if it does not.
+func (a *agent) awaitStored(version uint64) error {
 	timeout := time.NewTimer(drainAckTimeout)
 	defer timeout.Stop()
 	for {
 		a.mutex.Lock()
-		stored, updated := a.drainsKnown() && a.drains.stored >= changes, a.drains.updated
+		stored, updated := a.drainsKnown() && a.drains.stored >= version, a.drains.updated
 		a.mutex.Unlock()
 		if stored {
 			return nil
 		}
-		a.requestDrainWrite()
+		a.requestRecordWrite()
 		select {
 		case <-updated:
 		case <-timeout.C:
-			return fault.New(fault.Unavailable, "the drain is in force, but the store has not recorded it within %v", drainAckTimeout)
+			return fault.New(fault.Unavailable, "the store has not recorded the change within %v", drainAckTimeout)
 		case <-a.context.Done():
 			return fault.Wrap(fault.Unavailable, a.context.Err(), "the agent stops")
 		}
 	}
 }
 
-// acknowledgeDrain waits until a drain of the back end that has taken effect is stored, and logs the
-// outcome. The caller acknowledges the drain only if no error is returned.
-func (a *agent) acknowledgeDrain(kind backendMessageKind, incarnation instance.Incarnation, changes uint64) error {
+// acknowledgeDrain waits until a drain of the back end that has taken effect is stored with the version
+// of the record, and logs the outcome. The caller acknowledges the drain only if no error is returned.
+func (a *agent) acknowledgeDrain(kind backendMessageKind, incarnation instance.Incarnation, version uint64) error {
 	startedAt := time.Now()
-	err := a.awaitDrainStored(changes)
+	err := a.awaitStored(version)
 	level, fields := log.InfoLevel, log.Fields{"said": kind, "backend": incarnation.ID, "start_time": incarnation.StartedAtText(), "took": time.Since(startedAt)}
 	if err != nil {
 		level, fields["error"] = log.WarnLevel, err
--- a/internal/relay/drain_records_test.go
+++ b/internal/relay/drain_records_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	a := newAgentWithoutBackend(t, adapter)
 	a.flows.Tracker().AwaitDrains()
-	a.recordDrains = a.acknowledgedDrains
+	a.rewriteRecord = a.rewriteOwnRecord
 	startDrainMaintenance(a)
 	a.spawn(a.maintainRecord)
 	return a
@@ -226,8 +226,10 @@
 	a := startRestoredAgent(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 	a.mutex.Lock()
 	a.shuttingDown = true
-	a.mutex.Unlock()
 	a.recordStop()
+	version := a.recordVersion()
+	a.mutex.Unlock()
+	is.NoErr(a.awaitStored(version))
 	is.True(store.record().Stopped)
 
 	next := startAgentWith(t, store)
@@ -255,7 +257,10 @@
 	a := startRestoredAgent(t, recordAdapter{Adapter: &ownRecordAdapter{}, records: store})
 	a.publishStopped.Store(true)
 	store.set(func(s *recordStore) { s.stored = StoredRecord{} }) // withdrawn
-	a.recordStop()
+	a.mutex.Lock()
+	record := a.currentRecord()
+	a.mutex.Unlock()
+	is.Equal(fault.KindOf(a.replaceRecord(a.context, record)), fault.Canceled)
 	is.Equal(store.record().Address, Record{}.Address)
 }
 
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -20,7 +20,6 @@
 	"github.com/burlmill/burlmill/evacuation"
 	"github.com/burlmill/burlmill/fault"
 	"github.com/burlmill/burlmill/handshake"
-	"github.com/burlmill/burlmill/instance"
 	"github.com/burlmill/burlmill/internal/entry"
 	"github.com/burlmill/burlmill/internal/logging"
 	"github.com/burlmill/burlmill/internal/settings"
@@ -107,9 +106,9 @@
 	recordRevision      atomic.Uint64 // revision of this process's record in the store; 0 if none
 	withdrawalRequested atomic.Bool   // set by a withdrawal, cleared by the next publication
 	publishStopped      atomic.Bool   // the record is no longer published
-	// recordDrains returns the drains that the record contains. It is nil for balancers, and called
-	// without the lock.
-	recordDrains func() []instance.Drain
+	// rewriteRecord stores the record of this process again and returns its revision. It is nil if the
+	// record never changes.
+	rewriteRecord func() (uint64, error)
 
 	peerConn   peerSocket
 	peerClient *http.Client // for fetches from peers
--- a/internal/relay/store_records.go
+++ b/internal/relay/store_records.go
@@ -43,7 +43,7 @@
 	unannouncedReadInterval = 20 * time.Second
 )
 
-// ownRecord returns the record of this process without drains.
+// ownRecord returns the record of this process as far as it does not change.
 func (n *node) ownRecord() Record {
 	return Record{Role: n.role, ID: n.settings.Node.ID, Address: n.settings.Node.PeerAddress}
 }
@@ -95,13 +95,7 @@
 		return false, err
 	}
 	if found = revision != 0; !found {
-		record := n.ownRecord()
-		if n.recordDrains != nil {
-			record.Drains = n.recordDrains()
-		}
-		startedAt := time.Now()
-		revision, err = n.adapter.Publish(n.context, record)
-		n.metrics.observeStoreCall("publish", startedAt, err)
+		revision, err = n.writeRecord()
 		if err == nil {
 			n.withdrawalRequested.Store(false)
 		}
@@ -112,6 +106,17 @@
 	return found || withdrawalPending, err
 }
 
+// writeRecord stores the record of this process, also in place of another one with its id.
+func (n *node) writeRecord() (revision uint64, err error) {
+	if n.rewriteRecord != nil {
+		return n.rewriteRecord()
+	}
+	startedAt := time.Now()
+	revision, err = n.adapter.Publish(n.context, n.ownRecord())
+	n.metrics.observeStoreCall("publish", startedAt, err)
+	return revision, err
+}
+
 // raiseRecordRevision records the revision of this process's record in the store, unless a later one
 // is known already: the answer with the revision may be old.
 func (n *node) raiseRecordRevision(revision uint64) {
